--- /dev/null
+++ b/crates/admit/src/lib.rs
@@ -0,0 +1,7 @@
+//! Limits on online requests: rates and concurrency per organisation, deadlines, retry budgets.
+
+pub mod limits;
+pub mod retry;
+
+pub use limits::Limits;
+pub use retry::RetryBudget;
--- /dev/null
+++ b/crates/api/src/auth.rs
@@ -0,0 +1,81 @@
+//! Who is calling: organisations by the bundle's tokens, operators by the settings' tokens.
+
+use std::sync::Arc;
+
+use bundle::Active;
+use bundle::Holder;
+use bundle::schema::Organisation;
+use http::HeaderMap;
+use http::header::AUTHORIZATION;
+use kernel::settings::OperatorSettings;
+use wire::Reason;
+use wire::Refusal;
+use wire::digest::sha256_hex;
+
+/// A caller whose token is known, under one bundle.
+pub struct Caller {
+    /// The bundle under which the request is decided from start to end.
+    pub active: Arc<Active>,
+    /// The organisation.
+    pub org: Organisation,
+}
+
+/// Finds the caller's organisation.
+pub fn caller(holder: &Holder, headers: &HeaderMap) -> Result<Caller, Refusal> {
+    let active = active(holder)?;
+    let digest = token_digest(headers)?;
+    let org = active.bundle.organisations.iter().find(|org| org.token_sha256 == digest);
+    let org = org.cloned().ok_or_else(unknown_token)?;
+    Ok(Caller { active, org })
+}
+
+/// Finds the organisation that an operator acts for.
+pub fn caller_by_name(holder: &Holder, name: &str) -> Result<Caller, Refusal> {
+    let active = active(holder)?;
+    let org = active.bundle.organisations.iter().find(|org| org.name.as_str() == name);
+    let org = org.cloned().ok_or_else(|| {
+        let message = format!("the bundle in force has no organisation '{name}'");
+        Refusal::not_run(Reason::NotFound, message)
+    })?;
+    Ok(Caller { active, org })
+}
+
+/// Finds the operator.
+pub fn operator<'a>(
+    operators: &'a [OperatorSettings],
+    headers: &HeaderMap,
+) -> Result<&'a str, Refusal> {
+    let digest = token_digest(headers)?;
+    let operator =
+        operators.iter().find(|operator| operator.token_sha256.eq_ignore_ascii_case(&digest));
+    operator.map(|operator| operator.name.as_str()).ok_or_else(unknown_token)
+}
+
+fn active(holder: &Holder) -> Result<Arc<Active>, Refusal> {
+    holder.active().ok_or_else(|| {
+        let message = "no signed bundle is in force yet";
+        Refusal::not_run(Reason::NoBundle, message).retry_after(NO_BUNDLE_RETRY_AFTER_MS)
+    })
+}
+
+/// The wait suggested while no bundle is in force.
+const NO_BUNDLE_RETRY_AFTER_MS: wire::Millis = 1_000;
+
+/// Tokens are compared by digest, so the comparison's time tells nothing of the token.
+fn token_digest(headers: &HeaderMap) -> Result<String, Refusal> {
+    let token = headers
+        .get(AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .map(str::trim)
+        .filter(|token| !token.is_empty());
+    let token = token.ok_or_else(|| {
+        let message = "send a token in the header 'Authorization: Bearer TOKEN'";
+        Refusal::not_run(Reason::Unauthenticated, message)
+    })?;
+    Ok(sha256_hex(token.as_bytes()))
+}
+
+fn unknown_token() -> Refusal {
+    Refusal::not_run(Reason::Unauthenticated, "the token is not known")
+}
--- /dev/null
+++ b/crates/api/src/callers.rs
@@ -0,0 +1,115 @@
+//! The callers' port.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use async_trait::async_trait;
+use bundle::Holder;
+use bytes::Bytes;
+use fleet::Members;
+use fleet::endpoints;
+use http::Method;
+use http::Request;
+use http::Response;
+use kernel::Counters;
+use kernel::http_server::Body;
+use kernel::http_server::Handler;
+use kernel::http_server::json_response;
+use kernel::http_server::refusal_response;
+use serde_json::json;
+use wire::Millis;
+use wire::Reason;
+use wire::Refusal;
+
+use crate::auth;
+use crate::completion::Shape;
+use crate::completions::Completions;
+use crate::jobs::JobRoutes;
+use crate::request::Answer;
+use crate::request::no_route;
+use crate::request::query;
+use crate::service_calls::ServiceCalls;
+
+/// The handler of the callers' port.
+pub struct CallerRoutes {
+    /// The bundle in force.
+    pub holder: Arc<Holder>,
+    /// The fleet.
+    pub members: Arc<Members>,
+    /// The completion routes.
+    pub completions: Completions,
+    /// The route to plain services.
+    pub service_calls: ServiceCalls,
+    /// The job routes.
+    pub jobs: Arc<JobRoutes>,
+    /// The daemon's counters.
+    pub counters: Counters,
+    /// How long callers may keep an endpoints answer.
+    pub endpoints_keep_ms: Millis,
+    /// Whether the daemon refuses new requests, since it is about to stop.
+    pub is_closed: AtomicBool,
+}
+
+#[async_trait]
+impl Handler for CallerRoutes {
+    async fn handle(&self, request: Request<Bytes>) -> Response<Body> {
+        self.route(&request).await.unwrap_or_else(|refusal| {
+            self.counters.refused(&refusal);
+            refusal_response(&refusal)
+        })
+    }
+}
+
+impl CallerRoutes {
+    async fn route(&self, request: &Request<Bytes>) -> Answer {
+        let path = request.uri().path();
+        if path == "/healthz" {
+            return Ok(json_response(200, &json!({"live": true})));
+        }
+        if path == "/v1/endpoints" && request.method() == Method::GET {
+            return Ok(self.endpoints(request));
+        }
+        if self.is_closed.load(Ordering::Acquire) {
+            let message = "this daemon is stopping; ask for the endpoints again";
+            return Err(Refusal::not_run(Reason::Leaving, message).retry_after(0));
+        }
+        let caller = auth::caller(&self.holder, request.headers())?;
+        if let Some(rest) = path.strip_prefix("/v1/jobs") {
+            return self.jobs.route(&caller, request, rest.trim_start_matches('/')).await;
+        }
+        if let Some(rest) = path.strip_prefix("/v1/services/") {
+            let (service, call) = rest.split_once('/').ok_or_else(|| no_route(request))?;
+            return match *request.method() {
+                Method::POST => self.service_calls.call(caller, request, service, call).await,
+                _ => Err(no_route(request)),
+            };
+        }
+        match (request.method(), path) {
+            (&Method::POST, "/v1/completions") => {
+                self.completions.complete(caller, request, Shape::Text).await
+            }
+            (&Method::POST, "/v1/chat/completions") => {
+                self.completions.complete(caller, request, Shape::Chat).await
+            }
+            (&Method::POST, "/v1/lots") => self.jobs.put_lot(&caller, request).await,
+            (&Method::GET, "/v1/models") => {
+                let models = caller.active.bundle.models.iter();
+                let data: Vec<_> =
+                    models.map(|model| json!({"id": model.name, "object": "model"})).collect();
+                Ok(json_response(200, &json!({"object": "list", "data": data})))
+            }
+            _ => Err(no_route(request)),
+        }
+    }
+
+    fn endpoints(&self, request: &Request<Bytes>) -> Response<Body> {
+        let data_centre = query(request, "data_centre");
+        // Without a name every answer is spread anew.
+        let random = platform::store::new_write_id();
+        let caller = query(request, "caller").unwrap_or(&random);
+        let serving = self.members.serving();
+        let answer = endpoints::for_caller(&serving, caller, data_centre, self.endpoints_keep_ms);
+        json_response(200, &answer)
+    }
+}
--- /dev/null
+++ b/crates/api/src/lib.rs
@@ -0,0 +1,15 @@
+//! The interfaces for callers and operators over HTTP.
+
+pub mod admin;
+pub mod admission;
+pub mod auth;
+pub mod bundles;
+pub mod callers;
+pub mod claims;
+pub mod completion;
+pub mod completions;
+pub mod jobs;
+pub mod metrics;
+pub mod plugin;
+pub mod request;
+pub mod service_calls;
--- /dev/null
+++ b/crates/batch/src/ledger.rs
@@ -0,0 +1,860 @@
+//! The item ledger of one job at its owner, as a pure core.
+//!
+//! The durable head names the owner's epoch; the durable chunk records hold marks and outcomes.
+//! Every write is conditional on the version that was read, so a deposed owner's write fails.
+//! Items of a non-idempotent job are marked in the record before they are dispatched; a marked
+//! item whose run was lost is resumed or closed as interrupted, and is never run again.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use wire::DaemonName;
+use wire::Millis;
+use wire::Version;
+use wire::job::CHUNK_ITEMS;
+use wire::job::ChunkRecord;
+use wire::job::Head;
+use wire::job::OutcomeKind;
+use wire::link::ItemEnd;
+
+use crate::chunk::Chunk;
+use crate::chunk::ItemState;
+use crate::chunk::PendingWrite;
+use crate::chunk::Tries;
+
+/// The pause before a write without an answer is repeated.
+const WRITE_RETRY_MS: Millis = 500;
+/// How often the head is written while chunks end.
+const HEAD_EVERY_MS: Millis = 5_000;
+/// Lost backend servers after which an item runs alone on its replica.
+const DEATHS_TO_RUN_ALONE: u32 = 2;
+/// The pause before an item is tried again after a loss; it doubles with each further one.
+const LOSS_PAUSE_MS: Millis = 100;
+/// Items in flight before the first answers are there.
+const FIRST_IN_FLIGHT: u32 = 16;
+/// The smallest limit on items in flight.
+const MIN_IN_FLIGHT: u32 = 4;
+/// The pause between two cuts of the limit on items in flight.
+const CUT_EVERY_MS: Millis = 100;
+
+/// The limits of one ledger.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct LedgerLimits {
+    /// Chunks worked on at once.
+    pub open_chunks: u32,
+    /// Items marked in one write.
+    pub mark_group: u32,
+    /// The longest wait of marks and outcomes of non-idempotent items for their write.
+    pub group_commit_ms: Millis,
+    /// The longest wait of outcomes of idempotent items for their write.
+    pub record_within_ms: Millis,
+    /// Backend servers that may be lost to one item before it fails.
+    pub max_attempts: u32,
+    /// The most items in flight.
+    pub max_in_flight: u32,
+}
+
+/// What the ledger must know of its job.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct JobFacts {
+    /// The number of items.
+    pub items: u32,
+    /// The number of items in each chunk but the last.
+    pub chunk_items: u32,
+    /// Whether items may run again.
+    pub idempotent: bool,
+}
+
+impl JobFacts {
+    /// Returns the facts of a job with chunks of the usual size.
+    pub fn new(items: u32, idempotent: bool) -> Self {
+        Self { items, chunk_items: CHUNK_ITEMS, idempotent }
+    }
+
+    fn chunk_count(&self) -> u32 {
+        self.items.div_ceil(self.chunk_items)
+    }
+
+    fn items_of(&self, chunk: u32) -> u32 {
+        self.chunk_items.min(self.items - chunk * self.chunk_items)
+    }
+}
+
+/// How a conditional write ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum WriteEnd {
+    /// It took effect and made this version.
+    Applied(Version),
+    /// The object had another version.
+    Conflict,
+    /// No answer; the write may still take effect.
+    NoAnswer,
+}
+
+/// What the ledger is told.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Event {
+    /// The durable head was read, with the chunks that have a record.
+    HeadRead {
+        /// The head; the default if there is none.
+        head: Head,
+        /// Its version.
+        version: Version,
+        /// Chunks with a durable record.
+        existing: BTreeSet<u32>,
+    },
+    /// A write of the head ended.
+    HeadWritten {
+        /// The number of the write.
+        write: u64,
+        /// How it ended.
+        end: WriteEnd,
+    },
+    /// A chunk's record was read.
+    ChunkRead {
+        /// The chunk.
+        chunk: u32,
+        /// The record; the default if there is none.
+        record: ChunkRecord,
+        /// Its version.
+        version: Version,
+    },
+    /// A write of a chunk's record ended.
+    ChunkWritten {
+        /// The chunk.
+        chunk: u32,
+        /// The number of the write.
+        write: u64,
+        /// How it ended.
+        end: WriteEnd,
+    },
+    /// A try at an item ended.
+    ItemEnded {
+        /// The chunk.
+        chunk: u32,
+        /// The item's index in the chunk.
+        item: u32,
+        /// The number of the try.
+        attempt: u32,
+        /// How it ended.
+        end: ItemEnd,
+    },
+    /// The job was cancelled.
+    Cancel,
+    /// This daemon gives the job back: it leaves, or another daemon is the job's home.
+    HandBack,
+    /// Time has passed.
+    Tick,
+}
+
+/// What the adapter does.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Action {
+    /// Writes the head if it has the version `expected`.
+    WriteHead {
+        /// The number of the write; a repeated write keeps it.
+        write: u64,
+        /// The head.
+        head: Head,
+        /// The version that must be there.
+        expected: Version,
+    },
+    /// Reads a chunk's record.
+    ReadChunk {
+        /// The chunk.
+        chunk: u32,
+    },
+    /// Writes a chunk's record if it has the version `expected`.
+    WriteChunk {
+        /// The chunk.
+        chunk: u32,
+        /// The number of the write; a repeated write keeps it.
+        write: u64,
+        /// The record.
+        record: ChunkRecord,
+        /// The version that must be there.
+        expected: Version,
+    },
+    /// Starts a try at an item.
+    Dispatch {
+        /// The chunk.
+        chunk: u32,
+        /// The item's index in the chunk.
+        item: u32,
+        /// The number of the try.
+        attempt: u32,
+        /// Whether the try may only resume an earlier run.
+        resume_only: bool,
+        /// Whether the item shares its replica with no other batch item.
+        alone: bool,
+    },
+    /// Stops a try; it still ends with `ItemEnded`.
+    Stop {
+        /// The chunk.
+        chunk: u32,
+        /// The item's index in the chunk.
+        item: u32,
+    },
+    /// Drops the input of a chunk that is done.
+    CloseChunk {
+        /// The chunk.
+        chunk: u32,
+    },
+    /// Every item has its outcome; the job is over.
+    Finished,
+    /// Another owner has a higher epoch; nothing more is written.
+    Deposed,
+    /// Everything is recorded and the head names no owner.
+    HandedBack,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Phase {
+    Reading,
+    Claiming,
+    Working,
+    Ending,
+    Over,
+}
+
+/// The ledger core of one job.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Ledger {
+    own: DaemonName,
+    facts: JobFacts,
+    limits: LedgerLimits,
+    phase: Phase,
+    head: Head,
+    head_version: Version,
+    head_write: Option<PendingWrite<Head>>,
+    head_written_at_ms: Millis,
+    is_head_dirty: bool,
+    existing: BTreeSet<u32>,
+    next_chunk: u32,
+    open: BTreeMap<u32, Chunk>,
+    next_write: u64,
+    is_cancelled: bool,
+    is_leaving: bool,
+    in_flight_limit: u32,
+    cut_at_ms: Option<Millis>,
+}
+
+impl Ledger {
+    /// Creates the ledger of a job that this daemon wants to own; it starts with `HeadRead`.
+    pub fn new(own: DaemonName, facts: JobFacts, limits: LedgerLimits, is_cancelled: bool) -> Self {
+        Self {
+            own,
+            facts,
+            limits,
+            phase: Phase::Reading,
+            head: Head::default(),
+            head_version: Version::ABSENT,
+            head_write: None,
+            head_written_at_ms: 0,
+            is_head_dirty: false,
+            existing: BTreeSet::new(),
+            next_chunk: 0,
+            open: BTreeMap::new(),
+            next_write: 1,
+            is_cancelled,
+            is_leaving: false,
+            in_flight_limit: FIRST_IN_FLIGHT.min(limits.max_in_flight),
+            cut_at_ms: None,
+        }
+    }
+
+    /// Returns the head as it stands here, chunks not yet written included.
+    pub fn head(&self) -> &Head {
+        &self.head
+    }
+
+    /// Returns whether the ledger has ended.
+    pub fn is_over(&self) -> bool {
+        self.phase == Phase::Over
+    }
+
+    /// Returns the items of open chunks that have an outcome.
+    pub fn ended_in_open_chunks(&self) -> u32 {
+        self.open.values().map(|chunk| chunk.count(|state| *state == ItemState::Ended)).sum()
+    }
+
+    /// Sets the most items in flight.
+    pub fn set_max_in_flight(&mut self, max_in_flight: u32) {
+        self.limits.max_in_flight = max_in_flight.max(MIN_IN_FLIGHT);
+        self.in_flight_limit = self.in_flight_limit.min(self.limits.max_in_flight);
+    }
+
+    /// Takes one event and returns what to do.
+    pub fn step(&mut self, now_ms: Millis, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.phase == Phase::Over {
+            return actions;
+        }
+        match event {
+            Event::HeadRead { head, version, existing } => {
+                self.on_head_read(head, version, existing, &mut actions);
+            }
+            Event::HeadWritten { write, end } => {
+                self.on_head_written(now_ms, write, end, &mut actions);
+            }
+            Event::ChunkRead { chunk, record, version } => {
+                self.on_chunk_read(chunk, record, version, &mut actions);
+            }
+            Event::ChunkWritten { chunk, write, end } => {
+                self.on_chunk_written(now_ms, chunk, write, end, &mut actions);
+            }
+            Event::ItemEnded { chunk, item, attempt, end } => {
+                self.on_item_ended(now_ms, chunk, item, attempt, end);
+            }
+            Event::Cancel => self.on_cancel(now_ms, &mut actions),
+            Event::HandBack => self.on_hand_back(&mut actions),
+            Event::Tick => {}
+        }
+        self.proceed(now_ms, &mut actions);
+        actions
+    }
+
+    fn on_head_read(
+        &mut self,
+        head: Head,
+        version: Version,
+        existing: BTreeSet<u32>,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.phase != Phase::Reading {
+            return;
+        }
+        self.head = head;
+        self.head_version = version;
+        self.existing = existing;
+        if self.head.finished {
+            self.phase = Phase::Over;
+            actions.push(Action::Finished);
+            return;
+        }
+        self.phase = Phase::Claiming;
+        self.head.epoch += 1;
+        self.head.owner = Some(self.own.clone());
+        self.write_head(actions);
+    }
+
+    fn write_head(&mut self, actions: &mut Vec<Action>) {
+        let write = self.take_write_number();
+        let head = self.head.clone();
+        self.is_head_dirty = false;
+        self.head_write = Some(PendingWrite { write, value: head.clone(), retry_at_ms: None });
+        actions.push(Action::WriteHead { write, head, expected: self.head_version });
+    }
+
+    fn on_head_written(
+        &mut self,
+        now_ms: Millis,
+        write: u64,
+        end: WriteEnd,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(pending) = self.head_write.as_mut().filter(|pending| pending.write == write)
+        else {
+            return;
+        };
+        let version = match end {
+            WriteEnd::Applied(version) => version,
+            WriteEnd::NoAnswer => {
+                pending.retry_at_ms = Some(now_ms + WRITE_RETRY_MS);
+                return;
+            }
+            WriteEnd::Conflict => return self.depose(actions),
+        };
+        let written = pending.value.clone();
+        self.head_write = None;
+        self.head_version = version;
+        self.head_written_at_ms = now_ms;
+        if self.phase == Phase::Claiming {
+            self.phase = Phase::Working;
+        }
+        if self.phase == Phase::Ending {
+            self.phase = Phase::Over;
+            let is_finished = written.finished;
+            actions.push(if is_finished { Action::Finished } else { Action::HandedBack });
+        }
+    }
+
+    fn depose(&mut self, actions: &mut Vec<Action>) {
+        self.phase = Phase::Over;
+        self.stop_running(actions, |_| true);
+        actions.push(Action::Deposed);
+    }
+
+    fn on_chunk_read(
+        &mut self,
+        chunk: u32,
+        record: ChunkRecord,
+        version: Version,
+        actions: &mut Vec<Action>,
+    ) {
+        if record.epoch > self.head.epoch {
+            return self.depose(actions);
+        }
+        let Some(open) = self.open.get_mut(&chunk).filter(|open| open.is_loading) else {
+            return;
+        };
+        let overtaken = open.adopt(record, version);
+        actions.extend(overtaken.into_iter().map(|item| Action::Stop { chunk, item }));
+    }
+
+    fn on_chunk_written(
+        &mut self,
+        now_ms: Millis,
+        chunk: u32,
+        write: u64,
+        end: WriteEnd,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(open) = self.open.get_mut(&chunk) else {
+            return;
+        };
+        let Some(pending) = open.write.as_mut().filter(|pending| pending.write == write) else {
+            return;
+        };
+        match end {
+            WriteEnd::Applied(version) => {
+                let record = pending.value.clone();
+                open.on_written(now_ms, record, version);
+            }
+            WriteEnd::NoAnswer => pending.retry_at_ms = Some(now_ms + WRITE_RETRY_MS),
+            WriteEnd::Conflict => {
+                open.write = None;
+                open.is_loading = true;
+                actions.push(Action::ReadChunk { chunk });
+            }
+        }
+    }
+
+    fn on_item_ended(&mut self, now_ms: Millis, chunk: u32, item: u32, attempt: u32, end: ItemEnd) {
+        let Some(open) = self.open.get_mut(&chunk) else {
+            return;
+        };
+        let Some(ItemState::Running(tries)) = open.items.get(item as usize).cloned() else {
+            return;
+        };
+        if tries.attempt != attempt {
+            return;
+        }
+        let is_cancelled = self.is_cancelled;
+        let mut end_item = |kind, text| open.end_item(now_ms, item, kind, text);
+        match end {
+            ItemEnd::Done { text } => {
+                end_item(OutcomeKind::Done, text);
+                self.raise_in_flight_limit();
+            }
+            ItemEnd::ItemFault { detail } => end_item(OutcomeKind::Failed, detail),
+            ItemEnd::Stopped if is_cancelled => {
+                end_item(OutcomeKind::Cancelled, CANCELLED_TEXT.to_owned());
+            }
+            ItemEnd::CannotResume => {
+                end_item(OutcomeKind::Interrupted, INTERRUPTED_TEXT.to_owned());
+            }
+            ItemEnd::NotRun { retry_after_ms } => {
+                self.on_item_not_run(now_ms, chunk, item, tries, retry_after_ms);
+                self.cut_in_flight_limit(now_ms);
+            }
+            ItemEnd::BackendFault { detail } => {
+                self.on_item_lost(now_ms, chunk, item, tries, Some(detail));
+            }
+            ItemEnd::Unknown | ItemEnd::Stopped => {
+                self.on_item_lost(now_ms, chunk, item, tries, None);
+            }
+        }
+    }
+
+    /// The item was certainly not run: it goes back to where it was before the try.
+    fn on_item_not_run(
+        &mut self,
+        now_ms: Millis,
+        chunk: u32,
+        item: u32,
+        tries: Tries,
+        retry_after_ms: Millis,
+    ) {
+        let next = Tries {
+            attempt: tries.attempt + 1,
+            not_before_ms: now_ms + retry_after_ms,
+            resume_only: false,
+            ..tries
+        };
+        let state = match (tries.resume_only, self.facts.idempotent) {
+            (true, _) => ItemState::Orphaned(next),
+            (false, true) => ItemState::Pending(next),
+            (false, false) => ItemState::Marked(next),
+        };
+        self.set_item(chunk, item, state);
+    }
+
+    /// The item may have run: an idempotent one is tried again, another one is only resumed.
+    fn on_item_lost(
+        &mut self,
+        now_ms: Millis,
+        chunk: u32,
+        item: u32,
+        tries: Tries,
+        death: Option<String>,
+    ) {
+        let deaths = tries.deaths + u32::from(death.is_some());
+        if deaths >= self.limits.max_attempts {
+            let detail = death.unwrap_or_default();
+            let text = format!("{deaths} backend servers were lost while they ran it: {detail}");
+            let kind =
+                if self.facts.idempotent { OutcomeKind::Failed } else { OutcomeKind::Interrupted };
+            if let Some(open) = self.open.get_mut(&chunk) {
+                open.end_item(now_ms, item, kind, text);
+            }
+            return;
+        }
+        let pause_ms = LOSS_PAUSE_MS << deaths.min(6);
+        let next = Tries {
+            attempt: tries.attempt + 1,
+            deaths,
+            not_before_ms: now_ms + pause_ms,
+            resume_only: false,
+        };
+        let state = if self.facts.idempotent {
+            ItemState::Pending(next)
+        } else {
+            ItemState::Orphaned(next)
+        };
+        self.set_item(chunk, item, state);
+    }
+
+    fn on_cancel(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
+        if self.is_cancelled {
+            return;
+        }
+        self.is_cancelled = true;
+        self.stop_running(actions, |_| true);
+        self.cancel_waiting(now_ms);
+    }
+
+    /// Ends items that are not running; marks in progress end when their write has.
+    fn cancel_waiting(&mut self, now_ms: Millis) {
+        for open in self.open.values_mut().filter(|open| !open.is_loading) {
+            for item in 0..open.items.len() as u32 {
+                let is_waiting = matches!(
+                    open.items[item as usize],
+                    ItemState::Pending(_) | ItemState::Marked(_) | ItemState::Orphaned(_)
+                );
+                if is_waiting {
+                    let text = CANCELLED_TEXT.to_owned();
+                    open.end_item(now_ms, item, OutcomeKind::Cancelled, text);
+                }
+            }
+        }
+    }
+
+    fn on_hand_back(&mut self, actions: &mut Vec<Action>) {
+        if self.is_leaving {
+            return;
+        }
+        self.is_leaving = true;
+        // Idempotent items run again at the next owner; the others end here.
+        let is_stopped = self.facts.idempotent;
+        self.stop_running(actions, |_| is_stopped);
+    }
+
+    fn stop_running(&self, actions: &mut Vec<Action>, is_stopped: impl Fn(&Tries) -> bool) {
+        for (chunk, open) in &self.open {
+            for (item, state) in open.items.iter().enumerate() {
+                if matches!(state, ItemState::Running(tries) if is_stopped(tries)) {
+                    actions.push(Action::Stop { chunk: *chunk, item: item as u32 });
+                }
+            }
+        }
+    }
+
+    /// Does whatever the state allows now.
+    fn proceed(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
+        self.repeat_head_write(now_ms, actions);
+        if self.phase != Phase::Working {
+            return;
+        }
+        if self.is_cancelled {
+            self.cancel_waiting(now_ms);
+        }
+        if self.is_leaving {
+            self.open.values_mut().for_each(Chunk::unmark);
+        }
+        self.close_chunks(actions);
+        self.open_chunks(actions);
+        if self.is_cancelled {
+            self.cancel_waiting(now_ms);
+        }
+        self.dispatch(now_ms, actions);
+        self.write_chunks(now_ms, actions);
+        self.finish_or_write_head(now_ms, actions);
+    }
+
+    fn repeat_head_write(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
+        let expected = self.head_version;
+        if let Some(pending) = self.head_write.as_mut()
+            && pending.retry_at_ms.is_some_and(|at_ms| now_ms >= at_ms)
+        {
+            pending.retry_at_ms = None;
+            let (write, head) = (pending.write, pending.value.clone());
+            actions.push(Action::WriteHead { write, head, expected });
+        }
+    }
+
+    fn close_chunks(&mut self, actions: &mut Vec<Action>) {
+        let done: Vec<u32> = self
+            .open
+            .iter()
+            .filter(|(_, open)| open.is_recorded())
+            .map(|(chunk, _)| *chunk)
+            .collect();
+        for chunk in done {
+            let Some(open) = self.open.remove(&chunk) else {
+                continue;
+            };
+            for outcome in &open.record.outcomes {
+                self.head.counts.add(outcome.outcome.kind);
+            }
+            self.head.done_chunks.insert(chunk);
+            self.is_head_dirty = true;
+            actions.push(Action::CloseChunk { chunk });
+        }
+    }
+
+    fn open_chunks(&mut self, actions: &mut Vec<Action>) {
+        while !self.is_leaving && (self.open.len() as u32) < self.limits.open_chunks {
+            let Some(chunk) = self.take_next_chunk() else {
+                return;
+            };
+            let items = self.facts.items_of(chunk);
+            if self.existing.contains(&chunk) {
+                self.open.insert(chunk, Chunk::loading(items));
+                actions.push(Action::ReadChunk { chunk });
+            } else {
+                self.open.insert(chunk, Chunk::fresh(items));
+            }
+        }
+    }
+
+    /// Returns the next chunk with work; a cancelled job opens only chunks that have a record.
+    fn take_next_chunk(&mut self) -> Option<u32> {
+        while self.next_chunk < self.facts.chunk_count() {
+            let chunk = self.next_chunk;
+            self.next_chunk += 1;
+            let is_skipped = self.is_cancelled && !self.existing.contains(&chunk);
+            if !is_skipped && !self.head.done_chunks.contains(chunk) {
+                return Some(chunk);
+            }
+        }
+        None
+    }
+
+    fn dispatch(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
+        if self.is_leaving || self.is_cancelled {
+            return;
+        }
+        let mut room = self.in_flight_limit.saturating_sub(self.in_flight());
+        for (chunk, open) in &mut self.open {
+            if open.is_loading {
+                continue;
+            }
+            for (item, state) in open.items.iter_mut().enumerate() {
+                if room == 0 {
+                    return;
+                }
+                let Some(tries) = next_try(state, self.facts.idempotent, now_ms) else {
+                    continue;
+                };
+                *state = ItemState::Running(tries);
+                room -= 1;
+                actions.push(Action::Dispatch {
+                    chunk: *chunk,
+                    item: item as u32,
+                    attempt: tries.attempt,
+                    resume_only: tries.resume_only,
+                    alone: tries.deaths >= DEATHS_TO_RUN_ALONE,
+                });
+            }
+        }
+    }
+
+    fn write_chunks(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
+        let chunks: Vec<u32> = self.open.keys().copied().collect();
+        for chunk in chunks {
+            self.write_chunk(now_ms, chunk, actions);
+        }
+    }
+
+    fn write_chunk(&mut self, now_ms: Millis, chunk: u32, actions: &mut Vec<Action>) {
+        let marks = self.marks_wanted();
+        let epoch = self.head.epoch;
+        let write = self.next_write;
+        let is_leaving = self.is_leaving;
+        let Some(open) = self.open.get_mut(&chunk).filter(|open| !open.is_loading) else {
+            return;
+        };
+        if let Some(pending) = open.write.as_mut() {
+            if pending.retry_at_ms.is_some_and(|at_ms| now_ms >= at_ms) {
+                pending.retry_at_ms = None;
+                let (write, record) = (pending.write, pending.value.clone());
+                let expected = open.version;
+                actions.push(Action::WriteChunk { chunk, write, record, expected });
+            }
+            return;
+        }
+        let is_due = if self.facts.idempotent {
+            is_idempotent_write_due(open, now_ms, self.limits.record_within_ms, is_leaving)
+        } else {
+            mark_items(open, now_ms, self.limits.group_commit_ms, marks);
+            is_marked_write_due(open, now_ms, self.limits.group_commit_ms, is_leaving)
+        };
+        if !is_due {
+            return;
+        }
+        let record = open.next_record(epoch);
+        let expected = open.version;
+        open.write = Some(PendingWrite { write, value: record.clone(), retry_at_ms: None });
+        actions.push(Action::WriteChunk { chunk, write, record, expected });
+        self.next_write += 1;
+    }
+
+    /// Returns how many more items may be marked now.
+    fn marks_wanted(&self) -> u32 {
+        if self.is_leaving || self.is_cancelled {
+            return 0;
+        }
+        let is_ahead = |state: &ItemState| {
+            matches!(state, ItemState::Marking | ItemState::Marked(_) | ItemState::Running(_))
+        };
+        let ahead: u32 = self.open.values().map(|open| open.count(is_ahead)).sum();
+        let target = self.in_flight_limit + self.limits.mark_group / 2;
+        target.saturating_sub(ahead).min(self.limits.mark_group)
+    }
+
+    fn finish_or_write_head(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
+        if self.head_write.is_some() {
+            return;
+        }
+        if self.is_finished() {
+            self.head.finished = true;
+            self.head.counts.cancelled += self.facts.items - self.head.counts.total();
+            self.phase = Phase::Ending;
+            return self.write_head(actions);
+        }
+        if self.is_leaving && self.is_all_recorded() {
+            self.head.owner = None;
+            self.phase = Phase::Ending;
+            return self.write_head(actions);
+        }
+        if self.is_head_dirty && now_ms >= self.head_written_at_ms + HEAD_EVERY_MS {
+            self.write_head(actions);
+        }
+    }
+
+    fn is_finished(&self) -> bool {
+        if !self.open.is_empty() {
+            return false;
+        }
+        let left = (self.next_chunk..self.facts.chunk_count())
+            .filter(|chunk| !self.head.done_chunks.contains(*chunk))
+            .any(|chunk| !self.is_cancelled || self.existing.contains(&chunk));
+        !left
+    }
+
+    fn is_all_recorded(&self) -> bool {
+        self.open.values().all(|open| {
+            let is_quiet = open.unrecorded.is_empty()
+                && open.write.is_none()
+                && !open.is_loading
+                && !open.has_stale_marks();
+            let has_running =
+                open.count(|state| matches!(state, ItemState::Running(_) | ItemState::Marking)) > 0;
+            is_quiet && !has_running
+        })
+    }
+
+    fn in_flight(&self) -> u32 {
+        let is_running = |state: &ItemState| matches!(state, ItemState::Running(_));
+        self.open.values().map(|open| open.count(is_running)).sum()
+    }
+
+    fn raise_in_flight_limit(&mut self) {
+        self.in_flight_limit = (self.in_flight_limit + 1).min(self.limits.max_in_flight);
+    }
+
+    fn cut_in_flight_limit(&mut self, now_ms: Millis) {
+        if self.cut_at_ms.is_some_and(|at_ms| now_ms < at_ms + CUT_EVERY_MS) {
+            return;
+        }
+        self.cut_at_ms = Some(now_ms);
+        let cut = (self.in_flight_limit / 8).max(1);
+        self.in_flight_limit = self.in_flight_limit.saturating_sub(cut).max(MIN_IN_FLIGHT);
+    }
+
+    fn set_item(&mut self, chunk: u32, item: u32, state: ItemState) {
+        if let Some(open) = self.open.get_mut(&chunk) {
+            open.items[item as usize] = state;
+        }
+    }
+
+    fn take_write_number(&mut self) -> u64 {
+        let write = self.next_write;
+        self.next_write += 1;
+        write
+    }
+}
+
+/// The text of an item that was cancelled with its job.
+pub const CANCELLED_TEXT: &str = "the job was cancelled";
+/// The text of a non-idempotent item whose run was lost.
+pub const INTERRUPTED_TEXT: &str = "the run was lost after its start and was not repeated";
+
+/// Returns the try with which an item may be dispatched now.
+fn next_try(state: &ItemState, idempotent: bool, now_ms: Millis) -> Option<Tries> {
+    let tries = match state {
+        ItemState::Pending(tries) if idempotent => *tries,
+        ItemState::Marked(tries) => *tries,
+        ItemState::Orphaned(tries) => Tries { resume_only: true, ..*tries },
+        _ => return None,
+    };
+    (now_ms >= tries.not_before_ms).then_some(tries)
+}
+
+/// Chooses items to be marked with the next write of their chunk.
+fn mark_items(open: &mut Chunk, now_ms: Millis, group_commit_ms: Millis, marks: u32) {
+    let has_waited = open.written_at_ms.is_none_or(|at_ms| now_ms >= at_ms + group_commit_ms);
+    if !has_waited {
+        return;
+    }
+    let pending = open
+        .items
+        .iter_mut()
+        .filter(|state| matches!(state, ItemState::Pending(_)))
+        .take(marks as usize);
+    pending.for_each(|state| *state = ItemState::Marking);
+}
+
+fn is_marked_write_due(
+    open: &Chunk,
+    now_ms: Millis,
+    group_commit_ms: Millis,
+    is_leaving: bool,
+) -> bool {
+    let has_marks = open.count(|state| *state == ItemState::Marking) > 0;
+    let has_waited = open.dirty_since_ms.is_some_and(|since| now_ms >= since + group_commit_ms);
+    let is_last = !open.unrecorded.is_empty() && (open.is_ended() || is_leaving);
+    has_marks || has_waited || is_last || open.has_stale_marks()
+}
+
+fn is_idempotent_write_due(
+    open: &Chunk,
+    now_ms: Millis,
+    record_within_ms: Millis,
+    is_leaving: bool,
+) -> bool {
+    let has_waited = open.dirty_since_ms.is_some_and(|since| now_ms >= since + record_within_ms);
+    let is_last = !open.unrecorded.is_empty() && (open.is_ended() || is_leaving);
+    has_waited || is_last
+}
--- /dev/null
+++ b/crates/bench/src/bin/demo.rs
@@ -0,0 +1,171 @@
+//! `demo`: a small fleet in one process serves online callers and batch jobs, then reports.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use bench::Lab;
+use bench::LabPlan;
+use bench::workload;
+use bench::workload::TestJob;
+use clap::Parser;
+use cli::CliError;
+use cli::Client;
+use cli::jobs::JobClient;
+
+/// The bundle that the demo rolls.
+const BUNDLE: &str = include_str!("../../../../examples/crate-depot.yaml");
+/// The token of the drivers.
+const DRIVERS: &str = "depot-drivers-token";
+/// The token of the billing clerk.
+const BILLING: &str = "depot-billing-token";
+/// Online callers at once.
+const CALLERS: usize = 12;
+/// Tokens of an online answer.
+const ONLINE_TOKENS: u32 = 16;
+/// Tokens of a batch answer.
+const BATCH_TOKENS: u32 = 4;
+
+/// Run three daemons, the platform and backend servers as tasks of this process.
+///
+/// A signed bundle is rolled; online callers are answered while a job of 5,000 items runs that
+/// must not run twice; another job is cancelled; one daemon is restarted in the middle.
+#[derive(Clone, Debug, Parser)]
+#[command(name = "demo", version)]
+struct Options {
+    /// Items of the job.
+    #[arg(long, default_value_t = 5_000)]
+    items: u32,
+}
+
+/// What the demo saw.
+struct Summary {
+    online: u32,
+    online_wrong: u32,
+    batch: u32,
+    lost: u32,
+    doubled: u32,
+}
+
+fn main() -> ExitCode {
+    let options = Options::parse();
+    let environment = env_logger::Env::default().default_filter_or("error");
+    env_logger::Builder::from_env(environment).init();
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("demo: cannot start: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(run(&options)) {
+        Ok(summary) => report(&summary),
+        Err(error) => {
+            println!("demo: failed: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn report(summary: &Summary) -> ExitCode {
+    let is_good = summary.lost == 0 && summary.doubled == 0 && summary.online_wrong == 0;
+    let verdict = if is_good { "ok" } else { "failed" };
+    if summary.online_wrong > 0 {
+        println!("online answers that failed or were wrong: {}", summary.online_wrong);
+    }
+    println!(
+        "demo: {verdict} online={} batch={} lost={} doubled={}",
+        summary.online, summary.batch, summary.lost, summary.doubled
+    );
+    if is_good { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+async fn run(options: &Options) -> Result<Summary, CliError> {
+    println!("starting 3 daemons, the platform and 12 backend servers");
+    let mut lab = Lab::start_rolled(LabPlan::new(3, BUNDLE)).await?;
+    println!("bundle 1 is in force on every daemon");
+    let billing = lab.client(BILLING);
+    let jobs = JobClient { client: &billing, base: "/v1".to_owned() };
+    let job = TestJob::new("wash-logs", "depot", options.items, BATCH_TOKENS).not_idempotent();
+    let id = job.start(&billing).await?;
+    println!("job {id} with {} items is accepted", options.items);
+    let other = TestJob::new("wrong-logs", "depot", options.items, BATCH_TOKENS);
+    let other_id = other.start(&billing).await?;
+    let callers = Callers::start(lab.client(DRIVERS));
+    let cancelled = jobs.cancel(&other_id).await?;
+    println!("job {other_id} is {}", cancelled["state"]);
+    lab.wait_until("the job to be under way", || {
+        lab.counter("items_done") > i64::from(options.items / 4)
+    })
+    .await?;
+    println!("restarting a daemon");
+    lab.stop_daemon(1).await;
+    lab.start_daemon(1).await.map_err(|error| CliError::Usage(error.to_string()))?;
+    println!("the daemon is back");
+    jobs.wait(&id, true).await?;
+    jobs.wait(&other_id, true).await?;
+    let (online, online_wrong) = callers.stop().await;
+    let check = job.check(&billing, &id).await?;
+    let not_done = options.items - check.counts.done.min(options.items);
+    let doubled = (0..options.items)
+        .filter(|index| lab.stand_ins.runs_of(&job.prompt(*index)) > 1)
+        .count() as u32;
+    let summary = Summary {
+        online,
+        online_wrong,
+        batch: check.counts.done,
+        lost: not_done.max(check.missing_or_doubled) + check.wrong,
+        doubled,
+    };
+    lab.shut_down();
+    Ok(summary)
+}
+
+/// Online callers that ask one question after the other.
+struct Callers {
+    is_over: Arc<AtomicBool>,
+    answered: Arc<AtomicU32>,
+    failed: Arc<AtomicU32>,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+impl Callers {
+    fn start(client: Client) -> Self {
+        let client = Arc::new(client);
+        let is_over = Arc::new(AtomicBool::new(false));
+        let answered = Arc::new(AtomicU32::new(0));
+        let failed = Arc::new(AtomicU32::new(0));
+        let tasks = (0..CALLERS)
+            .map(|caller| {
+                let (client, is_over) = (Arc::clone(&client), Arc::clone(&is_over));
+                let (answered, failed) = (Arc::clone(&answered), Arc::clone(&failed));
+                tokio::spawn(async move {
+                    let mut question = 0;
+                    while !is_over.load(Ordering::Acquire) {
+                        question += 1;
+                        let prompt = format!("driver {caller} asks {question}");
+                        match workload::ask(&client, "depot", &prompt, ONLINE_TOKENS).await {
+                            Ok(true) => answered.fetch_add(1, Ordering::AcqRel),
+                            Ok(false) => failed.fetch_add(1, Ordering::AcqRel),
+                            Err(error) => {
+                                println!("an online request failed: {error}");
+                                failed.fetch_add(1, Ordering::AcqRel)
+                            }
+                        };
+                    }
+                })
+            })
+            .collect();
+        Self { is_over, answered, failed, tasks }
+    }
+
+    async fn stop(self) -> (u32, u32) {
+        self.is_over.store(true, Ordering::Release);
+        for task in self.tasks {
+            let _ = task.await;
+        }
+        (self.answered.load(Ordering::Acquire), self.failed.load(Ordering::Acquire))
+    }
+}
--- /dev/null
+++ b/crates/bundle/src/plugin.rs
@@ -0,0 +1,45 @@
+//! The plug-in that keeps the signed-off bundle in force.
+
+use std::sync::Arc;
+
+use fleet::Links;
+use fleet::Members;
+use kernel::KernelError;
+use kernel::Plugin;
+use kernel::Services;
+use kernel::inventory;
+use kernel::plugin::nothing_to_drain;
+use platform::Store;
+
+use crate::holder::Holder;
+use crate::sign::Trust;
+
+/// The plug-in's name.
+pub const NAME: &str = "bundle";
+
+inventory::submit! {
+    Plugin {
+        name: NAME,
+        after: &[platform::plugin::NAME, fleet::plugin::NAME],
+        start: |services| Box::pin(start(services)),
+        drain: nothing_to_drain,
+    }
+}
+
+async fn start(services: Arc<Services>) -> Result<(), KernelError> {
+    let settings = &services.settings;
+    let operators =
+        settings.operators.iter().map(|operator| (&*operator.name, &*operator.public_key));
+    let trust = Trust::new(operators, settings.signatures_needed as usize)
+        .map_err(|error| KernelError::Plugin { plugin: NAME, message: error.to_string() })?;
+    let holder = Holder::new(
+        Arc::clone(&services),
+        services.need::<Store>()?,
+        services.need::<Links>()?,
+        services.need::<Members>()?,
+        trust,
+    );
+    holder.spawn();
+    services.provide(holder);
+    Ok(())
+}
--- /dev/null
+++ b/crates/bundle/src/roll.rs
@@ -0,0 +1,179 @@
+//! Rolling a bundle: one conditional update of the in-force object decides between operators.
+
+use std::fmt;
+
+use bytes::Bytes;
+use platform::CallClass;
+use platform::PutEnd;
+use platform::Store;
+use platform::StoreError;
+use platform::store::new_write_id;
+use serde::Deserialize;
+use serde::Serialize;
+use wire::Version;
+use wire::link::Pointer;
+
+use crate::sign::SignedBundle;
+
+/// The key of the in-force object.
+pub const IN_FORCE_KEY: &str = "in-force";
+/// Past rolls kept in the in-force object, so that a lost answer can be settled later.
+const HISTORY: usize = 16;
+
+/// The value of the in-force object.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InForceObject {
+    /// The bundle in force.
+    pub pointer: Pointer,
+    /// The latest rolls, the newest last.
+    pub history: Vec<RollRecord>,
+}
+
+/// One accepted roll.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RollRecord {
+    /// The bundle that was put in force.
+    pub pointer: Pointer,
+    /// The id of the write.
+    pub write_id: String,
+    /// The operator who asked for it.
+    pub operator: String,
+}
+
+/// Why a roll was not accepted, or not known to be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RollError {
+    /// Another roll came first; it is in force now.
+    Lost {
+        /// The winner.
+        winner: RollRecord,
+    },
+    /// The operator expected another bundle in force.
+    Unexpected {
+        /// The bundle in force.
+        current: Pointer,
+    },
+    /// The object API is not available and nothing was changed.
+    Store(StoreError),
+    /// No answer came; the roll may take effect. Asking for the status tells.
+    Unknown(StoreError),
+}
+
+impl fmt::Display for RollError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Lost { winner } => write!(
+                f,
+                "operator '{}' rolled first: number {} is in force; look at it and roll again",
+                winner.operator, winner.pointer.number
+            ),
+            Self::Unexpected { current } => {
+                write!(f, "number {} is in force, which is not the expected one", current.number)
+            }
+            Self::Store(error) => write!(f, "the roll was not accepted: {error}"),
+            Self::Unknown(error) => {
+                write!(f, "whether the roll was accepted is not known: {error}; ask for the status")
+            }
+        }
+    }
+}
+
+/// Returns the key under which a signed bundle is kept.
+pub fn bundle_key(digest: &str) -> String {
+    format!("bundles/{digest}")
+}
+
+/// Reads a signed bundle.
+pub async fn read_bundle(store: &Store, digest: &str) -> Result<Option<SignedBundle>, StoreError> {
+    let stored = store.get_json(CallClass::Bundle, &bundle_key(digest)).await?;
+    Ok(stored.map(|stored| stored.value))
+}
+
+/// Reads the in-force object; absent is number 0 at version 0.
+pub async fn read_in_force(store: &Store) -> Result<(InForceObject, Version), StoreError> {
+    let stored = store.get_json(CallClass::Bundle, IN_FORCE_KEY).await?;
+    Ok(stored.map_or((InForceObject::default(), Version::ABSENT), |s| (s.value, s.version)))
+}
+
+/// Puts a checked and signed bundle in force, and returns its pointer.
+///
+/// `expected_number` is the number that the operator saw in force, if the operator said so.
+pub async fn roll(
+    store: &Store,
+    bundle: &SignedBundle,
+    operator: &str,
+    expected_number: Option<u64>,
+) -> Result<Pointer, RollError> {
+    let digest = bundle.digest();
+    store_bundle(store, bundle, &digest).await.map_err(RollError::Store)?;
+    let (object, version) = read_in_force(store).await.map_err(RollError::Store)?;
+    if expected_number.is_some_and(|expected| expected != object.pointer.number) {
+        return Err(RollError::Unexpected { current: object.pointer });
+    }
+    let pointer = Pointer { number: object.pointer.number + 1, digest };
+    let write_id = new_write_id();
+    let next = next_object(object, &pointer, &write_id, operator);
+    let value = Bytes::from(serde_json::to_vec(&next).unwrap_or_default());
+    match store.put(CallClass::Bundle, IN_FORCE_KEY, value, version, &write_id).await {
+        Ok(PutEnd::Applied(_)) => Ok(pointer),
+        Ok(PutEnd::Conflict) => settle_conflict(store, pointer, &write_id).await,
+        Err(error @ (StoreError::TooLarge { .. } | StoreError::Malformed { .. })) => {
+            Err(RollError::Store(error))
+        }
+        Err(error) => Err(RollError::Unknown(error)),
+    }
+}
+
+async fn store_bundle(
+    store: &Store,
+    bundle: &SignedBundle,
+    digest: &str,
+) -> Result<(), StoreError> {
+    let key = bundle_key(digest);
+    let known = store.get_json::<SignedBundle>(CallClass::Bundle, &key).await?;
+    let (known, version) = match known {
+        Some(stored) => (Some(stored.value), stored.version),
+        None => (None, Version::ABSENT),
+    };
+    if known.as_ref() == Some(bundle) {
+        return Ok(());
+    }
+    // The key is the digest, so a concurrent write holds the same document with signatures that
+    // another operator's daemon has checked.
+    store.put_json(CallClass::Bundle, &key, bundle, version).await.map(|_| ())
+}
+
+/// Tells a lost race from a roll that took effect and was followed by another one.
+async fn settle_conflict(
+    store: &Store,
+    pointer: Pointer,
+    write_id: &str,
+) -> Result<Pointer, RollError> {
+    let (object, _) = read_in_force(store).await.map_err(RollError::Unknown)?;
+    if object.history.iter().any(|record| record.write_id == write_id) {
+        return Ok(pointer);
+    }
+    let winner = object.history.last().cloned().unwrap_or_else(|| RollRecord {
+        pointer: object.pointer.clone(),
+        write_id: String::new(),
+        operator: "unknown".to_owned(),
+    });
+    Err(RollError::Lost { winner })
+}
+
+fn next_object(
+    object: InForceObject,
+    pointer: &Pointer,
+    write_id: &str,
+    operator: &str,
+) -> InForceObject {
+    let mut history = object.history;
+    history.push(RollRecord {
+        pointer: pointer.clone(),
+        write_id: write_id.to_owned(),
+        operator: operator.to_owned(),
+    });
+    let surplus = history.len().saturating_sub(HISTORY);
+    history.drain(..surplus);
+    InForceObject { pointer: pointer.clone(), history }
+}
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,14 @@
+//! The callers' and operators' client, and the `crocus` command line on top of it.
+
+pub mod ask;
+pub mod bundles;
+pub mod client;
+pub mod error;
+pub mod job_file;
+pub mod jobs;
+pub mod keys;
+pub mod options;
+pub mod output;
+
+pub use client::Client;
+pub use error::CliError;
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,17 @@
+//! Backend servers: their protocol, streams that survive lost connections, and batch lanes.
+
+pub mod backend;
+pub mod http_backend;
+pub mod lane;
+pub mod lanes;
+pub mod levels;
+pub mod online;
+pub mod plugin;
+pub mod replicas;
+pub mod stream;
+
+pub use backend::Backend;
+pub use backend::BackendError;
+pub use lanes::Lanes;
+pub use online::Online;
+pub use replicas::Replicas;
--- /dev/null
+++ b/crates/engine/src/plugin.rs
@@ -0,0 +1,63 @@
+//! The plug-in that talks to backend servers.
+
+use std::sync::Arc;
+
+use bundle::Holder;
+use fleet::Links;
+use fleet::Members;
+use futures::future::BoxFuture;
+use kernel::KernelError;
+use kernel::Plugin;
+use kernel::Services;
+use kernel::http_client::HttpClient;
+use kernel::inventory;
+use platform::hosts::HostList;
+
+use crate::backend::Backend;
+use crate::http_backend::HttpBackend;
+use crate::lanes::Lanes;
+use crate::online::Online;
+use crate::replicas::Replicas;
+
+/// The plug-in's name.
+pub const NAME: &str = "engine";
+
+inventory::submit! {
+    Plugin {
+        name: NAME,
+        after: &[platform::plugin::NAME, fleet::plugin::NAME, bundle::plugin::NAME],
+        start: |services| Box::pin(start(services)),
+        drain,
+    }
+}
+
+async fn start(services: Arc<Services>) -> Result<(), KernelError> {
+    let client = Arc::new(HttpClient::new(None)?);
+    let backend: Arc<dyn Backend> = Arc::new(HttpBackend::new(client));
+    let holder = services.need::<Holder>()?;
+    let hosts = services.need::<HostList>()?;
+    let replicas = Arc::new(Replicas::new(holder, hosts, services.settings.batch.policy));
+    let lanes = Lanes::new(
+        Arc::clone(&services),
+        Arc::clone(&replicas),
+        Arc::clone(&backend),
+        services.need::<Links>()?,
+        services.need::<Members>()?,
+    );
+    lanes.spawn();
+    let online =
+        Online::new(Arc::clone(&services), Arc::clone(&replicas), backend, Arc::clone(&lanes));
+    online.spawn();
+    services.provide(replicas);
+    services.provide(lanes);
+    services.provide(online);
+    Ok(())
+}
+
+fn drain(services: Arc<Services>) -> BoxFuture<'static, ()> {
+    Box::pin(async move {
+        if let Ok(lanes) = services.need::<Lanes>() {
+            lanes.drain().await;
+        }
+    })
+}
--- /dev/null
+++ b/crates/engine/src/replicas.rs
@@ -0,0 +1,132 @@
+//! The backend servers of a target: what the bundle names and the host list says is there.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bundle::Active;
+use bundle::Holder;
+use bundle::schema::Replica;
+use bundle::schema::Role;
+use kernel::settings::LanePolicy;
+use platform::HostState;
+use platform::hosts::HostList;
+use platform::hosts::Hosts;
+use route::Candidate;
+use wire::ModelName;
+use wire::ReplicaName;
+
+use crate::lane::LaneLimits;
+
+/// One backend server that may get new work.
+#[derive(Clone, Debug)]
+pub struct LiveReplica {
+    /// What the bundle says.
+    pub replica: Replica,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// Joins the bundle in force and the host list.
+pub struct Replicas {
+    holder: Arc<Holder>,
+    hosts: Arc<HostList>,
+    policy: LanePolicy,
+}
+
+impl Replicas {
+    /// Creates the join.
+    pub fn new(holder: Arc<Holder>, hosts: Arc<HostList>, policy: LanePolicy) -> Self {
+        Self { holder, hosts, policy }
+    }
+
+    /// Returns the holder of the bundle in force.
+    pub fn holder(&self) -> &Holder {
+        &self.holder
+    }
+
+    /// Returns the latest host list.
+    pub fn hosts(&self) -> Hosts {
+        self.hosts.latest()
+    }
+
+    /// Returns the replicas of `target` that may get new online requests.
+    pub fn for_online(&self, active: &Active, target: &ModelName) -> Vec<Candidate> {
+        let slots = active.bundle.slots_of(target);
+        self.live(active, target)
+            .into_iter()
+            .filter(|live| self.takes_online(active, &live.replica))
+            .map(|live| Candidate {
+                replica: live.replica.name,
+                data_centre: live.replica.data_centre,
+                slots,
+            })
+            .collect()
+    }
+
+    /// Returns the replicas of `target` that may get new batch items.
+    pub fn for_batch(&self, active: &Active, target: &ModelName) -> Vec<LiveReplica> {
+        self.live(active, target)
+            .into_iter()
+            .filter(|live| self.takes_batch(active, &live.replica))
+            .collect()
+    }
+
+    /// Finds a replica's address; a leaving one still has it, for streams in progress.
+    pub fn address(&self, replica: &ReplicaName) -> Option<SocketAddr> {
+        self.hosts().get(replica).map(|entry| entry.address)
+    }
+
+    /// Returns whether a replica may get new work now.
+    pub fn is_live(&self, replica: &ReplicaName) -> bool {
+        self.hosts().get(replica).is_some_and(|entry| entry.state == HostState::Live)
+    }
+
+    /// Returns the limits of a replica's lane, or `None` if the bundle does not name it.
+    pub fn lane_limits(&self, replica: &ReplicaName) -> Option<LaneLimits> {
+        let active = self.holder.active()?;
+        let entry = active.bundle.replicas.iter().find(|known| known.name == *replica)?;
+        let rules = &active.bundle.rules;
+        Some(LaneLimits {
+            slots: active.bundle.slots_of(&entry.runs),
+            online_reserve_percent: rules.online_reserve_percent,
+            batch_beside_online_percent: rules.batch_beside_online_percent,
+            online_quiet_ms: rules.online_quiet_ms,
+            policy: self.policy,
+            takes_batch: self.is_live(replica) && self.takes_batch(&active, entry),
+            takes_online: self.takes_online(&active, entry),
+        })
+    }
+
+    fn live(&self, active: &Active, target: &ModelName) -> Vec<LiveReplica> {
+        let hosts = self.hosts();
+        active
+            .bundle
+            .replicas_of(target)
+            .filter_map(|replica| {
+                let entry = hosts.get(&replica.name)?;
+                let is_live = entry.state == HostState::Live;
+                is_live.then(|| LiveReplica { replica: replica.clone(), address: entry.address })
+            })
+            .collect()
+    }
+
+    fn takes_online(&self, active: &Active, replica: &Replica) -> bool {
+        match self.policy {
+            LanePolicy::Partition => !is_batch_part(active, replica),
+            LanePolicy::Yield | LanePolicy::Fixed => replica.role != Role::Batch,
+        }
+    }
+
+    fn takes_batch(&self, active: &Active, replica: &Replica) -> bool {
+        match self.policy {
+            LanePolicy::Partition => is_batch_part(active, replica),
+            LanePolicy::Yield | LanePolicy::Fixed => replica.role != Role::Online,
+        }
+    }
+}
+
+/// Returns whether the fixed partition gives a replica to batch: every other one of its model.
+fn is_batch_part(active: &Active, replica: &Replica) -> bool {
+    let position = active.bundle.replicas_of(&replica.runs).position(|r| r.name == replica.name);
+    position.is_some_and(|position| position % 2 == 1)
+}
--- /dev/null
+++ b/crates/fleet/src/links.rs
@@ -0,0 +1,264 @@
+//! All links of one daemon: the listener, the dialled links, and the handlers of what arrives.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use futures::StreamExt;
+use kernel::Counters;
+use kernel::KernelError;
+use kernel::counters::RetryReason;
+use log::info;
+use log::warn;
+use rand::Rng;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::accept_async;
+use tokio_tungstenite::client_async;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_util::sync::CancellationToken;
+use wire::DaemonName;
+use wire::link::Challenge;
+use wire::link::Hello;
+use wire::link::Notice;
+use wire::link::Reply;
+use wire::link::Request;
+
+use crate::handshake;
+use crate::link;
+use crate::link::Inbound;
+use crate::link::Link;
+use crate::link::LinkError;
+use crate::membership::DaemonInfo;
+
+/// The longest time for dialling and the hello.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A plug-in's handler of calls and notices from peers.
+#[async_trait]
+pub trait LinkHandler: Send + Sync + 'static {
+    /// Answers a call, or returns `None` if it is another handler's.
+    async fn call(&self, from: &DaemonName, request: &Request) -> Option<Reply>;
+
+    /// Takes a notice; every handler sees every notice.
+    fn notice(&self, from: &DaemonName, notice: &Notice);
+}
+
+/// The place of the link to one peer; its lock keeps two calls from dialling at once.
+type Slot = Arc<tokio::sync::Mutex<Option<Arc<Link>>>>;
+
+/// The links of one daemon.
+pub struct Links {
+    own: DaemonName,
+    secrets: Vec<String>,
+    counters: Counters,
+    handlers: RwLock<Vec<Arc<dyn LinkHandler>>>,
+    dialled: Mutex<HashMap<DaemonName, Slot>>,
+    stopped: CancellationToken,
+}
+
+impl Links {
+    /// Listens on `address` until `stopped`.
+    pub async fn listen(
+        own: DaemonName,
+        address: SocketAddr,
+        secrets: Vec<String>,
+        counters: Counters,
+        stopped: CancellationToken,
+    ) -> Result<Arc<Self>, KernelError> {
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(|source| KernelError::Bind { address: address.to_string(), source })?;
+        let links = Arc::new(Self {
+            own,
+            secrets,
+            counters,
+            handlers: RwLock::new(Vec::new()),
+            dialled: Mutex::new(HashMap::new()),
+            stopped,
+        });
+        tokio::spawn(accept_links(Arc::clone(&links), listener));
+        Ok(links)
+    }
+
+    /// Adds a handler of what peers send.
+    pub fn add_handler(&self, handler: Arc<dyn LinkHandler>) {
+        self.handlers.write().unwrap_or_else(PoisonError::into_inner).push(handler);
+    }
+
+    /// Calls a peer, dialling it first if need be.
+    pub async fn call(
+        &self,
+        peer: &DaemonInfo,
+        request: Request,
+        wait: Duration,
+    ) -> Result<Reply, LinkError> {
+        let link = self.link_to(peer).await.ok_or(LinkError::NotSent)?;
+        self.counters.count("link_calls");
+        link.call(request, wait).await
+    }
+
+    /// Sends a notice to a peer, dialling it first if need be.
+    pub async fn notify(&self, peer: &DaemonInfo, notice: Notice) -> Result<(), LinkError> {
+        let link = self.link_to(peer).await.ok_or(LinkError::NotSent)?;
+        self.counters.count("link_notices");
+        link.notify(notice)
+    }
+
+    /// Leaves the link to a peer behind, since nothing is heard on it; the next use dials anew.
+    pub async fn abandon(&self, peer: &DaemonName) {
+        let slot = self.slot(peer);
+        if let Some(link) = slot.lock().await.take() {
+            link.close();
+            self.counters.count("links_abandoned");
+        }
+    }
+
+    /// Makes every link that this daemon has dialled go silent, for failure tests.
+    pub async fn silence_all(&self) {
+        let slots: Vec<_> = self.dialled().values().cloned().collect();
+        for slot in slots {
+            if let Some(link) = slot.lock().await.as_ref() {
+                link.go_silent();
+            }
+        }
+    }
+
+    async fn link_to(&self, peer: &DaemonInfo) -> Option<Arc<Link>> {
+        let slot = self.slot(&peer.daemon);
+        let mut slot = slot.lock().await;
+        if let Some(link) = slot.as_ref().filter(|link| !link.is_closed()) {
+            return Some(Arc::clone(link));
+        }
+        if slot.is_some() {
+            self.counters.retried(RetryReason::LinkRedial);
+        }
+        *slot = None;
+        let link = timeout(OPEN_TIMEOUT, self.dial(peer)).await.ok().flatten()?;
+        *slot = Some(Arc::clone(&link));
+        Some(link)
+    }
+
+    async fn dial(&self, peer: &DaemonInfo) -> Option<Arc<Link>> {
+        let stream = TcpStream::connect(peer.links_address).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let url = format!("ws://{}/", peer.links_address);
+        let (mut socket, _) = client_async(url, stream).await.ok()?;
+        let challenge: Challenge = receive(&mut socket).await?;
+        let secret = self.secrets.first()?;
+        let hello = handshake::sign_hello(secret, &self.own, &peer.daemon, &challenge.nonce);
+        send(&mut socket, &hello).await?;
+        let (sink, stream) = socket.split();
+        let link = Link::open(sink, self.stopped.child_token());
+        let reader = Arc::clone(&link);
+        let counters = self.counters.clone();
+        tokio::spawn(async move {
+            // The listening side only answers on a link.
+            let late_answers = reader.read(stream, |_| {}).await;
+            counters.add("link_late_answers", late_answers as i64);
+        });
+        Some(link)
+    }
+
+    async fn serve(self: Arc<Self>, stream: TcpStream) -> Option<()> {
+        stream.set_nodelay(true).ok()?;
+        let mut socket = timeout(OPEN_TIMEOUT, accept_async(stream)).await.ok()?.ok()?;
+        let nonce = hex::encode(rand::thread_rng().r#gen::<[u8; 16]>());
+        send(&mut socket, &Challenge { nonce: nonce.clone() }).await?;
+        let hello: Hello = timeout(OPEN_TIMEOUT, receive(&mut socket)).await.ok()??;
+        if !handshake::is_hello_good(&self.secrets, &self.own, &nonce, &hello) {
+            self.counters.count("link_hellos_refused");
+            warn!("event=link_refused claimed={}", hello.daemon);
+            return None;
+        }
+        info!("event=link_open from={} to={}", hello.daemon, self.own);
+        let (sink, stream) = socket.split();
+        let link = Link::open(sink, self.stopped.child_token());
+        let answerer = Arc::clone(&link);
+        let from = hello.daemon;
+        link.read(stream, |inbound| self.on_inbound(&answerer, &from, inbound)).await;
+        Some(())
+    }
+
+    fn on_inbound(self: &Arc<Self>, link: &Arc<Link>, from: &DaemonName, inbound: Inbound) {
+        match inbound {
+            Inbound::Notice(notice) => {
+                for handler in self.handlers() {
+                    handler.notice(from, &notice);
+                }
+            }
+            Inbound::Call { call, request } => {
+                let links = Arc::clone(self);
+                let link = Arc::clone(link);
+                let from = from.clone();
+                tokio::spawn(async move {
+                    link.answer(call, links.reply_to(&from, &request)).await;
+                });
+            }
+        }
+    }
+
+    async fn reply_to(&self, from: &DaemonName, request: &Request) -> Option<Reply> {
+        for handler in self.handlers() {
+            if let Some(reply) = handler.call(from, request).await {
+                return Some(reply);
+            }
+        }
+        None
+    }
+
+    fn handlers(&self) -> Vec<Arc<dyn LinkHandler>> {
+        self.handlers.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn slot(&self, peer: &DaemonName) -> Slot {
+        Arc::clone(self.dialled().entry(peer.clone()).or_default())
+    }
+
+    fn dialled(&self) -> MutexGuard<'_, HashMap<DaemonName, Slot>> {
+        self.dialled.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn accept_links(links: Arc<Links>, listener: TcpListener) {
+    loop {
+        let accepted = tokio::select! {
+            () = links.stopped.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::spawn(Arc::clone(&links).serve(stream));
+            }
+            Err(error) => {
+                warn!("event=link_accept_failed error=\"{error}\"");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+async fn send<T: serde::Serialize>(
+    socket: &mut WebSocketStream<TcpStream>,
+    value: &T,
+) -> Option<()> {
+    use futures::SinkExt;
+    socket.send(link::encode(value)?).await.ok()
+}
+
+async fn receive<T: serde::de::DeserializeOwned>(
+    socket: &mut WebSocketStream<TcpStream>,
+) -> Option<T> {
+    match socket.next().await? {
+        Ok(Message::Binary(bytes)) => link::decode(&bytes),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/plugin.rs
@@ -0,0 +1,60 @@
+//! The plug-in that makes a daemon a member of its fleet.
+
+use std::sync::Arc;
+
+use kernel::KernelError;
+use kernel::Plugin;
+use kernel::Services;
+use kernel::inventory;
+use kernel::plugin::nothing_to_drain;
+use platform::Store;
+
+use crate::links::Links;
+use crate::members::Members;
+use crate::members::new_incarnation;
+use crate::membership::DaemonInfo;
+use crate::membership::Membership;
+use crate::membership::Timing;
+
+/// The plug-in's name.
+pub const NAME: &str = "fleet";
+
+inventory::submit! {
+    Plugin {
+        name: NAME,
+        after: &[platform::plugin::NAME],
+        start: |services| Box::pin(start(services)),
+        drain: nothing_to_drain,
+    }
+}
+
+async fn start(services: Arc<Services>) -> Result<(), KernelError> {
+    let settings = &services.settings;
+    let links = Links::listen(
+        settings.daemon.clone(),
+        settings.links.address,
+        settings.links.secrets.clone(),
+        services.counters.clone(),
+        services.stopped.clone(),
+    )
+    .await?;
+    let own = DaemonInfo {
+        daemon: settings.daemon.clone(),
+        incarnation: new_incarnation(),
+        data_centre: settings.data_centre.clone(),
+        callers_address: settings.callers.address,
+        callers_tls: settings.callers.tls.is_some(),
+        links_address: settings.links.address,
+    };
+    let timing = Timing {
+        lease_ms: settings.membership.lease_ms,
+        suspect_after_ms: settings.membership.suspect_after_ms,
+    };
+    let core = Membership::new(own.clone(), timing);
+    let store = services.need::<Store>()?;
+    let members = Members::new(Arc::clone(&services), store, Arc::clone(&links), own, core);
+    members.spawn();
+    services.provide(links);
+    services.provide(members);
+    Ok(())
+}
--- /dev/null
+++ b/crates/kernel/src/clock.rs
@@ -0,0 +1,30 @@
+//! Time for the adapters; the pure cores get it as an argument.
+
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use wire::Millis;
+
+/// A monotonic clock that starts near zero, beside the wall clock.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    /// Starts a clock.
+    pub fn start() -> Self {
+        Self { start: Instant::now() }
+    }
+
+    /// Returns the milliseconds since the clock was started.
+    pub fn now_ms(&self) -> Millis {
+        self.start.elapsed().as_millis() as Millis
+    }
+
+    /// Returns the milliseconds since the Unix epoch.
+    pub fn unix_ms() -> Millis {
+        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as Millis)
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/http_server.rs
@@ -0,0 +1,293 @@
+//! The HTTP server: an adapter from xitca-web to handlers that run on the daemon's runtime.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures::StreamExt;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::CONNECTION;
+use http::header::CONTENT_TYPE;
+use log::warn;
+use rustls::ServerConfig;
+use serde::Serialize;
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+use wire::Reason;
+use wire::Refusal;
+use xitca_web::App;
+use xitca_web::WebContext;
+use xitca_web::body::BodyExt;
+use xitca_web::body::Frame;
+use xitca_web::body::ResponseBody;
+use xitca_web::body::StreamDataBody;
+use xitca_web::error::Error;
+use xitca_web::http::WebResponse;
+use xitca_web::service::fn_service;
+
+use crate::KernelError;
+
+/// The chunks of a streamed body; an error cuts the connection off.
+pub type Chunks = mpsc::Receiver<Result<Bytes, io::Error>>;
+
+/// The body of an answer.
+pub enum Body {
+    /// A body known as a whole.
+    Full(Bytes),
+    /// A body sent as it is made.
+    Stream(Chunks),
+}
+
+/// What a server calls for each request.
+#[async_trait]
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one request.
+    async fn handle(&self, request: Request<Bytes>) -> Response<Body>;
+}
+
+/// The largest request body, in bytes.
+const MAX_BODY_BYTES: usize = 17 << 20;
+/// The number of threads that read and write connections of one server.
+const WORKER_THREADS: usize = 1;
+/// How often a draining server looks whether its requests have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+
+/// A way to stop a server, whose own type xitca-web does not name in public.
+type StopServer = Box<dyn Fn() + Send + Sync>;
+
+/// A running server.
+pub struct Server {
+    stop: StopServer,
+    thread: Mutex<Option<JoinHandle<()>>>,
+    bridge: Arc<Bridge>,
+}
+
+impl Server {
+    /// Listens on `address` and serves until stopped.
+    pub fn bind(
+        address: SocketAddr,
+        tls: Option<ServerConfig>,
+        handler: Arc<dyn Handler>,
+    ) -> Result<Self, KernelError> {
+        let bridge = Arc::new(Bridge {
+            handler,
+            runtime: Handle::current(),
+            in_flight: AtomicUsize::new(0),
+            closing: CancellationToken::new(),
+        });
+        let bind_error = |source| KernelError::Bind { address: address.to_string(), source };
+        let (stop, thread) = start(address, tls, Arc::clone(&bridge)).map_err(bind_error)?;
+        Ok(Self { stop, thread: Mutex::new(Some(thread)), bridge })
+    }
+
+    /// Returns the number of requests being answered.
+    pub fn in_flight(&self) -> usize {
+        self.bridge.in_flight.load(Ordering::Acquire)
+    }
+
+    /// Asks clients to close their connections after the next answer.
+    pub fn close_after_answers(&self) {
+        self.bridge.closing.cancel();
+    }
+
+    /// Waits until every request has been answered in full.
+    pub async fn wait_idle(&self) {
+        while self.in_flight() > 0 {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+    }
+
+    /// Closes the listener and all connections.
+    pub fn stop(&self) {
+        (self.stop)();
+    }
+
+    /// Closes the listener and waits, blocking, until the address is free again.
+    pub fn close(&self) {
+        self.stop();
+        let thread = self.thread.lock().unwrap_or_else(PoisonError::into_inner).take();
+        if let Some(thread) = thread {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+/// Builds an answer with a JSON body.
+pub fn json_response<T: Serialize>(status: u16, value: &T) -> Response<Body> {
+    let bytes = serde_json::to_vec(value).unwrap_or_default();
+    bytes_response(status, "application/json", Bytes::from(bytes))
+}
+
+/// Builds an answer with a body of the given type.
+pub fn bytes_response(status: u16, content_type: &'static str, bytes: Bytes) -> Response<Body> {
+    body_response(status, content_type, Body::Full(bytes))
+}
+
+/// Builds an answer whose body is streamed.
+pub fn stream_response(content_type: &'static str, chunks: Chunks) -> Response<Body> {
+    body_response(200, content_type, Body::Stream(chunks))
+}
+
+/// Builds the answer that tells a refusal.
+pub fn refusal_response(refusal: &Refusal) -> Response<Body> {
+    let mut response = json_response(refusal.reason.http_status(), &RefusalBody { error: refusal });
+    if let Some(wait_ms) = refusal.retry_after_ms {
+        let seconds = wait_ms.div_ceil(1000).max(1);
+        response.headers_mut().insert("retry-after", HeaderValue::from(seconds));
+    }
+    response
+}
+
+/// The JSON body of a refusal.
+#[derive(Serialize)]
+struct RefusalBody<'a> {
+    error: &'a Refusal,
+}
+
+fn body_response(status: u16, content_type: &'static str, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response
+}
+
+struct Bridge {
+    handler: Arc<dyn Handler>,
+    runtime: Handle,
+    in_flight: AtomicUsize,
+    closing: CancellationToken,
+}
+
+/// Counts a request until its answer has been written or dropped.
+struct InFlight(Arc<Bridge>);
+
+impl InFlight {
+    fn begin(bridge: &Arc<Bridge>) -> Self {
+        bridge.in_flight.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(bridge))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+fn start(
+    address: SocketAddr,
+    tls: Option<ServerConfig>,
+    bridge: Arc<Bridge>,
+) -> io::Result<(StopServer, JoinHandle<()>)> {
+    let server = App::new()
+        .with_state(bridge)
+        .at("/", fn_service(answer))
+        .at("/{*path}", fn_service(answer))
+        .serve()
+        .disable_signal()
+        .server_threads(1)
+        .worker_threads(WORKER_THREADS);
+    let server = match tls {
+        Some(config) => server.bind_rustls(address, config)?,
+        None => server.bind(address)?,
+    };
+    let mut future = server.run();
+    let handle = future.handle()?;
+    let thread = std::thread::Builder::new().name("http-server".to_owned()).spawn(move || {
+        if let Err(error) = future.wait() {
+            warn!("event=http_server_ended error=\"{error}\"");
+        }
+    })?;
+    Ok((Box::new(move || handle.stop(false)), thread))
+}
+
+async fn answer(mut ctx: WebContext<'_, Arc<Bridge>>) -> Result<WebResponse, Error> {
+    let bridge = Arc::clone(ctx.state());
+    let guard = InFlight::begin(&bridge);
+    let (head, body) = ctx.take_request().into_parts();
+    let response = match read_body(body).await {
+        Ok(bytes) => call_handler(&bridge, plain_request(head, bytes)).await,
+        Err(refusal) => refusal_response(&refusal),
+    };
+    Ok(to_web_response(response, &bridge, guard))
+}
+
+fn plain_request<T>(head: http::request::Parts, body: T) -> Request<T> {
+    let mut request = Request::new(body);
+    *request.method_mut() = head.method;
+    *request.uri_mut() = head.uri;
+    *request.headers_mut() = head.headers;
+    request
+}
+
+async fn read_body(body: impl xitca_web::body::BodyStream) -> Result<Bytes, Refusal> {
+    let mut body = std::pin::pin!(body);
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            let message = "the request body ended early";
+            return Err(Refusal::not_run(Reason::BadRequest, message));
+        };
+        let Frame::Data(chunk) = frame else {
+            continue;
+        };
+        let chunk: Bytes = chunk.into();
+        if whole.len() + chunk.len() > MAX_BODY_BYTES {
+            let message = format!("the request body is over {MAX_BODY_BYTES} bytes");
+            return Err(Refusal::not_run(Reason::TooLarge, message));
+        }
+        whole.extend_from_slice(&chunk);
+    }
+    Ok(whole.freeze())
+}
+
+async fn call_handler(bridge: &Arc<Bridge>, request: Request<Bytes>) -> Response<Body> {
+    let handler = Arc::clone(&bridge.handler);
+    let task = bridge.runtime.spawn(async move { handler.handle(request).await });
+    task.await.unwrap_or_else(|error| {
+        let message = format!("the daemon could not answer: {error}");
+        refusal_response(&Refusal::unknown(Reason::BackendLost, message))
+    })
+}
+
+fn to_web_response(response: Response<Body>, bridge: &Bridge, guard: InFlight) -> WebResponse {
+    let (mut head, body) = response.into_parts();
+    if bridge.closing.is_cancelled() {
+        head.headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    let body = match body {
+        Body::Full(bytes) => ResponseBody::bytes(bytes),
+        Body::Stream(chunks) => ResponseBody::boxed(StreamDataBody::new(guarded(chunks, guard))),
+    };
+    Response::from_parts(head, body)
+}
+
+fn guarded(
+    chunks: Chunks,
+    guard: InFlight,
+) -> impl futures::Stream<Item = Result<Bytes, io::Error>> {
+    futures::stream::unfold((chunks, guard), |(mut chunks, guard)| async move {
+        chunks.recv().await.map(|chunk| (chunk, (chunks, guard)))
+    })
+    .boxed_local()
+}
--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,23 @@
+//! The base that every process stands on: settings, plug-ins, life cycle, clock, counters, HTTP.
+
+pub mod clock;
+pub mod counters;
+pub mod error;
+pub mod http_client;
+pub mod http_server;
+pub mod lifecycle;
+pub mod logs;
+pub mod plugin;
+pub mod services;
+pub mod settings;
+pub mod sse;
+pub mod tls;
+
+pub use clock::Clock;
+pub use counters::Counters;
+pub use error::KernelError;
+pub use inventory;
+pub use lifecycle::Daemon;
+pub use plugin::Plugin;
+pub use services::Services;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/kernel/src/lifecycle.rs
@@ -0,0 +1,74 @@
+//! The life cycle of a daemon as typestate: starting, serving, drained.
+
+use std::sync::Arc;
+
+use log::info;
+
+use crate::KernelError;
+use crate::Plugin;
+use crate::Services;
+use crate::plugin;
+
+/// A daemon that has been configured and not started.
+pub struct Starting;
+
+/// A daemon that serves.
+pub struct Serving {
+    plugins: Vec<&'static Plugin>,
+}
+
+/// A daemon that has finished its work and accepts none.
+pub struct Drained;
+
+/// A daemon in one state of its life.
+pub struct Daemon<State> {
+    /// The daemon's shared services.
+    pub services: Arc<Services>,
+    state: State,
+}
+
+impl Daemon<Starting> {
+    /// Prepares a daemon.
+    pub fn new(services: Services) -> Self {
+        Self { services: Arc::new(services), state: Starting }
+    }
+
+    /// Starts every plug-in in order; on failure all tasks started so far are told to stop.
+    pub async fn start(self) -> Result<Daemon<Serving>, KernelError> {
+        let plugins = plugin::in_start_order()?;
+        for plugin in &plugins {
+            if let Err(error) = (plugin.start)(Arc::clone(&self.services)).await {
+                self.services.stopped.cancel();
+                return Err(error);
+            }
+        }
+        info!("event=serving daemon={}", self.services.settings.daemon);
+        Ok(Daemon { services: self.services, state: Serving { plugins } })
+    }
+}
+
+impl Daemon<Serving> {
+    /// Announces the stop and lets each plug-in finish, the last started first.
+    pub async fn drain(self) -> Daemon<Drained> {
+        info!("event=leaving daemon={}", self.services.settings.daemon);
+        self.services.leaving.cancel();
+        for plugin in self.state.plugins.iter().rev() {
+            (plugin.drain)(Arc::clone(&self.services)).await;
+        }
+        Daemon { services: self.services, state: Drained }
+    }
+
+    /// Ends every task at once, as a lost host would.
+    pub fn kill(self) {
+        self.services.stopped.cancel();
+    }
+}
+
+impl Daemon<Drained> {
+    /// Ends every task.
+    pub fn stop(self) {
+        self.services.stopped.cancel();
+        let Drained = self.state;
+        info!("event=stopped daemon={}", self.services.settings.daemon);
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,17 @@
+//! The platform's services: the object API with its call budget, and the host list.
+
+pub mod budget;
+pub mod hosts;
+pub mod http_store;
+pub mod object;
+pub mod plugin;
+pub mod store;
+
+pub use budget::CallClass;
+pub use hosts::HostEntry;
+pub use hosts::HostState;
+pub use object::Object;
+pub use object::ObjectStore;
+pub use object::StoreError;
+pub use store::PutEnd;
+pub use store::Store;
--- /dev/null
+++ b/crates/platform/src/plugin.rs
@@ -0,0 +1,50 @@
+//! The plug-in that connects a daemon to the platform.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kernel::KernelError;
+use kernel::Plugin;
+use kernel::Services;
+use kernel::http_client::HttpClient;
+use kernel::inventory;
+use kernel::plugin::nothing_to_drain;
+
+use crate::hosts::HostList;
+use crate::http_store::HttpStore;
+use crate::store::Store;
+
+/// The plug-in's name.
+pub const NAME: &str = "platform";
+
+inventory::submit! {
+    Plugin {
+        name: NAME,
+        after: &[],
+        start: |services| Box::pin(start(services)),
+        drain: nothing_to_drain,
+    }
+}
+
+async fn start(services: Arc<Services>) -> Result<(), KernelError> {
+    let settings = &services.settings.platform;
+    let client = Arc::new(HttpClient::new(None)?);
+    let timeout = Duration::from_millis(settings.call_timeout_ms);
+    let api = Arc::new(HttpStore::new(Arc::clone(&client), &settings.url, timeout));
+    let store = Store::new(
+        api,
+        services.clock,
+        services.counters.clone(),
+        settings.fleet_writes_per_s,
+        settings.fleet_reads_per_s,
+    );
+    let hosts = HostList::start(
+        client,
+        &settings.url,
+        settings.host_list_every_ms,
+        services.stopped.clone(),
+    );
+    services.provide(Arc::new(store));
+    services.provide(Arc::new(hosts));
+    Ok(())
+}
--- /dev/null
+++ b/crates/spec/src/lib.rs
@@ -0,0 +1,1 @@
+//! Model checking; see the crate's page in docs/design.
--- /dev/null
+++ b/crates/stub/src/main.rs
@@ -0,0 +1,53 @@
+//! `crocus-stub`: runs the stand-ins of a settings file until it is told to stop.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+use kernel::KernelError;
+use kernel::logs;
+use stub::StandIns;
+use stub::settings::StubSettings;
+
+/// Stand in for the platform, the weight store, model engines and plain services.
+///
+/// Each stand-in takes faults as JSON at POST /stub/fault, for example
+/// {"fault": "down"}, {"fault": "drop_answers", "count": 3} or {"fault": "heal"}.
+#[derive(Clone, Debug, Parser)]
+#[command(name = "crocus-stub", version)]
+struct Options {
+    /// The YAML file that names the stand-ins.
+    #[arg(long, short, value_name = "FILE")]
+    settings: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let options = Options::parse();
+    let environment = env_logger::Env::default().default_filter_or("info");
+    env_logger::Builder::from_env(environment)
+        .format(|out, record| {
+            let timestamp = out.timestamp_millis();
+            logs::format_line(out, timestamp, record)
+        })
+        .init();
+    match run(&options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("crocus-stub: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(options: &Options) -> Result<(), KernelError> {
+    let settings = StubSettings::load(&options.settings)?;
+    let runtime = tokio::runtime::Runtime::new()
+        .map_err(|source| KernelError::File { path: "the runtime".to_owned(), source })?;
+    runtime.block_on(async {
+        let stand_ins = StandIns::start(&settings)?;
+        log::info!("event=serving engines={}", stand_ins.engines.len());
+        let _ = tokio::signal::ctrl_c().await;
+        stand_ins.stop();
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/stub/src/objects.rs
@@ -0,0 +1,77 @@
+//! The objects of the stand-in platform, with versions and conditional updates.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+
+/// One stored object.
+#[derive(Clone, Debug)]
+pub struct StoredObject {
+    /// The version, unique over all objects.
+    pub version: u64,
+    /// The id of the write that made it.
+    pub write_id: String,
+    /// The value.
+    pub value: Bytes,
+}
+
+/// The object has another version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct VersionConflict;
+
+/// All objects.
+#[derive(Debug, Default)]
+pub struct Objects {
+    objects: BTreeMap<String, StoredObject>,
+    last_version: u64,
+}
+
+impl Objects {
+    /// Reads one object.
+    pub fn get(&self, key: &str) -> Option<&StoredObject> {
+        self.objects.get(key)
+    }
+
+    /// Writes an object if it has the version `expected`; 0 stands for an absent object.
+    pub fn put(
+        &mut self,
+        key: &str,
+        value: Bytes,
+        expected: u64,
+        write_id: &str,
+    ) -> Result<u64, VersionConflict> {
+        self.check(key, expected)?;
+        self.last_version += 1;
+        let object =
+            StoredObject { version: self.last_version, write_id: write_id.to_owned(), value };
+        self.objects.insert(key.to_owned(), object);
+        Ok(self.last_version)
+    }
+
+    /// Deletes an object if it has the version `expected`; an absent one is no error.
+    pub fn delete(&mut self, key: &str, expected: u64) -> Result<(), VersionConflict> {
+        if !self.objects.contains_key(key) {
+            return Ok(());
+        }
+        self.check(key, expected)?;
+        self.objects.remove(key);
+        Ok(())
+    }
+
+    /// Lists up to `limit` keys with a prefix, after the key `after`.
+    pub fn list(&self, prefix: &str, after: &str, limit: usize) -> Vec<(String, u64)> {
+        let start = if after > prefix { after } else { prefix };
+        self.objects
+            .range(start.to_owned()..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .filter(|(key, _)| key.as_str() > after)
+            .take(limit)
+            .map(|(key, object)| (key.clone(), object.version))
+            .collect()
+    }
+
+    fn check(&self, key: &str, expected: u64) -> Result<(), VersionConflict> {
+        let version = self.objects.get(key).map_or(0, |object| object.version);
+        if version == expected { Ok(()) } else { Err(VersionConflict) }
+    }
+}
--- /dev/null
+++ b/crates/stub/src/platform.rs
@@ -0,0 +1,405 @@
+//! The stand-in platform: the object API and the host list over HTTP.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use kernel::KernelError;
+use kernel::http_server::Body;
+use kernel::http_server::Handler;
+use kernel::http_server::Server;
+use kernel::http_server::bytes_response;
+use kernel::http_server::json_response;
+use kernel::http_server::stream_response;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::json;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+
+use crate::fault::Fault;
+use crate::objects::Objects;
+use crate::objects::StoredObject;
+
+/// Keys in one page of a list answer.
+const LIST_PAGE: usize = 1000;
+/// The largest value, in bytes.
+const MAX_VALUE_BYTES: usize = 1 << 20;
+/// The time over which unused calls add up.
+const RATE_BURST_S: f64 = 1.0;
+
+/// One host of the host list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Host {
+    /// The backend server.
+    pub replica: String,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: String,
+    /// `live` or `leaving`.
+    pub state: String,
+}
+
+/// How many calls the object API has had.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallCounts {
+    /// Reads and lists.
+    pub reads: u64,
+    /// Writes and deletes.
+    pub writes: u64,
+    /// Calls refused since the rate was used up.
+    pub refused: u64,
+    /// Writes by the first part of their key.
+    pub writes_by_kind: BTreeMap<String, u64>,
+    /// Reads by the first part of their key.
+    pub reads_by_kind: BTreeMap<String, u64>,
+}
+
+/// The rates of the object API.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Rates {
+    /// Writes a second.
+    pub writes_per_s: f64,
+    /// Reads a second.
+    pub reads_per_s: f64,
+}
+
+struct Bucket {
+    per_s: f64,
+    tokens: f64,
+    filled_at: Instant,
+}
+
+impl Bucket {
+    fn new(per_s: f64) -> Self {
+        Self { per_s, tokens: per_s * RATE_BURST_S, filled_at: Instant::now() }
+    }
+
+    fn take(&mut self) -> bool {
+        let elapsed = self.filled_at.elapsed().as_secs_f64();
+        self.filled_at = Instant::now();
+        self.tokens = (self.tokens + elapsed * self.per_s).min(self.per_s * RATE_BURST_S);
+        let has_token = self.tokens >= 1.0;
+        if has_token {
+            self.tokens -= 1.0;
+        }
+        has_token
+    }
+}
+
+#[derive(Default)]
+struct Faults {
+    is_down: bool,
+    is_frozen: bool,
+    wait: Duration,
+    drop_answers: u32,
+}
+
+struct State {
+    objects: Objects,
+    counts: CallCounts,
+    writes: Bucket,
+    reads: Bucket,
+    faults: Faults,
+    hosts: Vec<Host>,
+}
+
+/// The stand-in platform.
+pub struct Platform {
+    state: Mutex<State>,
+    changed: Notify,
+    host_list_lag: Duration,
+}
+
+impl Platform {
+    /// Creates a platform with these hosts.
+    pub fn new(rates: Rates, hosts: Vec<Host>, host_list_lag: Duration) -> Arc<Self> {
+        let state = State {
+            objects: Objects::default(),
+            counts: CallCounts::default(),
+            writes: Bucket::new(rates.writes_per_s),
+            reads: Bucket::new(rates.reads_per_s),
+            faults: Faults::default(),
+            hosts,
+        };
+        Arc::new(Self { state: Mutex::new(state), changed: Notify::new(), host_list_lag })
+    }
+
+    /// Serves on `address`.
+    pub fn serve(self: &Arc<Self>, address: SocketAddr) -> Result<Server, KernelError> {
+        Server::bind(address, None, Arc::new(PlatformHandler(Arc::clone(self))))
+    }
+
+    /// Shows a fault, or ends all.
+    pub fn set_fault(&self, fault: &Fault) {
+        let mut state = self.state();
+        match fault {
+            Fault::Down | Fault::Restart => state.faults.is_down = true,
+            Fault::Freeze | Fault::Silence => state.faults.is_frozen = true,
+            Fault::Slow { wait_ms } => state.faults.wait = Duration::from_millis(*wait_ms),
+            Fault::DropAnswers { count } => state.faults.drop_answers = *count,
+            Fault::Heal => state.faults = Faults::default(),
+        }
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Changes a host's state after the list's lag.
+    pub fn set_host_state(self: &Arc<Self>, replica: &str, host_state: &str) {
+        let platform = Arc::clone(self);
+        let (replica, host_state) = (replica.to_owned(), host_state.to_owned());
+        tokio::spawn(async move {
+            tokio::time::sleep(platform.host_list_lag).await;
+            let mut state = platform.state();
+            let host = state.hosts.iter_mut().find(|host| host.replica == replica);
+            if let Some(host) = host {
+                host.state = host_state;
+            }
+        });
+    }
+
+    /// Returns the calls so far.
+    pub fn counts(&self) -> CallCounts {
+        self.state().counts.clone()
+    }
+
+    /// Reads an object directly, for checks.
+    pub fn read(&self, key: &str) -> Option<StoredObject> {
+        self.state().objects.get(key).cloned()
+    }
+
+    /// Lists keys directly, for checks.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let listed = self.state().objects.list(prefix, "", usize::MAX);
+        listed.into_iter().map(|(key, _)| key).collect()
+    }
+
+    async fn handle(&self, request: Request<Bytes>) -> Response<Body> {
+        let path = request.uri().path().to_owned();
+        if let Some(rest) = path.strip_prefix("/stub/") {
+            return self.control(rest, request.body());
+        }
+        self.show_faults().await;
+        if self.state().faults.is_down {
+            return refused(503);
+        }
+        if path == "/v1/hosts" {
+            return json_response(200, &self.state().hosts);
+        }
+        if path == "/v1/list" {
+            return self.list(&request);
+        }
+        match path.strip_prefix("/v1/objects/") {
+            Some(key) => self.object_call(key, &request).await,
+            None => refused(404),
+        }
+    }
+
+    async fn show_faults(&self) {
+        let wait = self.state().faults.wait;
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
+        loop {
+            let changed = self.changed.notified();
+            if !self.state().faults.is_frozen {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    async fn object_call(&self, key: &str, request: &Request<Bytes>) -> Response<Body> {
+        let is_write = request.method() != Method::GET;
+        if !self.count(key, is_write) {
+            return refused(429);
+        }
+        match *request.method() {
+            Method::GET => self.get(key, request).await,
+            Method::PUT => self.put(key, request),
+            Method::DELETE => self.delete(key, request),
+            _ => refused(405),
+        }
+    }
+
+    fn count(&self, key: &str, is_write: bool) -> bool {
+        let mut state = self.state();
+        let bucket = if is_write { &mut state.writes } else { &mut state.reads };
+        if !bucket.take() {
+            state.counts.refused += 1;
+            return false;
+        }
+        let kind = key.split('/').next().unwrap_or_default().to_owned();
+        let counts = &mut state.counts;
+        if is_write {
+            counts.writes += 1;
+            *counts.writes_by_kind.entry(kind).or_default() += 1;
+        } else {
+            counts.reads += 1;
+            *counts.reads_by_kind.entry(kind).or_default() += 1;
+        }
+        true
+    }
+
+    /// Reads an object; with `known` and `wait_ms`, waits until the version differs.
+    async fn get(&self, key: &str, request: &Request<Bytes>) -> Response<Body> {
+        let known: Option<u64> = query(request, "known").and_then(|text| text.parse().ok());
+        let wait_ms: u64 = query(request, "wait_ms").and_then(|t| t.parse().ok()).unwrap_or(0);
+        let until = Instant::now() + Duration::from_millis(wait_ms);
+        loop {
+            let changed = self.changed.notified();
+            let object = self.state().objects.get(key).cloned();
+            let version = object.as_ref().map_or(0, |object| object.version);
+            let left = until.saturating_duration_since(Instant::now());
+            if known != Some(version) || left.is_zero() {
+                return object.map_or_else(|| refused(404), |object| object_response(&object));
+            }
+            let _ = tokio::time::timeout(left, changed).await;
+        }
+    }
+
+    fn put(&self, key: &str, request: &Request<Bytes>) -> Response<Body> {
+        if request.body().len() > MAX_VALUE_BYTES {
+            return refused(413);
+        }
+        let expected = expected_version(request.headers());
+        let write_id = text_header(request.headers(), "x-write-id");
+        let mut state = self.state();
+        let put = state.objects.put(key, request.body().clone(), expected, write_id);
+        let Ok(version) = put else {
+            return refused(412);
+        };
+        let is_dropped = take_drop(&mut state.faults);
+        drop(state);
+        self.changed.notify_waiters();
+        if is_dropped {
+            return cut_off();
+        }
+        let mut response = json_response(200, &json!({}));
+        response.headers_mut().insert("x-version", HeaderValue::from(version));
+        response
+    }
+
+    fn delete(&self, key: &str, request: &Request<Bytes>) -> Response<Body> {
+        let expected = expected_version(request.headers());
+        let mut state = self.state();
+        if state.objects.delete(key, expected).is_err() {
+            return refused(412);
+        }
+        if take_drop(&mut state.faults) { cut_off() } else { json_response(200, &json!({})) }
+    }
+
+    fn list(&self, request: &Request<Bytes>) -> Response<Body> {
+        let prefix = query(request, "prefix").unwrap_or_default();
+        let after = query(request, "after").unwrap_or_default();
+        if !self.count(prefix, false) {
+            return refused(429);
+        }
+        let listed = self.state().objects.list(prefix, after, LIST_PAGE);
+        let next = (listed.len() == LIST_PAGE).then(|| listed[LIST_PAGE - 1].0.clone());
+        let objects: Vec<_> = listed
+            .into_iter()
+            .map(|(key, version)| json!({"key": key, "version": version}))
+            .collect();
+        json_response(200, &json!({"objects": objects, "next": next}))
+    }
+
+    fn control(&self, path: &str, body: &Bytes) -> Response<Body> {
+        match path {
+            "counts" => json_response(200, &self.counts()),
+            "fault" => match serde_json::from_slice::<Fault>(body) {
+                Ok(fault) => {
+                    self.set_fault(&fault);
+                    json_response(200, &fault)
+                }
+                Err(error) => json_response(400, &json!({"error": error.to_string()})),
+            },
+            _ => refused(404),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+struct PlatformHandler(Arc<Platform>);
+
+#[async_trait]
+impl Handler for PlatformHandler {
+    async fn handle(&self, request: Request<Bytes>) -> Response<Body> {
+        // Changing a host's state needs the platform itself, since the change lags.
+        if request.uri().path() == "/stub/host" {
+            return match serde_json::from_slice::<HostChange>(request.body()) {
+                Ok(change) => {
+                    self.0.set_host_state(&change.replica, &change.state);
+                    json_response(200, &json!({}))
+                }
+                Err(error) => json_response(400, &json!({"error": error.to_string()})),
+            };
+        }
+        self.0.handle(request).await
+    }
+}
+
+#[derive(Deserialize)]
+struct HostChange {
+    replica: String,
+    state: String,
+}
+
+fn take_drop(faults: &mut Faults) -> bool {
+    let is_dropped = faults.drop_answers > 0;
+    faults.drop_answers = faults.drop_answers.saturating_sub(1);
+    is_dropped
+}
+
+/// An answer whose connection is cut before anything useful was sent.
+pub fn cut_off() -> Response<Body> {
+    let (sender, chunks) = mpsc::channel(1);
+    let _ = sender.try_send(Err(std::io::Error::other("cut off")));
+    stream_response("application/json", chunks)
+}
+
+/// An answer that is only a status.
+pub fn refused(status: u16) -> Response<Body> {
+    json_response(status, &json!({"status": status}))
+}
+
+/// Returns a query field.
+pub fn query<'a>(request: &'a Request<Bytes>, name: &str) -> Option<&'a str> {
+    let fields = request.uri().query()?.split('&');
+    fields.filter_map(|field| field.split_once('=')).find(|(key, _)| *key == name).map(|(_, v)| v)
+}
+
+fn object_response(object: &StoredObject) -> Response<Body> {
+    let mut response = bytes_response(200, "application/octet-stream", object.value.clone());
+    let headers = response.headers_mut();
+    headers.insert("x-version", HeaderValue::from(object.version));
+    if let Ok(write_id) = HeaderValue::from_str(&object.write_id) {
+        headers.insert("x-write-id", write_id);
+    }
+    response
+}
+
+fn expected_version(headers: &HeaderMap) -> u64 {
+    text_header(headers, "x-if-version").parse().unwrap_or(0)
+}
+
+fn text_header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/stub/src/service.rs
@@ -0,0 +1,128 @@
+//! The stand-in plain service: answers each call and counts its runs.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use kernel::KernelError;
+use kernel::http_server::Body;
+use kernel::http_server::Handler;
+use kernel::http_server::Server;
+use kernel::http_server::bytes_response;
+use kernel::http_server::json_response;
+use serde_json::json;
+
+use crate::fault::Fault;
+use crate::platform::cut_off;
+use crate::platform::refused;
+
+/// How often a frozen service looks whether it may answer again.
+const FROZEN_POLL: Duration = Duration::from_millis(20);
+
+#[derive(Default)]
+struct State {
+    runs: HashMap<Bytes, u32>,
+    drop_answers: u32,
+    is_down: bool,
+    is_frozen: bool,
+    wait: Duration,
+}
+
+/// The stand-in plain service.
+#[derive(Default)]
+pub struct Service {
+    state: Mutex<State>,
+}
+
+impl Service {
+    /// Creates a service.
+    pub fn new() -> Arc<Self> {
+        Arc::new(Self::default())
+    }
+
+    /// Serves on `address`.
+    pub fn serve(self: &Arc<Self>, address: SocketAddr) -> Result<Server, KernelError> {
+        Server::bind(address, None, Arc::new(ServiceHandler(Arc::clone(self))))
+    }
+
+    /// Returns how often a body was run.
+    pub fn runs_of(&self, body: &[u8]) -> u32 {
+        self.state().runs.get(body).copied().unwrap_or(0)
+    }
+
+    /// Shows a fault, or ends all.
+    pub fn set_fault(&self, fault: &Fault) {
+        let mut state = self.state();
+        match fault {
+            Fault::Down | Fault::Restart => state.is_down = true,
+            Fault::Freeze | Fault::Silence => state.is_frozen = true,
+            Fault::Slow { wait_ms } => state.wait = Duration::from_millis(*wait_ms),
+            Fault::DropAnswers { count } => state.drop_answers = *count,
+            Fault::Heal => {
+                state.is_down = false;
+                state.is_frozen = false;
+                state.wait = Duration::ZERO;
+                state.drop_answers = 0;
+            }
+        }
+    }
+
+    async fn call(&self, request: Request<Bytes>) -> Response<Body> {
+        if self.state().is_down {
+            return refused(503);
+        }
+        let is_dropped = {
+            let mut state = self.state();
+            *state.runs.entry(request.body().clone()).or_default() += 1;
+            let is_dropped = state.drop_answers > 0;
+            state.drop_answers = state.drop_answers.saturating_sub(1);
+            is_dropped
+        };
+        let wait = self.state().wait;
+        tokio::time::sleep(wait).await;
+        while self.state().is_frozen {
+            tokio::time::sleep(FROZEN_POLL).await;
+        }
+        if is_dropped {
+            return cut_off();
+        }
+        let mut text = b"done:".to_vec();
+        text.extend_from_slice(request.body());
+        let mut response = bytes_response(200, "application/octet-stream", Bytes::from(text));
+        if let Some(id) = request.headers().get("x-request-id") {
+            response.headers_mut().insert("x-request-id", id.clone());
+        }
+        response
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+struct ServiceHandler(Arc<Service>);
+
+#[async_trait]
+impl Handler for ServiceHandler {
+    async fn handle(&self, request: Request<Bytes>) -> Response<Body> {
+        match request.uri().path() {
+            "/stub/fault" => match serde_json::from_slice::<Fault>(request.body()) {
+                Ok(fault) => {
+                    self.0.set_fault(&fault);
+                    json_response(200, &fault)
+                }
+                Err(error) => json_response(400, &json!({"error": error.to_string()})),
+            },
+            path if path.starts_with("/v1/calls/") => self.0.call(request).await,
+            _ => refused(404),
+        }
+    }
+}
