Hand jobs back before a new home claims them

Cause: a graceful stop of a lane owner and job home left non-idempotent items interrupted: the next home claimed the job's head while the leaving one still worked, so marked items that were not dispatched yet could only be closed as interrupted. Ruled out: lost answers on the closing links; those runs were resumed and ended as done.

--- a/crates/batch/src/plugin.rs
+++ b/crates/batch/src/plugin.rs
@@ -39,6 +39,7 @@
         store: Arc::clone(&store),
         lanes: services.need::<Lanes>()?,
         replicas: services.need::<Replicas>()?,
+        members: Arc::clone(&members),
         chooser: Chooser::default(),
     });
     let home = JobHome::new(context, Arc::clone(&members));
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -7,6 +7,7 @@
 
 use engine::Lanes;
 use engine::Replicas;
+use fleet::Members;
 use kernel::Services;
 use kernel::counters::RetryReason;
 use log::info;
@@ -43,6 +44,8 @@
 const TICK: Duration = Duration::from_millis(50);
 /// The pause before a failed read is repeated.
 const READ_RETRY: Duration = Duration::from_millis(500);
+/// Reads of the head while another daemon still owns the job, before that one is deposed.
+const MAX_OWNER_WAITS: u32 = 240;
 /// The wait before an item is tried again when no lane has room or its input is not there.
 const NO_ROOM_RETRY_MS: Millis = 50;
 /// How long a stopped try may take to end.
@@ -78,6 +81,8 @@
     pub lanes: Arc<Lanes>,
     /// The backend servers.
     pub replicas: Arc<Replicas>,
+    /// The fleet.
+    pub members: Arc<Members>,
     /// The choice of lanes.
     pub chooser: Chooser,
 }
@@ -109,7 +114,7 @@
             max_in_flight: MAX_IN_FLIGHT,
         };
         let facts = JobFacts::new(manifest.items, manifest.spec.idempotent);
-        let ledger = Ledger::new(settings.daemon.clone(), facts, limits, manifest.cancelled);
+        let ledger = Ledger::new(context.members.own_owner(), facts, limits, manifest.cancelled);
         let (events, inbox) = mpsc::unbounded_channel();
         Self {
             inputs: Arc::new(Inputs::new(Arc::clone(&context.store), Arc::clone(&manifest))),
@@ -209,12 +214,17 @@
     }
 
     fn spawn_head_read(&self) {
-        let store = Arc::clone(&self.context.store);
+        let context = Arc::clone(&self.context);
         let job = self.manifest.job.clone();
         self.spawn(async move {
+            let mut waits = 0;
             loop {
-                match read_head(&store, &job).await {
-                    Ok(event) => return event,
+                match read_head(&context.store, &job).await {
+                    // A live owner hands the job back by itself; only a stuck one is deposed.
+                    Ok(read) if waits < MAX_OWNER_WAITS && read.is_owned(&context.members) => {
+                        waits += 1;
+                    }
+                    Ok(read) => return read.into_event(),
                     Err(error) => warn!("event=head_not_read job={job} error=\"{error}\""),
                 }
                 tokio::time::sleep(READ_RETRY).await;
@@ -301,7 +311,26 @@
     }
 }
 
-async fn read_head(store: &Store, job: &JobId) -> Result<Event, StoreError> {
+/// The durable state of a job when its runner starts.
+struct HeadRead {
+    head: Head,
+    version: Version,
+    existing: BTreeSet<u32>,
+}
+
+impl HeadRead {
+    /// Returns whether another daemon that runs still owns the job.
+    fn is_owned(&self, members: &Members) -> bool {
+        !self.head.finished
+            && self.head.owner.as_ref().is_some_and(|owner| members.is_owner_alive(owner.as_str()))
+    }
+
+    fn into_event(self) -> Event {
+        Event::HeadRead { head: self.head, version: self.version, existing: self.existing }
+    }
+}
+
+async fn read_head(store: &Store, job: &JobId) -> Result<HeadRead, StoreError> {
     let stored = store.get_json::<Head>(CallClass::Claim, &keys::head(job)).await?;
     let (head, version) =
         stored.map_or((Head::default(), Version::ABSENT), |s| (s.value, s.version));
@@ -312,7 +341,7 @@
         let listed = store.list(CallClass::Claim, &prefix).await?;
         listed.iter().filter_map(|line| line.key.strip_prefix(&prefix)?.parse().ok()).collect()
     };
-    Ok(Event::HeadRead { head, version, existing })
+    Ok(HeadRead { head, version, existing })
 }
 
 fn write_end(put: Result<PutEnd, StoreError>, key: &str) -> WriteEnd {
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -34,6 +34,15 @@
 }
 
 impl CliError {
+    /// Returns whether the same call may succeed later.
+    pub fn is_passing(&self) -> bool {
+        match self {
+            Self::Refused(refusal) => refusal.retry_after_ms.is_some(),
+            Self::Unreachable(_) | Self::Unknown(_) => true,
+            _ => false,
+        }
+    }
+
     /// Returns the exit code: 1 refused, 2 wrong usage, 3 outcome unknown, 4 not reached.
     pub fn exit_code(&self) -> ExitCode {
         match self {
--- a/crates/cli/src/jobs.rs
+++ b/crates/cli/src/jobs.rs
@@ -4,6 +4,7 @@
 use std::io::Write;
 use std::path::Path;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use indicatif::ProgressBar;
@@ -22,6 +23,8 @@
 
 /// The pause between two looks at a job.
 const POLL: Duration = Duration::from_millis(250);
+/// How long a wait goes on while the job's state cannot be read.
+const WAIT_PATIENCE: Duration = Duration::from_secs(3600);
 
 /// A job to start.
 pub struct StartJob {
@@ -85,8 +88,18 @@
     /// Waits until every item has its outcome.
     pub async fn wait(&self, job: &str, is_quiet: bool) -> Result<Value, CliError> {
         let mut bar: Option<ProgressBar> = None;
+        let mut last_seen = Instant::now();
         loop {
-            let status = self.status(job).await?;
+            let status = match self.status(job).await {
+                Ok(status) => status,
+                // The job goes on while the system or the platform cannot be asked.
+                Err(error) if error.is_passing() && last_seen.elapsed() < WAIT_PATIENCE => {
+                    tokio::time::sleep(POLL).await;
+                    continue;
+                }
+                Err(error) => return Err(error),
+            };
+            last_seen = Instant::now();
             let items = status["items"].as_u64().unwrap_or(0);
             let bar = bar.get_or_insert_with(|| progress_bar(is_quiet, items, "items"));
             bar.set_position(ended(&status));
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -41,6 +41,8 @@
 
 /// The prefix of the leases' keys: `daemons/NAME/INCARNATION`.
 const LEASES: &str = "daemons/";
+/// What ends the key of a leaving daemon's lease.
+const LEAVING_SUFFIX: &str = ".leaving";
 /// The fleet size up to which every daemon lists leases at the full rate.
 const LIST_AT_FULL_RATE: u64 = 16;
 
@@ -154,53 +156,82 @@
         }
     }
 
-    /// Takes the lease back and tells the peers, so that nothing new comes here.
-    async fn leave(&self) {
-        self.broadcast(&Notice::Leaving);
-        let deleted = self.delete_lease(&self.own.daemon, &self.own.incarnation).await;
-        if let Err(error) = deleted {
-            warn!("event=lease_not_removed daemon={} error=\"{error}\"", self.own.daemon);
+    /// Removes the lease, after everything has ended here.
+    pub async fn remove_lease(&self) {
+        for key in [self.lease_key(false), self.lease_key(true)] {
+            if let Err(error) = self.delete_lease(&key).await {
+                warn!("event=lease_not_removed daemon={} error=\"{error}\"", self.own.daemon);
+            }
         }
     }
 
-    async fn delete_lease(
-        &self,
-        daemon: &DaemonName,
-        incarnation: &str,
-    ) -> Result<(), platform::StoreError> {
-        let key = lease_key(daemon, incarnation);
-        let Some(object) = self.store.get(CallClass::Lease, &key).await? else {
+    /// Returns whether a start of a daemon, named as `own_owner` does, still runs.
+    pub fn is_owner_alive(&self, owner: &str) -> bool {
+        let Some((daemon, incarnation)) = owner.split_once('@') else {
+            return false;
+        };
+        self.core().is_alive(self.now_ms(), &DaemonName::from(daemon), incarnation)
+    }
+
+    /// Returns this start of the daemon as an owner of jobs: `NAME@INCARNATION`.
+    pub fn own_owner(&self) -> DaemonName {
+        DaemonName::from(format!("{}@{}", self.own.daemon, self.own.incarnation))
+    }
+
+    async fn delete_lease(&self, key: &str) -> Result<(), platform::StoreError> {
+        let Some(object) = self.store.get(CallClass::Lease, key).await? else {
             return Ok(());
         };
-        self.store.delete(CallClass::Lease, &key, object.version).await
+        self.store.delete(CallClass::Lease, key, object.version).await
     }
 
+    /// Renews the lease; a leaving daemon keeps one that says so until it has drained.
     async fn renew_lease(self: Arc<Self>) {
-        let key = lease_key(&self.own.daemon, &self.own.incarnation);
-        let value = Bytes::from(serde_json::to_vec(&self.own).unwrap_or_default());
         let every_ms = self.services.settings.membership.renew_every_ms;
-        let mut version = Version::ABSENT;
         let mut ticks = ticker(every_ms);
+        let mut lease = Renewal::default();
         loop {
+            let has_left = lease.is_leaving;
             tokio::select! {
-                () = self.services.leaving.cancelled() => return self.leave().await,
                 () = self.services.stopped.cancelled() => return,
+                () = self.services.leaving.cancelled(), if !has_left => {
+                    self.broadcast(&Notice::Leaving);
+                    lease = Renewal { is_leaving: true, ..lease };
+                    self.renew_once(&mut lease).await;
+                    let _ = self.delete_lease(&self.lease_key(false)).await;
+                    continue;
+                }
                 _ = ticks.tick() => {}
             }
-            let write_id = new_write_id();
-            let put = self.store.put(CallClass::Lease, &key, value.clone(), version, &write_id);
-            match put.await {
-                Ok(PutEnd::Applied(applied)) => version = applied,
-                // A peer has removed the lapsed lease; the next turn creates it anew.
-                Ok(PutEnd::Conflict) => version = self.lease_version(&key).await,
-                Err(error) => {
-                    self.services.counters.count("lease_renewals_failed");
-                    warn!("event=lease_not_renewed daemon={} error=\"{error}\"", self.own.daemon);
-                }
+            self.renew_once(&mut lease).await;
+        }
+    }
+
+    async fn renew_once(&self, lease: &mut Renewal) {
+        let key = self.lease_key(lease.is_leaving);
+        if lease.key_is_leaving != lease.is_leaving {
+            lease.key_is_leaving = lease.is_leaving;
+            lease.version = Version::ABSENT;
+        }
+        let value = Bytes::from(serde_json::to_vec(&self.own).unwrap_or_default());
+        let write_id = new_write_id();
+        let put = self.store.put(CallClass::Lease, &key, value, lease.version, &write_id);
+        match put.await {
+            Ok(PutEnd::Applied(applied)) => lease.version = applied,
+            // A peer has removed the lapsed lease; the next turn creates it anew.
+            Ok(PutEnd::Conflict) => lease.version = self.lease_version(&key).await,
+            Err(error) => {
+                self.services.counters.count("lease_renewals_failed");
+                warn!("event=lease_not_renewed daemon={} error=\"{error}\"", self.own.daemon);
             }
         }
     }
 
+    fn lease_key(&self, is_leaving: bool) -> String {
+        let key = lease_key(&self.own.daemon, &self.own.incarnation);
+        if is_leaving { key + LEAVING_SUFFIX } else { key }
+    }
+
     async fn lease_version(&self, key: &str) -> Version {
         match self.store.get(CallClass::Lease, key).await {
             Ok(Some(object)) => object.version,
@@ -281,7 +312,9 @@
                 Action::RemoveLease { daemon, incarnation, version } => {
                     info!("event=lease_removed daemon={daemon}");
                     let key = lease_key(&daemon, &incarnation);
-                    let _ = self.store.delete(CallClass::Lease, &key, version).await;
+                    for key in [key.clone(), key + LEAVING_SUFFIX] {
+                        let _ = self.store.delete(CallClass::Lease, &key, version).await;
+                    }
                 }
             }
         }
@@ -289,11 +322,12 @@
 
     async fn read_info(self: Arc<Self>, daemon: DaemonName, incarnation: String) {
         let key = lease_key(&daemon, &incarnation);
-        let stored = self.store.get_json::<DaemonInfo>(CallClass::Lease, &key).await;
-        let Ok(Some(stored)) = stored else {
-            return;
-        };
-        self.step(Event::InfoRead(stored.value));
+        for key in [key.clone(), key + LEAVING_SUFFIX] {
+            let stored = self.store.get_json::<DaemonInfo>(CallClass::Lease, &key).await;
+            if let Ok(Some(stored)) = stored {
+                return self.step(Event::InfoRead(stored.value));
+            }
+        }
     }
 
     fn on_view_changed(&self) {
@@ -331,6 +365,14 @@
     }
 }
 
+/// The lease as it was renewed last.
+#[derive(Clone, Copy, Debug, Default)]
+struct Renewal {
+    version: Version,
+    is_leaving: bool,
+    key_is_leaving: bool,
+}
+
 struct PingHandler(Arc<Members>);
 
 #[async_trait]
@@ -367,10 +409,12 @@
         .iter()
         .filter_map(|line| {
             let (daemon, incarnation) = line.key.strip_prefix(LEASES)?.split_once('/')?;
+            let unmarked = incarnation.strip_suffix(LEAVING_SUFFIX);
             Some(LeaseSeen {
                 daemon: DaemonName::from(daemon),
-                incarnation: incarnation.to_owned(),
+                incarnation: unmarked.unwrap_or(incarnation).to_owned(),
                 version: line.version,
+                leaving: unmarked.is_some(),
             })
         })
         .collect()
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -41,6 +41,8 @@
     pub incarnation: String,
     /// The lease's version, which changes with each renewal.
     pub version: Version,
+    /// Whether the daemon is stopping.
+    pub leaving: bool,
 }
 
 /// The times that decide over liveness.
@@ -181,6 +183,15 @@
         peers.chain(own).collect()
     }
 
+    /// Returns whether this start of a daemon still runs, as far as is known here.
+    pub fn is_alive(&self, now_ms: Millis, daemon: &DaemonName, incarnation: &str) -> bool {
+        self.members.get(daemon).is_some_and(|member| {
+            member.incarnation == incarnation
+                && self.is_live(member, now_ms)
+                && !is_suspect(member, now_ms, self.timing)
+        })
+    }
+
     /// Returns the neighbours that this daemon probes: the next ones on a ring of hashed names.
     pub fn neighbours(&self, now_ms: Millis, count: usize) -> Vec<DaemonInfo> {
         let place = |daemon: &DaemonName| rendezvous::weight("ring", daemon.as_str());
@@ -212,6 +223,7 @@
                 member.version = lease.version;
                 member.renewed_at_ms = now_ms;
             }
+            member.is_leaving |= lease.leaving;
             if member.info.is_none() {
                 actions.push(read_info(&lease));
             }
@@ -226,7 +238,7 @@
             heard_at_ms: None,
             missed_since_ms: None,
             in_force: 0,
-            is_leaving: false,
+            is_leaving: lease.leaving,
             was_live: false,
             was_suspect: false,
         };
@@ -252,7 +264,7 @@
             member.heard_at_ms = Some(now_ms);
             member.missed_since_ms = None;
             member.in_force = member.in_force.max(heartbeat.in_force);
-            member.is_leaving = heartbeat.leaving;
+            member.is_leaving |= heartbeat.leaving;
         }
         Vec::new()
     }
@@ -316,7 +328,7 @@
     Action::ReadInfo { daemon: lease.daemon.clone(), incarnation: lease.incarnation.clone() }
 }
 
-/// Keeps, for each daemon, the lease with the highest version.
+/// Keeps, for each daemon, the lease with the highest version; a leaving daemon stays leaving.
 fn newest_incarnations(leases: Vec<LeaseSeen>) -> Vec<LeaseSeen> {
     let mut newest: BTreeMap<DaemonName, LeaseSeen> = BTreeMap::new();
     for lease in leases {
--- a/crates/fleet/src/plugin.rs
+++ b/crates/fleet/src/plugin.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
+use futures::future::BoxFuture;
 use kernel::KernelError;
 use kernel::Plugin;
 use kernel::Services;
 use kernel::inventory;
-use kernel::plugin::nothing_to_drain;
 use platform::Store;
 
 use crate::links::Links;
@@ -24,7 +24,7 @@
         name: NAME,
         after: &[platform::plugin::NAME],
         start: |services| Box::pin(start(services)),
-        drain: nothing_to_drain,
+        drain,
     }
 }
 
@@ -58,3 +58,11 @@
     services.provide(members);
     Ok(())
 }
+
+fn drain(services: Arc<Services>) -> BoxFuture<'static, ()> {
+    Box::pin(async move {
+        if let Ok(members) = services.need::<Members>() {
+            members.remove_lease().await;
+        }
+    })
+}
