Check the ledger, bundle order and engine orders against a model

Change: crate spec explores the very step code of the ledger, the order of bundles and orders to engines under crashes, pauses, lost and late answers, racing owners and operators. A restarted daemon asks the object API before a peer's word counts: with the peer first the checker showed the number in force falling over a restart (mutation PeerBeforeStore, 12 steps).

--- a/crates/bundle/src/holder.rs
+++ b/crates/bundle/src/holder.rs
@@ -111,8 +111,16 @@
     /// Takes the word of the object API or a peer that a bundle was accepted.
     ///
     /// `peer` is asked for the bundle if the object API does not have it.
-    pub async fn see(self: &Arc<Self>, pointer: Pointer, peer: Option<&DaemonInfo>) {
-        for action in self.step(Event::Seen(pointer)) {
+    pub async fn see(&self, pointer: Pointer, peer: Option<&DaemonInfo>) {
+        let event = match peer {
+            Some(_) => Event::SeenAtPeer(pointer),
+            None => Event::SeenInStore(pointer),
+        };
+        self.take(event, peer).await;
+    }
+
+    async fn take(&self, event: Event, peer: Option<&DaemonInfo>) {
+        for action in self.step(event) {
             match action {
                 Action::Fetch(pointer) => self.fetch(pointer, peer).await,
                 Action::ReportConflict(pointer) => {
@@ -218,6 +226,9 @@
             let wait_ms = if self.is_watcher() { WATCH_MS } else { 0 };
             let read = self.store.watch(CallClass::Bundle, IN_FORCE_KEY, known, wait_ms).await;
             let mut is_good = false;
+            if !matches!(read, Ok(Some(_))) {
+                self.take(Event::StoreSilent, None).await;
+            }
             if let Ok(Some(object)) = &read
                 && let Ok(value) = serde_json::from_slice::<InForceObject>(&object.value)
             {
@@ -321,8 +332,9 @@
         let pointer = pointer.clone();
         let from = from.clone();
         tokio::spawn(async move {
-            let peer = holder.members.peer(&from);
-            holder.see(pointer, peer.as_ref()).await;
+            if let Some(peer) = holder.members.peer(&from) {
+                holder.see(pointer, Some(&peer)).await;
+            }
         });
     }
 }
--- a/crates/bundle/src/in_force.rs
+++ b/crates/bundle/src/in_force.rs
@@ -5,8 +5,12 @@
 /// What the daemon learns about bundles.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
-    /// The object API or a peer names a bundle as accepted.
-    Seen(Pointer),
+    /// The object API names a bundle as accepted.
+    SeenInStore(Pointer),
+    /// A peer names a bundle as accepted.
+    SeenAtPeer(Pointer),
+    /// The object API has no bundle, or does not answer.
+    StoreSilent,
     /// The bundle that was asked for arrived, and its digest and signatures are good.
     Fetched(Pointer),
     /// The bundle that was asked for could not be had or is not good.
@@ -27,10 +31,15 @@
 }
 
 /// The bundle in force, and the one being fetched.
+///
+/// After a start the object API is asked before a peer's word counts, so that a restarted daemon
+/// does not go back to what a stale peer still has.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct InForce {
     current: Pointer,
     wanted: Option<Pointer>,
+    was_store_asked: bool,
+    held_back: Option<Pointer>,
 }
 
 impl InForce {
@@ -42,7 +51,19 @@
     /// Takes one event and returns what to do.
     pub fn step(&mut self, event: Event) -> Vec<Action> {
         match event {
-            Event::Seen(pointer) => self.on_seen(pointer),
+            Event::SeenInStore(pointer) => {
+                self.was_store_asked = true;
+                self.on_seen(pointer)
+            }
+            Event::SeenAtPeer(pointer) if self.was_store_asked => self.on_seen(pointer),
+            Event::SeenAtPeer(pointer) => {
+                self.held_back = self.held_back.take().max(Some(pointer));
+                Vec::new()
+            }
+            Event::StoreSilent => {
+                self.was_store_asked = true;
+                self.held_back.take().map_or_else(Vec::new, |pointer| self.on_seen(pointer))
+            }
             Event::Fetched(pointer) => self.on_fetched(pointer),
             Event::FetchFailed(pointer) => self.on_fetch_failed(&pointer),
         }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod lanes;
 pub mod levels;
 pub mod online;
+pub mod orders;
 pub mod plugin;
 pub mod replicas;
 pub mod stream;
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -1,1 +1,15 @@
-//! Model checking; see the crate's page in docs/design.
+//! Model checking of the pure cores that the daemon runs, and mutations that it must catch.
+//!
+//! The written specification is docs/design/specification.md.
+
+pub mod checker;
+pub mod in_force_model;
+pub mod ledger_model;
+pub mod ledger_world;
+pub mod mutation;
+pub mod order_model;
+pub mod suite;
+
+pub use checker::Model;
+pub use checker::Verdict;
+pub use mutation::Mutation;
