--- a/crates/bench/src/lab.rs
+++ b/crates/bench/src/lab.rs
@@ -33,6 +33,8 @@
 use tokio::runtime::Runtime;
 use wire::digest::sha256_hex;
 
+use crate::workload::TestJob;
+
 /// The operator's token in a lab.
 const OPERATOR_TOKEN: &str = "lab-operator-token";
 /// The secret of a lab's links.
@@ -255,6 +257,27 @@
         format!("http://{}", self.daemons[index].settings.admin.address)
     }
 
+    /// Returns the tokens that all engines have generated.
+    pub fn engine_tokens(&self) -> u64 {
+        self.stand_ins.engines.values().map(|engine| engine.tokens()).sum()
+    }
+
+    /// Returns how many items of a non-idempotent job engines have started more than once.
+    pub fn doubled(&self, job: &TestJob) -> u32 {
+        if job.idempotent {
+            return 0;
+        }
+        let is_doubled = |index: &u32| self.stand_ins.runs_of(&job.prompt(*index)) > 1;
+        (0..job.items).filter(is_doubled).count() as u32
+    }
+
+    /// Returns a daemon that owns a job now.
+    pub fn owner_of_a_job(&self) -> Option<usize> {
+        (0..self.daemons.len()).find(|index| {
+            self.service::<batch::JobHome>(*index).is_some_and(|home| home.job_count() > 0)
+        })
+    }
+
     /// Returns the number of daemons, running or not.
     pub fn daemon_count(&self) -> usize {
         self.daemons.len()
--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -15,6 +15,7 @@
 use futures::SinkExt;
 use futures::Stream;
 use futures::StreamExt;
+use kernel::Counters;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::sync::mpsc;
@@ -72,12 +73,12 @@
 
 impl Link {
     /// Runs the writer of a new link over `sink`; the caller runs `read` over the stream.
-    pub fn open<S>(sink: S, closed: CancellationToken) -> Arc<Self>
+    pub fn open<S>(sink: S, counters: Counters, closed: CancellationToken) -> Arc<Self>
     where
         S: Sink<Message, Error = SocketError> + Send + Unpin + 'static,
     {
         let (frames, queue) = mpsc::channel(SEND_QUEUE);
-        tokio::spawn(write_frames(sink, queue, closed.clone()));
+        tokio::spawn(write_frames(sink, queue, counters, closed.clone()));
         Arc::new(Self {
             frames,
             waiting: Mutex::new(HashMap::new()),
@@ -238,8 +239,12 @@
     }
 }
 
-async fn write_frames<S>(mut sink: S, mut queue: mpsc::Receiver<Frame>, closed: CancellationToken)
-where
+async fn write_frames<S>(
+    mut sink: S,
+    mut queue: mpsc::Receiver<Frame>,
+    counters: Counters,
+    closed: CancellationToken,
+) where
     S: Sink<Message, Error = SocketError> + Send + Unpin,
 {
     loop {
@@ -250,6 +255,7 @@
         let Some(message) = frame.and_then(|frame| encode(&frame)) else {
             break;
         };
+        counters.add("link_bytes_sent", message.len() as i64);
         let is_written = matches!(timeout(WRITE_TIMEOUT, sink.send(message)).await, Ok(Ok(())));
         if !is_written {
             break;
--- a/crates/fleet/src/links.rs
+++ b/crates/fleet/src/links.rs
@@ -157,7 +157,7 @@
         let hello = handshake::sign_hello(secret, &self.own, &peer.daemon, &challenge.nonce);
         send(&mut socket, &hello).await?;
         let (sink, stream) = socket.split();
-        let link = Link::open(sink, self.stopped.child_token());
+        let link = Link::open(sink, self.counters.clone(), self.stopped.child_token());
         let reader = Arc::clone(&link);
         let counters = self.counters.clone();
         tokio::spawn(async move {
@@ -181,7 +181,7 @@
         }
         info!("event=link_open from={} to={}", hello.daemon, self.own);
         let (sink, stream) = socket.split();
-        let link = Link::open(sink, self.stopped.child_token());
+        let link = Link::open(sink, self.counters.clone(), self.stopped.child_token());
         let answerer = Arc::clone(&link);
         let from = hello.daemon;
         link.read(stream, |inbound| self.on_inbound(&answerer, &from, inbound)).await;
--- a/crates/stub/src/engine.rs
+++ b/crates/stub/src/engine.rs
@@ -304,6 +304,17 @@
         self.state().record.clone()
     }
 
+    /// Returns the tokens generated so far.
+    pub fn tokens(&self) -> u64 {
+        self.state().record.tokens
+    }
+
+    /// Returns how often a prompt was started.
+    pub fn runs_of(&self, prompt: &str) -> u32 {
+        let key = hash(prompt.as_bytes());
+        self.state().record.runs.get(&key).copied().unwrap_or(0)
+    }
+
     /// Returns how long ago the last run was started.
     pub fn since_last_start(&self) -> Duration {
         let state = self.state();
--- a/crates/stub/src/objects.rs
+++ b/crates/stub/src/objects.rs
@@ -70,6 +70,11 @@
             .collect()
     }
 
+    /// Returns the bytes of all values.
+    pub fn stored_bytes(&self) -> usize {
+        self.objects.values().map(|object| object.value.len()).sum()
+    }
+
     fn check(&self, key: &str, expected: u64) -> Result<(), VersionConflict> {
         let version = self.objects.get(key).map_or(0, |object| object.version);
         if version == expected { Ok(()) } else { Err(VersionConflict) }
--- a/crates/stub/src/platform.rs
+++ b/crates/stub/src/platform.rs
@@ -182,6 +182,11 @@
         self.state().objects.get(key).cloned()
     }
 
+    /// Returns the bytes of all values.
+    pub fn stored_bytes(&self) -> usize {
+        self.state().objects.stored_bytes()
+    }
+
     /// Lists keys directly, for checks.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let listed = self.state().objects.list(prefix, "", usize::MAX);
