Let batch fill a replica up to a learned slowdown of its online steps

Cause: a fixed share of slots beside online used 45% of what online leaves and followed neither the engine nor the model. Change: the lane fits a line of step time over streams from its own tokens and runs as many batch streams as slow online steps by the bundle's percentage; small changes are passed over; the window grows more slowly. The router no longer counts batch streams as online load, which had broken prefix affinity. The stand-in engine ends steps at set times and counts its cache in tokens.

--- a/crates/bench/src/scenario.rs
+++ b/crates/bench/src/scenario.rs
@@ -135,8 +135,8 @@
     /// Returns the daemon's setting.
     pub fn setting(self) -> &'static str {
         match self {
-            Self::OnlineOnly | Self::BatchOnly | Self::Yield => "yield",
-            Self::NoControl => "fixed",
+            Self::OnlineOnly | Self::Yield => "yield",
+            Self::BatchOnly | Self::NoControl => "fixed",
             Self::Partition => "partition",
         }
     }
--- a/crates/bundle/src/check.rs
+++ b/crates/bundle/src/check.rs
@@ -138,6 +138,7 @@
     let percents = [
         ("rules.online_reserve_percent", rules.online_reserve_percent),
         ("rules.batch_beside_online_percent", rules.batch_beside_online_percent),
+        ("rules.online_slowdown_percent", rules.online_slowdown_percent),
     ];
     for (field, percent) in percents {
         found.require(percent <= 100, field, "must be at most 100");
--- a/crates/bundle/src/schema.rs
+++ b/crates/bundle/src/schema.rs
@@ -146,8 +146,11 @@
     pub between_tokens_ms: Millis,
     /// Slots of each replica that batch leaves free for arrivals, in percent.
     pub online_reserve_percent: u32,
-    /// Slots of each replica that batch may use while online requests run there, in percent.
+    /// Slots of each replica that batch may use while online requests run there and the step
+    /// time of the replica is not learned yet, in percent.
     pub batch_beside_online_percent: u32,
+    /// How much batch may slow the steps of online requests, in percent.
+    pub online_slowdown_percent: u32,
     /// How long a replica is left to online requests after its last one.
     pub online_quiet_ms: Millis,
     /// The longest queue of online requests at a replica, in percent of its slots.
@@ -161,7 +164,8 @@
             between_tokens_ms: 77,
             online_reserve_percent: 25,
             batch_beside_online_percent: 25,
-            online_quiet_ms: 250,
+            online_slowdown_percent: 8,
+            online_quiet_ms: 1_000,
             online_queue_percent: 100,
         }
     }
--- a/crates/engine/src/lane.rs
+++ b/crates/engine/src/lane.rs
@@ -13,17 +13,20 @@
 use wire::RequestId;
 
 use crate::levels::REFRESH_MS;
+use crate::step_time::StepTime;
 
 /// How long a daemon's reported level counts without being repeated.
 const LEVEL_LIFE_MS: Millis = 2 * REFRESH_MS + REFRESH_MS / 2;
 /// The pause between two steps of the window upwards.
-const GROW_EVERY_MS: Millis = 20;
+const GROW_EVERY_MS: Millis = 100;
 /// The share of the slots by which the window grows in one step, as a divisor.
 const GROW_DIVISOR: u32 = 8;
 /// The wait suggested when the lane's queue is full.
 const FULL_RETRY_AFTER_MS: Millis = 100;
 /// How close to its due time an item may use the reserve, as a time left in milliseconds.
 const URGENT_LEFT_MS: Millis = 60_000;
+/// The smallest change of the streams beside online that is followed.
+const BESIDE_STEP: u32 = 3;
 /// How much more of the slots beside online urgent items may use.
 const URGENT_FACTOR: u32 = 2;
 
@@ -34,8 +37,11 @@
     pub slots: u32,
     /// Slots left free for online arrivals, in percent.
     pub online_reserve_percent: u32,
-    /// Slots that batch may use while online requests run, in percent.
+    /// Slots that batch may use while online requests run and the step time is not learned yet,
+    /// in percent.
     pub batch_beside_online_percent: u32,
+    /// How much batch may slow the steps of online requests, in percent.
+    pub online_slowdown_percent: u32,
     /// How long the replica is left to online requests after the last one.
     pub online_quiet_ms: Millis,
     /// How batch shares the replica with online requests.
@@ -80,6 +86,11 @@
         /// The run.
         request_id: RequestId,
     },
+    /// The usual time between two tokens of the lane's streams.
+    StepTime {
+        /// The time in microseconds.
+        step_us: u64,
+    },
     /// Time has passed.
     Tick,
 }
@@ -129,6 +140,8 @@
     entries: BTreeMap<RequestId, Entry>,
     levels: BTreeMap<DaemonName, Level>,
     served: BTreeMap<OrgName, f64>,
+    step_time: StepTime,
+    beside: Option<u32>,
     window: u32,
     grown_at_ms: Millis,
     online_at_ms: Option<Millis>,
@@ -145,6 +158,8 @@
             entries: BTreeMap::new(),
             levels: BTreeMap::new(),
             served: BTreeMap::new(),
+            step_time: StepTime::default(),
+            beside: None,
             window: 1,
             grown_at_ms: now_ms,
             online_at_ms: None,
@@ -179,6 +194,11 @@
             Event::Ended { request_id } => {
                 self.entries.remove(&request_id);
             }
+            Event::StepTime { step_us } => {
+                let streams = self.running() + self.online();
+                self.step_time.add(streams, step_us);
+                self.learn_beside();
+            }
             Event::Tick => self.forget(now_ms),
         }
         self.settle(now_ms, unix_ms, &mut actions);
@@ -270,11 +290,32 @@
         if online == 0 && !was_online {
             return free;
         }
-        let beside = limits.slots * limits.batch_beside_online_percent / 100;
+        let beside = self.beside_online();
         let beside = if self.has_urgent(unix_ms) { beside * URGENT_FACTOR } else { beside };
         free.saturating_sub(online).min(beside)
     }
 
+    /// Returns the streams that batch may run beside online requests.
+    fn beside_online(&self) -> u32 {
+        let untaught = self.limits.slots * self.limits.batch_beside_online_percent / 100;
+        self.beside.unwrap_or(untaught)
+    }
+
+    /// Follows the learned step time; small changes are passed over, since each would pause and
+    /// resume streams.
+    fn learn_beside(&mut self) {
+        let Some(line) = self.step_time.line() else {
+            return;
+        };
+        let percent = self.limits.online_slowdown_percent;
+        let learned = line.streams_beside(self.online(), percent).min(self.limits.slots);
+        let is_close = self.beside.is_some_and(|known| known.abs_diff(learned) < BESIDE_STEP);
+        if !is_close {
+            let known = self.beside.unwrap_or(learned);
+            self.beside = Some((known * 3 + learned) / 4);
+        }
+    }
+
     fn grow(&mut self, now_ms: Millis, limit: u32) {
         let step = (self.limits.slots / GROW_DIVISOR).max(1);
         if self.window < limit && now_ms >= self.grown_at_ms + GROW_EVERY_MS {
--- a/crates/engine/src/lanes.rs
+++ b/crates/engine/src/lanes.rs
@@ -7,6 +7,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_trait::async_trait;
 use fleet::LinkHandler;
@@ -45,6 +46,8 @@
 
 /// How often lanes look for what time alone changes.
 const TICK: Duration = Duration::from_millis(20);
+/// Gaps between tokens from which a median is taken.
+const MIN_GAPS: usize = 3;
 /// The wait suggested when no lane can be reached.
 const NO_LANE_RETRY_AFTER_MS: Millis = 200;
 
@@ -60,6 +63,7 @@
 
 struct OwnLane {
     core: Lane,
+    gaps_us: Vec<u64>,
     commands: BTreeMap<RequestId, mpsc::UnboundedSender<Command>>,
 }
 
@@ -192,6 +196,9 @@
             if let Some(limits) = self.limits(replica) {
                 lane.core.set_limits(limits);
             }
+            if let Some(step_us) = take_median(&mut lane.gaps_us) {
+                self.step_lane(lane, Event::StepTime { step_us });
+            }
             self.step_lane(lane, Event::Tick);
         }
         // An idle lane is kept: its levels say when batch may start again.
@@ -215,7 +222,8 @@
         if !own.contains_key(replica) {
             let limits = self.limits(replica)?;
             let core = Lane::open(self.services.clock.now_ms(), limits);
-            own.insert(replica.clone(), OwnLane { core, commands: BTreeMap::new() });
+            let lane = OwnLane { core, gaps_us: Vec::new(), commands: BTreeMap::new() };
+            own.insert(replica.clone(), lane);
         }
         own.get_mut(replica)
     }
@@ -314,6 +322,13 @@
         }
     }
 
+    /// Records the time between two tokens of a batch stream.
+    fn on_gap(&self, replica: &ReplicaName, gap: Duration) {
+        if let Some(lane) = self.own().get_mut(replica) {
+            lane.gaps_us.push(gap.as_micros() as u64);
+        }
+    }
+
     fn on_ended(&self, item: &RunItem) {
         let mut own = self.own();
         if let Some(lane) = own.get_mut(&item.replica) {
@@ -441,6 +456,7 @@
     async fn pump(&mut self, mut stream: Box<dyn TokenStream>) -> Attempt {
         let wait_ms = self.lanes.services.settings.batch.item_timeout_ms;
         let progress_ms = self.lanes.services.settings.online.stream_progress_ms;
+        let mut last_token_at: Option<Instant> = None;
         loop {
             let wait_ms = if self.assembly.next_index() == 0 { wait_ms } else { progress_ms };
             let item = tokio::select! {
@@ -464,7 +480,12 @@
                 Err(error) => return Box::pin(self.on_lost(error)).await,
             };
             match self.assembly.step(event) {
-                stream::Action::Emit(_) => {}
+                stream::Action::Emit(_) => {
+                    let now = Instant::now();
+                    if let Some(last) = last_token_at.replace(now) {
+                        self.lanes.on_gap(&self.item.replica, now - last);
+                    }
+                }
                 stream::Action::Drop => self.lanes.services.counters.count("tokens_dropped"),
                 stream::Action::Finish => {
                     let text = self.assembly.tokens().concat();
@@ -510,6 +531,17 @@
     }
 }
 
+/// Returns the median of the samples and forgets them.
+fn take_median(samples: &mut Vec<u64>) -> Option<u64> {
+    if samples.len() < MIN_GAPS {
+        return None;
+    }
+    samples.sort_unstable();
+    let median = samples[samples.len() / 2];
+    samples.clear();
+    Some(median)
+}
+
 /// Waits for a stop; other commands have no meaning before the stream is open.
 async fn stop_wanted(commands: &mut mpsc::UnboundedReceiver<Command>) {
     loop {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod orders;
 pub mod plugin;
 pub mod replicas;
+pub mod step_time;
 pub mod stream;
 
 pub use backend::Backend;
--- a/crates/engine/src/replicas.rs
+++ b/crates/engine/src/replicas.rs
@@ -90,6 +90,7 @@
             slots: active.bundle.slots_of(&entry.runs),
             online_reserve_percent: rules.online_reserve_percent,
             batch_beside_online_percent: rules.batch_beside_online_percent,
+            online_slowdown_percent: rules.online_slowdown_percent,
             online_quiet_ms: rules.online_quiet_ms,
             policy: self.policy,
             takes_batch: self.is_live(replica) && self.takes_batch(&active, entry),
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -104,7 +104,7 @@
             .into_iter()
             .filter(|candidate| {
                 let limit = candidate.slots + candidate.slots * pick.queue_percent / 100;
-                self.load(now_ms, &candidate.replica) < limit
+                self.load(now_ms, candidate) < limit
             })
             .collect();
         if open.is_empty() {
@@ -206,7 +206,7 @@
         preferred
             .into_iter()
             .take(AFFINITY_CHOICES)
-            .find(|candidate| f64::from(self.load(now_ms, &candidate.replica)) < bound)
+            .find(|candidate| f64::from(self.load(now_ms, candidate)) < bound)
     }
 
     fn better_of_two<'a>(
@@ -220,7 +220,7 @@
     }
 
     fn cost(&self, now_ms: Millis, candidate: &Candidate) -> f64 {
-        let load = f64::from(self.load(now_ms, &candidate.replica));
+        let load = f64::from(self.load(now_ms, candidate));
         let fill = load / f64::from(candidate.slots.max(1));
         let record = self.records.get(&candidate.replica);
         let first_token_ms = record.and_then(|record| record.first_token_ms).unwrap_or(0.0);
@@ -228,17 +228,21 @@
     }
 
     fn mean_load(&self, now_ms: Millis, open: &[&Candidate]) -> f64 {
-        let total: u32 = open.iter().map(|c| self.load(now_ms, &c.replica)).sum();
+        let total: u32 = open.iter().map(|c| self.load(now_ms, c)).sum();
         f64::from(total) / open.len().max(1) as f64
     }
 
-    /// Estimates a replica's streams: its last report, corrected by what was sent from here since.
-    fn load(&self, now_ms: Millis, replica: &ReplicaName) -> u32 {
-        let Some(record) = self.records.get(replica) else {
+    /// Estimates a replica's online streams.
+    ///
+    /// A replica's own report counts batch streams too, and those give way; it says something of
+    /// online load only when more streams are there than slots.
+    fn load(&self, now_ms: Millis, candidate: &Candidate) -> u32 {
+        let Some(record) = self.records.get(&candidate.replica) else {
             return 0;
         };
         let fresh = record.reported.filter(|report| now_ms < report.at_ms + REPORT_LIFE_MS);
-        let estimate = fresh.map_or(0, |report| {
+        let full = fresh.filter(|report| report.running > candidate.slots);
+        let estimate = full.map_or(0, |report| {
             (report.running + record.in_flight).saturating_sub(report.own_in_flight_then)
         });
         estimate.max(record.in_flight)
--- a/crates/stub/src/engine.rs
+++ b/crates/stub/src/engine.rs
@@ -34,8 +34,8 @@
     pub step_per_prompt_token_us: u64,
     /// Prompt tokens taken up in one step.
     pub prompt_tokens_per_step: usize,
-    /// Prompt prefixes kept in the cache.
-    pub cached_prefixes: usize,
+    /// Prompt tokens kept in the prefix cache; the least lately used prefix goes first.
+    pub cached_tokens: usize,
     /// How long a run that nobody reads is kept.
     pub keep_ms: u64,
     /// Whether orders with an old fencing number are refused.
@@ -52,7 +52,7 @@
             step_per_stream_us: 100,
             step_per_prompt_token_us: 50,
             prompt_tokens_per_step: 512,
-            cached_prefixes: 64,
+            cached_tokens: 8_192,
             keep_ms: 30_000,
             checks_fencing: true,
             load_lag_ms: 500,
@@ -125,7 +125,7 @@
     runs: HashMap<String, Run>,
     /// Runs that hold or want a slot, in order of arrival.
     order: VecDeque<String>,
-    prefixes: VecDeque<u64>,
+    prefixes: VecDeque<Prefix>,
     record: EngineRecord,
     fencing_number: u64,
     is_down: bool,
@@ -207,8 +207,7 @@
             *state.record.runs.entry(prompt_hash).or_default() += 1;
         }
         state.record.last_started_ms = state.started_at.elapsed().as_millis() as u64;
-        let prompt_left =
-            prompt_cost(&mut state.prefixes, &body.prompt, self.model.cached_prefixes);
+        let prompt_left = prompt_cost(&mut state.prefixes, &body.prompt, self.model.cached_tokens);
         let id = if body.request_id.is_empty() {
             format!("anonymous-{}", state.record.last_started_ms)
         } else {
@@ -355,12 +354,16 @@
     }
 
     async fn run_steps(&self) {
+        // Steps end at set times, so that the timer's coarse grain does not add up.
+        let mut next_end = tokio::time::Instant::now();
         loop {
             let Some(step) = self.begin_step() else {
                 self.work.notified().await;
+                next_end = tokio::time::Instant::now();
                 continue;
             };
-            tokio::time::sleep(step).await;
+            next_end += step;
+            tokio::time::sleep_until(next_end).await;
             self.end_step();
         }
     }
@@ -492,15 +495,23 @@
 }
 
 /// Returns the prompt tokens to compute; a cached prefix makes them few.
-fn prompt_cost(prefixes: &mut VecDeque<u64>, prompt: &str, capacity: usize) -> usize {
+fn prompt_cost(prefixes: &mut VecDeque<Prefix>, prompt: &str, capacity: usize) -> usize {
     let bytes = prompt.as_bytes();
-    let prefix = hash(&bytes[..bytes.len().min(PREFIX_BYTES)]);
-    let is_cached = prefixes.contains(&prefix);
-    prefixes.retain(|known| *known != prefix);
-    prefixes.push_back(prefix);
-    if prefixes.len() > capacity {
+    let prefix = &bytes[..bytes.len().min(PREFIX_BYTES)];
+    let entry = Prefix { hash: hash(prefix), tokens: (prefix.len() / BYTES_PER_TOKEN).max(1) };
+    let is_cached = prefixes.iter().any(|known| known.hash == entry.hash);
+    prefixes.retain(|known| known.hash != entry.hash);
+    prefixes.push_back(entry);
+    while prefixes.iter().map(|known| known.tokens).sum::<usize>() > capacity {
         prefixes.pop_front();
     }
     let tokens = (bytes.len() / BYTES_PER_TOKEN).max(1);
     if is_cached { tokens.div_ceil(CACHED_DIVISOR) } else { tokens }
 }
+
+/// One cached prompt prefix.
+#[derive(Clone, Copy, Debug)]
+struct Prefix {
+    hash: u64,
+    tokens: usize,
+}
