--- a/crates/bench/src/lab.rs
+++ b/crates/bench/src/lab.rs
@@ -271,6 +271,15 @@
         (0..job.items).filter(is_doubled).count() as u32
     }
 
+    /// Makes all links that daemons have dialled go silent for good.
+    pub async fn silence_links(&self) {
+        for index in 0..self.daemons.len() {
+            if let Some(links) = self.service::<fleet::Links>(index) {
+                links.silence_all().await;
+            }
+        }
+    }
+
     /// Returns a daemon that owns a job now.
     pub fn owner_of_a_job(&self) -> Option<usize> {
         (0..self.daemons.len()).find(|index| {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod job_run;
 pub mod lab;
 pub mod matrix;
+pub mod matrix_cells;
+pub mod matrix_online;
 pub mod online_load;
 pub mod options;
 pub mod process;
--- a/crates/cli/src/jobs.rs
+++ b/crates/cli/src/jobs.rs
@@ -112,7 +112,7 @@
     }
 
     /// Writes the recorded results lot by lot and returns the number of lines.
-    pub async fn results(&self, job: &str, out: &mut dyn Write) -> Result<u64, CliError> {
+    pub async fn results(&self, job: &str, out: &mut (dyn Write + Send)) -> Result<u64, CliError> {
         let mut lines = 0;
         let mut lot = Some("0".to_owned());
         while let Some(number) = lot {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -105,7 +105,7 @@
             Ok(())
         }
         JobCommand::Results { job, out, .. } => {
-            let mut writer: Box<dyn Write> = match out {
+            let mut writer: Box<dyn Write + Send> = match out {
                 Some(path) => Box::new(jobs::create_file(path)?),
                 None => Box::new(std::io::stdout()),
             };
