List the longest due job shards first, and mend what the matrix found

Cause: ten cells of the fault matrix did not end. A job's home took the first 16 due shards in order of their number, so with a short interval the later shards were never listed and a job whose notice was lost was never found. Separately, late words of a daemon's earlier start could mark its next start as leaving, and the matrix kept a fault up until the job it blocked was accepted. Change: due shards are taken by how long they are due; heartbeats name the start they speak of; the matrix ends its faults by itself; engines are brought to what the bundle says by fenced orders under leases, with loads spaced to the weight store's rate; the list of owners is kept 50 ms instead of being made for each request; unit tests of the cores.

--- /dev/null
+++ b/crates/admit/tests/limits.rs
@@ -0,0 +1,53 @@
+//! Rates, concurrency, deadlines and retries are bounded.
+
+use admit::Limits;
+use admit::RetryBudget;
+use admit::limits::OrgLimit;
+use wire::OrgName;
+use wire::Ran;
+use wire::Reason;
+
+const LIMIT: OrgLimit = OrgLimit { requests_per_s: 10.0, max_in_flight: 5 };
+
+#[test]
+fn a_rate_is_shared_among_the_daemons() {
+    let mut limits = Limits::new();
+    limits.set_live_daemons(2);
+    let org = OrgName::from("o");
+    let admitted = (0..10_000)
+        .filter(|now_ms| {
+            let is_admitted = limits.admit(*now_ms, &org, LIMIT, u64::MAX).is_ok();
+            if is_admitted {
+                limits.on_end(&org);
+            }
+            is_admitted
+        })
+        .count();
+    assert!((50..=62).contains(&admitted), "{admitted}");
+}
+
+#[test]
+fn refusals_say_why_and_that_nothing_ran() {
+    let mut limits = Limits::new();
+    let org = OrgName::from("o");
+    let past = limits.admit(100, &org, LIMIT, 100).expect_err("the deadline has passed");
+    assert_eq!((past.reason, past.ran), (Reason::Deadline, Ran::No));
+    for _ in 0..5 {
+        limits.admit(100, &org, LIMIT, 200).expect("within the limit");
+    }
+    let full = limits.admit(100, &org, LIMIT, 200).expect_err("too many in flight");
+    assert_eq!(full.reason, Reason::ConcurrencyLimit);
+    assert!(full.retry_after_ms.is_some());
+}
+
+#[test]
+fn retries_are_a_share_of_requests() {
+    let mut budget = RetryBudget::new(0.1);
+    while budget.take() {}
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.on_request();
+        retries += u32::from(budget.take());
+    }
+    assert!((95..=100).contains(&retries), "{retries}");
+}
--- a/crates/batch/src/home.rs
+++ b/crates/batch/src/home.rs
@@ -129,7 +129,7 @@
     fn update_shards(&self) {
         let owners = self.members.owners();
         let own = &self.members.own().daemon;
-        let is_own = |shard: u32| wire::rendezvous::owner(&shard_key(shard), &owners) == Some(own);
+        let is_own = |shard: u32| wire::rendezvous::owner(&shard_key(shard), &*owners) == Some(own);
         let mut shards = self.shards.lock().unwrap_or_else(PoisonError::into_inner);
         for shard in 0..SHARDS {
             if is_own(shard) {
@@ -149,12 +149,15 @@
         let now_ms = self.context.services.clock.now_ms();
         let every_ms = self.context.services.settings.batch.shard_list_every_ms;
         let mut shards = self.shards.lock().unwrap_or_else(PoisonError::into_inner);
-        let due: Vec<u32> = shards
+        let mut due: Vec<(Millis, u32)> = shards
             .iter()
             .filter(|(_, shard)| now_ms >= shard.list_at_ms)
-            .map(|(number, _)| *number)
-            .take(SHARDS_PER_TURN)
+            .map(|(number, shard)| (shard.list_at_ms, *number))
             .collect();
+        // The longest due first, so that a short turn starves none.
+        due.sort_unstable();
+        let due: Vec<u32> =
+            due.into_iter().take(SHARDS_PER_TURN).map(|(_, number)| number).collect();
         for number in &due {
             if let Some(shard) = shards.get_mut(number) {
                 shard.list_at_ms = now_ms + every_ms;
--- a/crates/bench/src/lab.rs
+++ b/crates/bench/src/lab.rs
@@ -59,6 +59,8 @@
     pub extra_settings: String,
     /// How late the host list shows a change.
     pub host_list_lag_ms: u64,
+    /// Whether the bundle's replicas are started and listed.
+    pub has_backends: bool,
     /// Worker threads of each daemon's runtime.
     pub threads: usize,
 }
@@ -72,6 +74,7 @@
             engine: EngineModel::default(),
             extra_settings: String::new(),
             host_list_lag_ms: 0,
+            has_backends: true,
             threads: 2,
         }
     }
@@ -177,8 +180,20 @@
         Ok(())
     }
 
-    /// Starts a daemon that is not running.
+    /// Starts a daemon that is not running, as soon as its addresses are free.
     pub async fn start_daemon(&mut self, index: usize) -> Result<(), KernelError> {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            match self.try_start_daemon(index).await {
+                Err(KernelError::Bind { .. }) if Instant::now() < until => {
+                    tokio::time::sleep(POLL).await;
+                }
+                end => return end,
+            }
+        }
+    }
+
+    async fn try_start_daemon(&mut self, index: usize) -> Result<(), KernelError> {
         let settings = self.daemons[index].settings.clone();
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(self.plan.threads)
@@ -364,7 +379,7 @@
         engines: Vec::new(),
         services: Vec::new(),
     };
-    let Ok(bundle) = check::parse(&plan.bundle) else {
+    let Some(bundle) = check::parse(&plan.bundle).ok().filter(|_| plan.has_backends) else {
         return settings;
     };
     for (index, replica) in bundle.replicas.iter().enumerate() {
--- a/crates/bench/src/matrix.rs
+++ b/crates/bench/src/matrix.rs
@@ -110,8 +110,13 @@
     let client = lab.client(TOKEN);
     if cell.step == Step::Before {
         let mut shown = Shown::begin(lab, cell, &mut rng).await;
-        let id = start_in_time(&job, &client).await?;
+        // The caller starts the job while the faults last, and the faults end by themselves.
+        let starting = {
+            let job = job.clone();
+            tokio::spawn(async move { start_in_time(&job, &client).await })
+        };
         shown.end(lab).await?;
+        let id = starting.await.map_err(|error| error.to_string())??;
         return finish(lab, &job, &id, cell).await;
     }
     let id = start_in_time(&job, &client).await?;
--- a/crates/bench/src/rolls.rs
+++ b/crates/bench/src/rolls.rs
@@ -99,7 +99,7 @@
     lab: &Lab,
     number: u64,
     started_at: Instant,
-    highest: &mut Vec<u64>,
+    highest: &mut [u64],
     seen: &mut RollsSeen,
 ) -> Duration {
     loop {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod levels;
 pub mod online;
 pub mod orders;
+pub mod placement;
 pub mod plugin;
 pub mod replicas;
 pub mod step_time;
--- a/crates/engine/src/plugin.rs
+++ b/crates/engine/src/plugin.rs
@@ -11,12 +11,14 @@
 use kernel::Services;
 use kernel::http_client::HttpClient;
 use kernel::inventory;
+use platform::Store;
 use platform::hosts::HostList;
 
 use crate::backend::Backend;
 use crate::http_backend::HttpBackend;
 use crate::lanes::Lanes;
 use crate::online::Online;
+use crate::placement::Placement;
 use crate::replicas::Replicas;
 
 /// The plug-in's name.
@@ -45,6 +47,14 @@
         services.need::<Members>()?,
     );
     lanes.spawn();
+    let placement = Placement::new(
+        Arc::clone(&services),
+        Arc::clone(&replicas),
+        Arc::clone(&backend),
+        services.need::<Store>()?,
+        services.need::<Members>()?,
+    );
+    placement.spawn();
     let online =
         Online::new(Arc::clone(&services), Arc::clone(&replicas), backend, Arc::clone(&lanes));
     online.spawn();
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use async_trait::async_trait;
 use bytes::Bytes;
 use kernel::Clock;
@@ -41,6 +42,8 @@
 
 /// The prefix of the leases' keys: `daemons/NAME/INCARNATION`.
 const LEASES: &str = "daemons/";
+/// How long the list of owners is used; every request asks for it.
+const OWNERS_LIFE_MS: wire::Millis = 50;
 /// What ends the key of a leaving daemon's lease.
 const LEAVING_SUFFIX: &str = ".leaving";
 /// The fleet size up to which every daemon lists leases at the full rate.
@@ -54,9 +57,18 @@
     own: DaemonInfo,
     core: Mutex<Membership>,
     in_force: AtomicU64,
+    owners: ArcSwap<Owners>,
     changes: watch::Sender<u64>,
 }
 
+/// The daemons among which ownership is decided, as of a moment ago.
+#[derive(Debug, Default)]
+struct Owners {
+    made_at_ms: wire::Millis,
+    is_leaving: bool,
+    names: Arc<Vec<DaemonName>>,
+}
+
 impl Members {
     /// Creates the adapter; `spawn` starts its work.
     pub fn new(
@@ -73,6 +85,7 @@
             own,
             core: Mutex::new(core),
             in_force: AtomicU64::new(0),
+            owners: ArcSwap::default(),
             changes: watch::channel(0).0,
         })
     }
@@ -102,17 +115,27 @@
 
     /// Finds a live peer by name.
     pub fn peer(&self, name: &DaemonName) -> Option<DaemonInfo> {
-        self.peers().into_iter().map(|peer| peer.info).find(|info| info.daemon == *name)
+        self.core().peer(self.now_ms(), name)
     }
 
     /// Returns the owner of a key among the daemons that are live and stay.
     pub fn owner_of(&self, key: &str) -> Option<DaemonName> {
-        rendezvous::owner(key, &self.owners()).cloned()
+        rendezvous::owner(key, &*self.owners()).cloned()
     }
 
     /// Returns the daemons among which ownership is decided.
-    pub fn owners(&self) -> Vec<DaemonName> {
-        self.core().owners(self.now_ms(), self.services.leaving.is_cancelled())
+    pub fn owners(&self) -> Arc<Vec<DaemonName>> {
+        let now_ms = self.now_ms();
+        let is_leaving = self.services.leaving.is_cancelled();
+        let known = self.owners.load_full();
+        let is_fresh = now_ms < known.made_at_ms + OWNERS_LIFE_MS;
+        if is_fresh && known.is_leaving == is_leaving && !known.names.is_empty() {
+            return Arc::clone(&known.names);
+        }
+        let names = Arc::new(self.core().owners(now_ms, is_leaving));
+        let owners = Owners { made_at_ms: now_ms, is_leaving, names: Arc::clone(&names) };
+        self.owners.store(Arc::new(owners));
+        names
     }
 
     /// Returns the daemons that callers should use.
@@ -195,7 +218,7 @@
             tokio::select! {
                 () = self.services.stopped.cancelled() => return,
                 () = self.services.leaving.cancelled(), if !has_left => {
-                    self.broadcast(&Notice::Leaving);
+                    self.broadcast(&Notice::Leaving(self.heartbeat()));
                     lease = Renewal { is_leaving: true, ..lease };
                     self.renew_once(&mut lease).await;
                     let _ = self.delete_lease(&self.lease_key(false)).await;
@@ -331,6 +354,7 @@
     }
 
     fn on_view_changed(&self) {
+        self.owners.store(Arc::default());
         let live = self.owners().len();
         info!("event=view_changed daemon={} live={live}", self.own.daemon);
         self.store.set_live_daemons(live);
@@ -339,6 +363,7 @@
 
     fn heartbeat(&self) -> Heartbeat {
         Heartbeat {
+            incarnation: self.own.incarnation.clone(),
             in_force: self.in_force.load(Ordering::Acquire),
             leaving: self.services.leaving.is_cancelled(),
         }
@@ -387,7 +412,7 @@
 
     fn notice(&self, from: &DaemonName, notice: &Notice) {
         match notice {
-            Notice::Leaving => self.0.heard(from, Heartbeat { in_force: 0, leaving: true }),
+            Notice::Leaving(heartbeat) => self.0.heard(from, heartbeat.clone()),
             Notice::Doubt { daemon } => self.0.step(Event::Missed { peer: daemon.clone() }),
             _ => {}
         }
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -172,13 +172,20 @@
             .collect()
     }
 
+    /// Finds a live peer by name.
+    pub fn peer(&self, now_ms: Millis, name: &DaemonName) -> Option<DaemonInfo> {
+        let member = self.members.get(name).filter(|member| self.is_live(member, now_ms))?;
+        member.info.clone()
+    }
+
     /// Returns the daemons among which ownership is decided, this one included unless it leaves.
     pub fn owners(&self, now_ms: Millis, own_is_leaving: bool) -> Vec<DaemonName> {
         let peers = self
-            .peers(now_ms)
-            .into_iter()
-            .filter(|peer| !peer.suspect && !peer.leaving)
-            .map(|peer| peer.info.daemon);
+            .members
+            .iter()
+            .filter(|(_, member)| self.is_live(member, now_ms) && !member.is_leaving)
+            .filter(|(_, member)| !is_suspect(member, now_ms, self.timing))
+            .map(|(name, _)| name.clone());
         let own = (!own_is_leaving).then(|| self.own.daemon.clone());
         peers.chain(own).collect()
     }
@@ -260,7 +267,9 @@
         peer: &DaemonName,
         heartbeat: &Heartbeat,
     ) -> Vec<Action> {
-        if let Some(member) = self.members.get_mut(peer) {
+        let known = self.members.get_mut(peer);
+        // Late words of an earlier start say nothing of this one.
+        if let Some(member) = known.filter(|known| known.incarnation == heartbeat.incarnation) {
             member.heard_at_ms = Some(now_ms);
             member.missed_since_ms = None;
             member.in_force = member.in_force.max(heartbeat.in_force);
--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -118,6 +118,9 @@
     /// The reads a second that the whole fleet may use.
     #[serde(default = "default_fleet_reads")]
     pub fleet_reads_per_s: f64,
+    /// The rate at which the whole fleet may load weights.
+    #[serde(default = "default_weight_rate")]
+    pub weight_store_mb_per_s: f64,
     /// How often the host list is read.
     #[serde(default = "default_host_list_ms")]
     pub host_list_every_ms: Millis,
@@ -272,6 +275,10 @@
     1_500.0
 }
 
+fn default_weight_rate() -> f64 {
+    20_000.0
+}
+
 fn default_host_list_ms() -> Millis {
     500
 }
@@ -377,6 +384,7 @@
             (self.batch.max_attempts > 0, "batch.max_attempts", "over 0"),
             (self.platform.fleet_writes_per_s > 0.0, "platform.fleet_writes_per_s", "over 0"),
             (self.platform.fleet_reads_per_s > 0.0, "platform.fleet_reads_per_s", "over 0"),
+            (self.platform.weight_store_mb_per_s > 0.0, "platform.weight_store_mb_per_s", "over 0"),
         ];
         let (_, field, bound) = checks.into_iter().find(|(holds, _, _)| !holds)?;
         Some(Problem::new(field, &format!("must be {bound}")))
--- /dev/null
+++ b/crates/platform/tests/budget.rs
@@ -0,0 +1,34 @@
+//! The fleet's call rate is kept, and urgent calls go before others.
+
+use platform::budget::Budget;
+use platform::budget::CallClass;
+
+fn taken(budget: &mut Budget, class: CallClass, from_ms: u64, to_ms: u64) -> usize {
+    (from_ms..to_ms).filter(|now_ms| budget.take(*now_ms, class).is_ok()).count()
+}
+
+#[test]
+fn the_rate_is_divided_by_the_live_daemons() {
+    let mut budget = Budget::new(100.0, 0);
+    budget.set_live_daemons(10);
+    taken(&mut budget, CallClass::Lease, 0, 5_000);
+    let steady = taken(&mut budget, CallClass::Lease, 5_000, 15_000);
+    assert!((98..=102).contains(&steady), "{steady}");
+}
+
+#[test]
+fn status_calls_leave_room_for_leases() {
+    let mut budget = Budget::new(100.0, 0);
+    while budget.take(0, CallClass::Status).is_ok() {}
+    assert!(budget.take(0, CallClass::Ledger).is_ok());
+    while budget.take(0, CallClass::Ledger).is_ok() {}
+    assert!(budget.take(0, CallClass::Lease).is_ok());
+}
+
+#[test]
+fn a_refused_call_is_told_when_its_turn_comes() {
+    let mut budget = Budget::new(100.0, 0);
+    while budget.take(0, CallClass::Lease).is_ok() {}
+    let wait_ms = budget.take(0, CallClass::Lease).expect_err("nothing is left");
+    assert!(budget.take(wait_ms, CallClass::Lease).is_ok());
+}
--- a/crates/spec/src/in_force_model.rs
+++ b/crates/spec/src/in_force_model.rs
@@ -106,10 +106,10 @@
             }
             (_, event) => event,
         };
-        if self.mutation == Some(Mutation::AnyNumberInForce) {
-            if let Event::SeenInStore(pointer) | Event::SeenAtPeer(pointer) = &event {
-                return self.apply(index, pointer.clone());
-            }
+        if self.mutation == Some(Mutation::AnyNumberInForce)
+            && let Event::SeenInStore(pointer) | Event::SeenAtPeer(pointer) = &event
+        {
+            return self.apply(index, pointer.clone());
         }
         for action in self.daemons[index].core.step(event) {
             match action {
--- a/crates/spec/src/ledger_model.rs
+++ b/crates/spec/src/ledger_model.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use batch::chunk::ItemState;
 use batch::ledger::Action;
 use batch::ledger::Event;
 use batch::ledger::JobFacts;
@@ -221,8 +220,8 @@
     /// Lets a write meet the store, and answers unless the answer is lost.
     fn deliver_write(&mut self, index: usize, has_answer: bool) {
         let write = self.writes.remove(index);
-        let is_conditional = !self.is(Mutation::NoVersionCondition)
-            && !(self.is(Mutation::IgnoreExistingRecords) && write.target != Target::Head);
+        let is_blind = self.is(Mutation::IgnoreExistingRecords) && write.target != Target::Head;
+        let is_conditional = !is_blind && !self.is(Mutation::NoVersionCondition);
         let met = self.store.apply(&write, is_conditional);
         self.on_store_changed();
         if write.is_given_up {
@@ -514,8 +513,3 @@
         }
     }
 }
-
-/// Returns whether an item's state counts as started, for tests of the model.
-pub fn is_started(state: &ItemState) -> bool {
-    matches!(state, ItemState::Running(_))
-}
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -98,7 +98,7 @@
     /// A newer bundle is in force.
     InForce(Pointer),
     /// The sender stops soon and takes no new work.
-    Leaving,
+    Leaving(Heartbeat),
     /// A daemon has missed a heartbeat; the receiver probes it itself.
     Doubt {
         /// The daemon.
@@ -114,6 +114,8 @@
 /// Liveness and the number in force, exchanged by neighbours.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
+    /// The start of the sender that speaks.
+    pub incarnation: String,
     /// The number in force at the sender, 0 before the first.
     pub in_force: u64,
     /// Whether the sender is stopping.
