--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod jobs;
 pub mod keys;
 pub mod ledger;
+pub mod ledger_step;
 pub mod plugin;
 pub mod records;
 pub mod results;
--- a/crates/bench/src/lab.rs
+++ b/crates/bench/src/lab.rs
@@ -180,6 +180,11 @@
         Ok(())
     }
 
+    /// Returns whether a daemon runs.
+    pub fn is_running(&self, index: usize) -> bool {
+        self.daemons.get(index).is_some_and(|daemon| daemon.running.is_some())
+    }
+
     /// Starts a daemon that is not running, as soon as its addresses are free.
     pub async fn start_daemon(&mut self, index: usize) -> Result<(), KernelError> {
         let until = Instant::now() + PATIENCE;
--- a/crates/bench/src/matrix.rs
+++ b/crates/bench/src/matrix.rs
@@ -259,6 +259,9 @@
 }
 
 async fn start_daemon(lab: &mut Lab, index: usize) -> Result<(), String> {
+    if lab.is_running(index) {
+        return Ok(());
+    }
     lab.start_daemon(index).await.map_err(|error| error.to_string())
 }
 
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod backend;
 pub mod http_backend;
 pub mod lane;
+mod lane_run;
 pub mod lanes;
 pub mod levels;
 pub mod online;
