--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod keys;
 pub mod ledger;
 pub mod ledger_step;
+mod ledger_work;
 pub mod plugin;
 pub mod records;
 pub mod results;
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod lanes;
 pub mod levels;
 pub mod online;
+mod online_part;
 pub mod orders;
 pub mod placement;
 pub mod plugin;
--- a/crates/engine/src/online.rs
+++ b/crates/engine/src/online.rs
@@ -11,7 +11,6 @@
 use bytes::Bytes;
 use kernel::Services;
 use kernel::counters::RetryReason;
-use log::info;
 use platform::store::new_write_id;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -29,14 +28,12 @@
 
 use crate::backend::Backend;
 use crate::backend::BackendError;
-use crate::backend::Generation;
 use crate::backend::ServiceRequest;
-use crate::backend::StreamItem;
-use crate::backend::TokenStream;
 use crate::lanes::Lanes;
 use crate::levels::Levels;
+use crate::online_part::Part;
+use crate::online_part::PartEnd;
 use crate::replicas::Replicas;
-use crate::stream;
 use crate::stream::Assembly;
 
 /// How often falling levels are looked for.
@@ -82,27 +79,15 @@
 
 /// The online side of one daemon.
 pub struct Online {
-    services: Arc<Services>,
+    pub(crate) services: Arc<Services>,
     replicas: Arc<Replicas>,
-    backend: Arc<dyn Backend>,
+    pub(crate) backend: Arc<dyn Backend>,
     lanes: Arc<Lanes>,
-    router: Mutex<Router>,
+    pub(crate) router: Mutex<Router>,
     levels: Mutex<Levels>,
     retries: Mutex<admit::RetryBudget>,
 }
 
-/// How one replica's part in a request ended.
-enum PartEnd {
-    /// The answer is whole.
-    Finished,
-    /// The replica certainly did not run the request.
-    NotRun { reason: RetryReason, message: String },
-    /// The replica was lost; the answer goes on elsewhere.
-    Continue { message: String },
-    /// The request ends here.
-    Refused(Refusal),
-}
-
 impl Online {
     /// Creates the online side; `spawn` starts its reports.
     pub fn new(
@@ -273,7 +258,7 @@
         Ok(())
     }
 
-    fn begin(&self, replica: &ReplicaName) -> InFlight<'_> {
+    pub(crate) fn begin(&self, replica: &ReplicaName) -> InFlight<'_> {
         let now_ms = self.services.clock.now_ms();
         lock(&self.router).on_start(replica);
         let report = lock(&self.levels).on_start(now_ms, replica);
@@ -288,7 +273,7 @@
 const EXHAUSTED_RETRY_AFTER_MS: Millis = 1_000;
 
 /// Counts a request at a replica until it is dropped.
-struct InFlight<'a> {
+pub(crate) struct InFlight<'a> {
     online: &'a Online,
     replica: ReplicaName,
 }
@@ -301,191 +286,6 @@
     }
 }
 
-/// One request at one replica.
-struct Part<'a> {
-    online: &'a Online,
-    request: &'a OnlineRequest,
-    replica: &'a ReplicaName,
-    address: SocketAddr,
-}
-
-impl Part<'_> {
-    async fn run(&self, assembly: &mut Assembly, tokens: &mpsc::Sender<String>) -> PartEnd {
-        let _in_flight = self.online.begin(self.replica);
-        let started_ms = self.now_ms();
-        let generation = Generation {
-            request_id: assembly.request_id().clone(),
-            model: self.request.target.clone(),
-            prompt: self.request.prompt.clone(),
-            max_tokens: self.request.max_tokens,
-            generated: assembly.tokens().to_vec(),
-        };
-        let wait_ms = self.wait_ms(self.online.services.settings.online.first_token_ms);
-        let backend = &self.online.backend;
-        let started = tokio::select! {
-            started = backend.generate(self.address, &generation, wait_ms) => started,
-            () = tokens.closed() => {
-                self.cancel(assembly).await;
-                return PartEnd::Refused(caller_gone());
-            }
-        };
-        let stream = match started {
-            Ok(stream) => stream,
-            Err(error) => match self.on_start_error(error, assembly).await {
-                Ok(stream) => stream,
-                Err(end) => return end,
-            },
-        };
-        self.pump(assembly, stream, tokens, started_ms).await
-    }
-
-    /// Decides what a failed start means; a run that may exist is looked for by its id.
-    async fn on_start_error(
-        &self,
-        error: BackendError,
-        assembly: &mut Assembly,
-    ) -> Result<Box<dyn TokenStream>, PartEnd> {
-        let message = error.to_string();
-        match error {
-            BackendError::NotSent(_) => {
-                self.on_failure();
-                Err(PartEnd::NotRun { reason: RetryReason::BackendConnect, message })
-            }
-            BackendError::Busy(_) => {
-                Err(PartEnd::NotRun { reason: RetryReason::BackendBusy, message })
-            }
-            BackendError::Refused(text) => {
-                Err(PartEnd::Refused(Refusal::not_run(Reason::BackendRefused, text)))
-            }
-            _ => self.resume(assembly, message).await,
-        }
-    }
-
-    async fn pump(
-        &self,
-        assembly: &mut Assembly,
-        mut stream: Box<dyn TokenStream>,
-        tokens: &mpsc::Sender<String>,
-        started_ms: Millis,
-    ) -> PartEnd {
-        let settings = &self.online.services.settings.online;
-        self.on_load(stream.as_ref());
-        let mut is_first = true;
-        loop {
-            if self.now_ms() >= self.request.deadline_ms {
-                self.cancel(assembly).await;
-                let message = "the deadline passed while the answer was made";
-                return PartEnd::Refused(Refusal::unknown(Reason::Deadline, message));
-            }
-            let limit_ms =
-                if is_first { settings.first_token_ms } else { settings.stream_progress_ms };
-            let item = tokio::select! {
-                item = stream.next(self.wait_ms(limit_ms)) => item,
-                () = tokens.closed() => {
-                    self.cancel(assembly).await;
-                    return PartEnd::Refused(caller_gone());
-                }
-            };
-            let (event, message) = match item {
-                Ok(StreamItem::Token(token)) => (stream::Event::Token(token), String::new()),
-                Ok(StreamItem::End) => (stream::Event::End, String::new()),
-                Err(error) => (stream::Event::Lost, error.to_string()),
-            };
-            match assembly.step(event) {
-                stream::Action::Emit(text) => {
-                    if is_first {
-                        let took_ms = self.now_ms().saturating_sub(started_ms);
-                        lock(&self.online.router).on_first_token(self.replica, took_ms);
-                        is_first = false;
-                    }
-                    if tokens.send(text).await.is_err() {
-                        self.cancel(assembly).await;
-                        return PartEnd::Refused(caller_gone());
-                    }
-                }
-                stream::Action::Drop => self.online.services.counters.count("tokens_dropped"),
-                stream::Action::Finish => return PartEnd::Finished,
-                stream::Action::Resume { .. } => match self.resume(assembly, message).await {
-                    Ok(resumed) => stream = resumed,
-                    Err(end) => return end,
-                },
-                stream::Action::Continue => return self.continue_elsewhere(message),
-                stream::Action::Fail => return lost(message),
-            }
-        }
-    }
-
-    /// Reads on over a new connection to the same replica.
-    async fn resume(
-        &self,
-        assembly: &mut Assembly,
-        mut message: String,
-    ) -> Result<Box<dyn TokenStream>, PartEnd> {
-        loop {
-            self.online.services.counters.retried(RetryReason::StreamResumed);
-            info!(
-                "event=stream_resumed replica={} request={} token={} cause=\"{message}\"",
-                self.replica,
-                assembly.request_id(),
-                assembly.next_index()
-            );
-            let wait_ms = self.wait_ms(self.online.services.settings.online.stream_progress_ms);
-            let id = assembly.request_id().clone();
-            let index = assembly.next_index();
-            let event = match self.online.backend.resume(self.address, &id, index, wait_ms).await {
-                Ok(stream) => return Ok(stream),
-                Err(BackendError::UnknownRun) => stream::Event::UnknownRun,
-                Err(error) => {
-                    message = error.to_string();
-                    stream::Event::Lost
-                }
-            };
-            match assembly.step(event) {
-                stream::Action::Resume { .. } if self.now_ms() < self.request.deadline_ms => {}
-                stream::Action::Continue => return Err(self.continue_elsewhere(message)),
-                _ => return Err(lost(message)),
-            }
-        }
-    }
-
-    fn continue_elsewhere(&self, message: String) -> PartEnd {
-        self.on_failure();
-        PartEnd::Continue { message }
-    }
-
-    fn on_failure(&self) {
-        lock(&self.online.router).on_failure(self.now_ms(), self.replica);
-    }
-
-    fn on_load(&self, stream: &dyn TokenStream) {
-        if let Some(load) = stream.load() {
-            lock(&self.online.router).on_report(self.now_ms(), self.replica, load.running);
-        }
-    }
-
-    async fn cancel(&self, assembly: &Assembly) {
-        let _ = self.online.backend.cancel(self.address, assembly.request_id(), false).await;
-    }
-
-    fn wait_ms(&self, limit_ms: Millis) -> Millis {
-        let left_ms = self.request.deadline_ms.saturating_sub(self.now_ms());
-        limit_ms.min(left_ms).max(1)
-    }
-
-    fn now_ms(&self) -> Millis {
-        self.online.services.clock.now_ms()
-    }
-}
-
-fn lost(message: String) -> PartEnd {
-    let text = format!("the answer was lost and the request may have run: {message}");
-    PartEnd::Refused(Refusal::unknown(Reason::BackendLost, text))
-}
-
-fn caller_gone() -> Refusal {
-    Refusal::unknown(Reason::Deadline, "the caller closed the connection")
-}
-
 fn pick_refusal(error: PickError, target: &ModelName) -> Refusal {
     match error {
         PickError::None => {
@@ -517,6 +317,6 @@
     RequestId::from(new_write_id())
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
