--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod records;
 pub mod results;
 pub mod runner;
+mod try_task;
 
 pub use home::JobHome;
 pub use jobs::Jobs;
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -9,7 +9,6 @@
 use engine::Replicas;
 use fleet::Members;
 use kernel::Services;
-use kernel::counters::RetryReason;
 use log::info;
 use log::warn;
 use platform::CallClass;
@@ -20,14 +19,10 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use wire::JobId;
-use wire::Millis;
-use wire::RequestId;
 use wire::Version;
 use wire::job::ChunkRecord;
 use wire::job::Head;
 use wire::job::Manifest;
-use wire::link::ItemEnd;
-use wire::link::RunItem;
 
 use crate::chooser::Chooser;
 use crate::inputs::Inputs;
@@ -39,6 +34,8 @@
 use crate::ledger::LedgerLimits;
 use crate::ledger::WriteEnd;
 use crate::records;
+use crate::try_task::Try;
+use crate::try_task::TryTask;
 
 /// How often the ledger looks for what time alone changes.
 const TICK: Duration = Duration::from_millis(50);
@@ -46,10 +43,6 @@
 const READ_RETRY: Duration = Duration::from_millis(500);
 /// Reads of the head while another daemon still owns the job, before that one is deposed.
 const MAX_OWNER_WAITS: u32 = 240;
-/// The wait before an item is tried again when no lane has room or its input is not there.
-const NO_ROOM_RETRY_MS: Millis = 50;
-/// How long a stopped try may take to end.
-const STOP_WAIT: Duration = Duration::from_secs(3);
 /// The most items of one job in flight from one daemon.
 const MAX_IN_FLIGHT: u32 = 512;
 
@@ -354,152 +347,3 @@
         }
     }
 }
-
-/// One try at one item.
-#[derive(Clone, Copy, Debug)]
-struct Try {
-    chunk: u32,
-    item: u32,
-    attempt: u32,
-    resume_only: bool,
-    alone: bool,
-}
-
-struct TryTask {
-    context: Arc<RunnerContext>,
-    manifest: Arc<Manifest>,
-    inputs: Arc<Inputs>,
-    epoch: u64,
-    try_: Try,
-    stop: CancellationToken,
-}
-
-impl TryTask {
-    async fn run(&self) -> ItemEnd {
-        let end = if self.try_.resume_only {
-            self.resume_anywhere().await
-        } else {
-            self.run_on_a_lane().await
-        };
-        self.count(&end);
-        end
-    }
-
-    async fn run_on_a_lane(&self) -> ItemEnd {
-        let item = match self.inputs.item(self.try_.chunk, self.try_.item).await {
-            Ok(item) => item,
-            Err(StoreError::Malformed { message, .. }) => {
-                return ItemEnd::ItemFault { detail: message };
-            }
-            Err(_) => return not_run(),
-        };
-        let Some(active) = self.context.replicas.holder().active() else {
-            return not_run();
-        };
-        let model = &self.manifest.spec.model;
-        let limit = active.bundle.model(model.as_str()).map(|model| model.max_tokens);
-        if limit.is_some_and(|limit| item.max_tokens > limit) {
-            let detail = format!("max_tokens is over the model's {}", limit.unwrap_or(0));
-            return ItemEnd::ItemFault { detail };
-        }
-        let replicas = self.context.replicas.for_batch(&active, model);
-        let slots = active.bundle.slots_of(model);
-        let now_ms = self.context.services.clock.now_ms();
-        let Some(replica) = self.context.chooser.take(now_ms, &replicas, slots) else {
-            return not_run();
-        };
-        let end =
-            self.run_item(self.run_request(replica.clone(), item.prompt, item.max_tokens)).await;
-        let full_until_ms = match &end {
-            ItemEnd::NotRun { retry_after_ms } => {
-                Some(self.context.services.clock.now_ms() + retry_after_ms)
-            }
-            _ => None,
-        };
-        self.context.chooser.put_back(&replica, full_until_ms);
-        // Other lanes may have room, so the item itself need not wait as long.
-        match end {
-            ItemEnd::NotRun { .. } => not_run(),
-            end => end,
-        }
-    }
-
-    /// Looks for an earlier run on every replica of the model.
-    async fn resume_anywhere(&self) -> ItemEnd {
-        let Some(active) = self.context.replicas.holder().active() else {
-            return not_run();
-        };
-        let replicas = self.context.replicas.for_batch(&active, &self.manifest.spec.model);
-        let mut worst = ItemEnd::CannotResume;
-        for live in replicas {
-            let request = self.run_request(live.replica.name, String::new(), 0);
-            match self.run_item(request).await {
-                ItemEnd::CannotResume => {}
-                end
-                @ (ItemEnd::NotRun { .. } | ItemEnd::BackendFault { .. } | ItemEnd::Unknown) => {
-                    worst = end;
-                }
-                end => return end,
-            }
-        }
-        worst
-    }
-
-    async fn run_item(&self, request: RunItem) -> ItemEnd {
-        let wait_ms = self.context.services.settings.batch.item_timeout_ms;
-        let run = self.context.lanes.run(request.clone(), wait_ms);
-        tokio::pin!(run);
-        tokio::select! {
-            end = &mut run => return end,
-            () = self.stop.cancelled() => {}
-        }
-        self.context.lanes.stop(&request);
-        tokio::time::timeout(STOP_WAIT, run).await.unwrap_or(ItemEnd::Stopped)
-    }
-
-    fn run_request(&self, replica: wire::ReplicaName, prompt: String, max_tokens: u32) -> RunItem {
-        let spec = &self.manifest.spec;
-        RunItem {
-            replica,
-            request_id: self.request_id(),
-            model: spec.model.clone(),
-            org: self.manifest.org.clone(),
-            due_unix_ms: spec.due_unix_ms,
-            prompt,
-            max_tokens,
-            idempotent: spec.idempotent,
-            resume_only: self.try_.resume_only,
-            alone: self.try_.alone,
-        }
-    }
-
-    /// A non-idempotent item has one run and so one id; another one has an id for each try.
-    fn request_id(&self) -> RequestId {
-        let Try { chunk, item, attempt, .. } = self.try_;
-        let job = &self.manifest.job;
-        let id = if self.manifest.spec.idempotent {
-            format!("{job}.{chunk}.{item}.{}.{attempt}", self.epoch)
-        } else {
-            format!("{job}.{chunk}.{item}")
-        };
-        RequestId::from(id)
-    }
-
-    fn count(&self, end: &ItemEnd) {
-        let counters = &self.context.services.counters;
-        match end {
-            ItemEnd::Done { .. } => counters.count("items_done"),
-            ItemEnd::ItemFault { .. } => counters.count("items_failed"),
-            ItemEnd::CannotResume => counters.count("items_interrupted"),
-            ItemEnd::NotRun { .. } => counters.retried(RetryReason::LaneBusy),
-            ItemEnd::BackendFault { .. } | ItemEnd::Unknown => {
-                counters.retried(RetryReason::ItemBackendLost);
-            }
-            ItemEnd::Stopped => counters.count("items_stopped"),
-        }
-    }
-}
-
-fn not_run() -> ItemEnd {
-    ItemEnd::NotRun { retry_after_ms: NO_ROOM_RETRY_MS }
-}
--- a/crates/bench/src/bin/demo.rs
+++ b/crates/bench/src/bin/demo.rs
@@ -14,6 +14,7 @@
 use cli::CliError;
 use cli::Client;
 use cli::jobs::JobClient;
+use kernel::logs;
 
 /// The bundle that the demo rolls.
 const BUNDLE: &str = include_str!("../../../../examples/crate-depot.yaml");
@@ -51,8 +52,7 @@
 
 fn main() -> ExitCode {
     let options = Options::parse();
-    let environment = env_logger::Env::default().default_filter_or("error");
-    env_logger::Builder::from_env(environment).init();
+    logs::init("error");
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(error) => {
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -14,12 +14,12 @@
 use bench::slopes;
 use clap::Parser;
 use cli::CliError;
+use kernel::logs;
 use serde::Serialize;
 
 fn main() -> ExitCode {
     let options = Options::parse();
-    let environment = env_logger::Env::default().default_filter_or("error");
-    env_logger::Builder::from_env(environment).init();
+    logs::init("error");
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(error) => {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -13,7 +13,7 @@
 
 fn main() -> ExitCode {
     let options = Options::parse();
-    init_log();
+    logs::init("info");
     match run(&options) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -23,16 +23,6 @@
     }
 }
 
-fn init_log() {
-    let environment = env_logger::Env::default().default_filter_or("info");
-    env_logger::Builder::from_env(environment)
-        .format(|out, record| {
-            let timestamp = out.timestamp_millis();
-            logs::format_line(out, timestamp, record)
-        })
-        .init();
-}
-
 fn run(options: &Options) -> Result<(), KernelError> {
     let settings = Settings::load(&options.settings)?;
     if options.check {
--- a/crates/engine/src/lane_run.rs
+++ b/crates/engine/src/lane_run.rs
@@ -47,7 +47,19 @@
     pub(crate) is_over: bool,
 }
 
-impl LaneRun<'_> {
+impl<'a> LaneRun<'a> {
+    /// Prepares the task; `may_run` says whether a run may exist already.
+    pub(crate) fn new(
+        lanes: &'a Lanes,
+        item: &'a RunItem,
+        address: SocketAddr,
+        commands: mpsc::UnboundedReceiver<Command>,
+        may_run: bool,
+    ) -> Self {
+        let assembly = Assembly::new(item.request_id.clone(), false);
+        Self { lanes, item, address, commands, assembly, may_run, is_over: false }
+    }
+
     /// Runs the item as the lane says.
     pub(crate) async fn drive(&mut self) -> ItemEnd {
         let end = self.drive_inner().await;
--- a/crates/engine/src/lanes.rs
+++ b/crates/engine/src/lanes.rs
@@ -37,7 +37,6 @@
 use crate::lane_run::Command;
 use crate::lane_run::LaneRun;
 use crate::replicas::Replicas;
-use crate::stream::Assembly;
 
 /// How often lanes look for what time alone changes.
 const TICK: Duration = Duration::from_millis(20);
@@ -244,15 +243,7 @@
         if !self.submit(item, sender) {
             return ItemEnd::NotRun { retry_after_ms: NO_LANE_RETRY_AFTER_MS };
         }
-        let mut run = LaneRun {
-            lanes: self,
-            item,
-            address,
-            commands,
-            assembly: Assembly::new(item.request_id.clone(), false),
-            may_run: false,
-            is_over: false,
-        };
+        let mut run = LaneRun::new(self, item, address, commands, false);
         let end = run.drive().await;
         run.is_over = true;
         end
@@ -290,15 +281,7 @@
     /// Reads an earlier run of a non-idempotent item to its end; it is never run anew.
     async fn resume_only(&self, item: &RunItem, address: SocketAddr) -> ItemEnd {
         let (_keep_open, commands) = mpsc::unbounded_channel();
-        let mut run = LaneRun {
-            lanes: self,
-            item,
-            address,
-            commands,
-            assembly: Assembly::new(item.request_id.clone(), false),
-            may_run: true,
-            is_over: false,
-        };
+        let mut run = LaneRun::new(self, item, address, commands, true);
         let end = run.resume().await;
         run.is_over = true;
         match end {
--- a/crates/kernel/src/logs.rs
+++ b/crates/kernel/src/logs.rs
@@ -2,6 +2,9 @@
 
 use std::io::Write;
 
+use env_logger::Builder;
+use env_logger::Env;
+
 /// Writes log lines to standard error as `ts=… level=… at=… key=value …`.
 pub fn format_line(
     out: &mut impl Write,
@@ -11,3 +14,13 @@
     let level = record.level().as_str().to_ascii_lowercase();
     writeln!(out, "ts={timestamp} level={level} at={} {}", record.target(), record.args())
 }
+
+/// Starts the log of a process; `RUST_LOG` goes before `default_level`.
+pub fn init(default_level: &str) {
+    Builder::from_env(Env::default().default_filter_or(default_level))
+        .format(|out, record| {
+            let timestamp = out.timestamp_millis();
+            format_line(out, timestamp, record)
+        })
+        .init();
+}
--- a/crates/stub/src/main.rs
+++ b/crates/stub/src/main.rs
@@ -23,13 +23,7 @@
 
 fn main() -> ExitCode {
     let options = Options::parse();
-    let environment = env_logger::Env::default().default_filter_or("info");
-    env_logger::Builder::from_env(environment)
-        .format(|out, record| {
-            let timestamp = out.timestamp_millis();
-            logs::format_line(out, timestamp, record)
-        })
-        .init();
+    logs::init("info");
     match run(&options) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
