Measure a settled fleet in one place

Cause: the idle series and the jobs series of crocus-bench slopes held the same settle, mark, measure and shut-down lines. Change: slopes::measure_settled serves both; no behaviour changes. Measured: formatter, import check and clippy with warnings denied are clean for bench; the slopes were not run again.

--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -218,18 +218,23 @@
     plan
 }
 
+/// Lets a fleet settle, measures it and shuts it down.
+async fn measure_settled(lab: Lab, base_mb: f64) -> Cost {
+    tokio::time::sleep(SETTLE).await;
+    let mark = Mark::read(&lab);
+    tokio::time::sleep(MEASURE).await;
+    let cost = mark.cost_until(&lab, base_mb);
+    lab.shut_down();
+    cost
+}
+
 /// A fleet without any work.
 async fn idle(daemons: usize, bundle: &str) -> Result<Cost, CliError> {
     let base_mb = process::rss_mb();
     let mut plan = lab_plan(daemons, bundle);
     plan.has_backends = false;
     let lab = Lab::start_rolled(plan).await?;
-    tokio::time::sleep(SETTLE).await;
-    let mark = Mark::read(&lab);
-    tokio::time::sleep(MEASURE).await;
-    let cost = mark.cost_until(&lab, base_mb);
-    lab.shut_down();
-    Ok(cost)
+    Ok(measure_settled(lab, base_mb).await)
 }
 
 /// Online requests at a constant rate.
@@ -262,12 +267,7 @@
         let job = TestJob::new(&format!("job-{number}"), "depot", 4_096, BATCH_TOKENS);
         job.start(&client).await?;
     }
-    tokio::time::sleep(SETTLE).await;
-    let mark = Mark::read(&lab);
-    tokio::time::sleep(MEASURE).await;
-    let cost = mark.cost_until(&lab, base_mb);
-    lab.shut_down();
-    Ok(cost)
+    Ok(measure_settled(lab, base_mb).await)
 }
 
 /// A bundle with many organisations and replicas; the replicas are in no host list.
