Adopt jobs that a lost fleet left behind

A new daemon takes nothing over before it has heard who lives. The end of a job could answer 502 when it was asked twice; mended.

--- /dev/null
+++ b/crates/daemon/tests/platform.rs
@@ -0,0 +1,267 @@
+//! Real daemons as processes on the stand-in of the users' platform.
+
+mod platform_fleet;
+
+use std::time::Duration;
+
+use http::StatusCode;
+use platform_stub::Client;
+use platform_stub::client::NewItem;
+use platform_stub::client::is_whole_stream;
+use platform_stub::client::whole_text;
+use platform_stub::deployment::JOBS;
+use platform_stub::deployment::LOOKUP;
+use platform_stub::deployment::RESUMABLE;
+use platform_stub::deployment::STREAM;
+use platform_stub::replica::FAILING;
+use platform_stub::replica::IMPOSSIBLE;
+use platform_stub::replica::ReplicaFault;
+use platform_stub::replica::TOKENS_PER_EVENT;
+use platform_stub::replica::plain_body;
+use platform_stub::store_server::StoreFault;
+use rustix::process::Signal;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use platform_fleet::Fleet;
+use platform_fleet::items;
+use platform_fleet::read_whole_job;
+use platform_fleet::run_local;
+
+#[test]
+fn streams_lookups_and_a_job_are_served_whole() {
+    run_local("whole", |folder| async move {
+        let fleet = Fleet::start(folder, 3).await;
+        let daemon = fleet.ingress(0);
+        let directory = fleet.daemons[0].settings.directory();
+        let addresses = Client.resolve(directory).await.expect("the directory answers");
+        assert_eq!(addresses.len(), 3);
+        for (number, prefix) in [STREAM, RESUMABLE].iter().enumerate() {
+            let id = format!("s{number}");
+            let answer = Client.stream(daemon, prefix, &id, 20).await.expect("an answer");
+            assert_eq!(answer.status, StatusCode::OK);
+            assert!(is_whole_stream(&id, 20, &answer.body));
+            assert_eq!(fleet.runs(&id), 1);
+        }
+        let answer = Client.lookup(daemon, LOOKUP, "l1").await.expect("an answer");
+        assert_eq!(answer.body, plain_body("l1").as_bytes());
+
+        let mut job = items("j1", 12, 10);
+        job.push(NewItem { id: "j1-x".into(), path: format!("{JOBS}{IMPOSSIBLE}x"), tokens: 50 });
+        job.push(NewItem { id: "j1-f".into(), path: format!("{JOBS}{FAILING}f"), tokens: 50 });
+        let accepted = Client.submit(daemon, JOBS, "j1", &job).await.expect("an answer");
+        assert_eq!(accepted.status, StatusCode::ACCEPTED);
+        let again = Client.submit(fleet.ingress(1), JOBS, "j1", &job).await.expect("an answer");
+        assert_eq!(again.status, StatusCode::ACCEPTED);
+        let body = Client.item_body(fleet.ingress(2), "j1", "j1-0").await.expect("an answer");
+        assert_eq!((body.status, &body.body[..]), (StatusCode::OK, &b"prompt"[..]));
+
+        let results = read_whole_job(fleet.ingress(2), "j1", Duration::from_secs(15)).await;
+        assert_eq!(results.len(), job.len());
+        for result in &results {
+            let is_poison = result.id == "j1-x" || result.id == "j1-f";
+            assert_eq!(result.state, if is_poison { "dead_letter" } else { "completed" });
+            if !is_poison {
+                assert_eq!(result.text, whole_text(&result.id, 10));
+            }
+        }
+        assert_eq!(fleet.runs("j1-x"), 1);
+        assert_eq!(fleet.runs("j1-f"), 3);
+        for daemon in 0..3 {
+            let read = read_whole_job(fleet.ingress(daemon), "j1", Duration::from_secs(3)).await;
+            assert_eq!(read, results, "every daemon shows the same results in the same order");
+        }
+    });
+}
+
+#[test]
+fn a_request_that_is_refused_was_not_run() {
+    run_local("refused", |folder| async move {
+        let fleet = Fleet::start(folder, 1).await;
+        let daemon = fleet.ingress(0);
+        let unknown = Client.lookup(daemon, "/nothing/", "n1").await.expect("an answer");
+        assert_eq!(unknown.status, StatusCode::NOT_FOUND);
+        for name in fleet.deployment.replicas() {
+            let replica = fleet.deployment.replica(&name).expect("it runs");
+            replica.fault.set(ReplicaFault::Full);
+        }
+        let refused = Client.stream(daemon, STREAM, "f1", 5).await.expect("an answer");
+        assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(fleet.runs("f1"), 0);
+    });
+}
+
+#[test]
+fn a_resumable_stream_goes_on_at_another_replica_and_other_streams_never_run_twice() {
+    run_local("resume", |folder| async move {
+        let fleet = Fleet::start(folder, 1).await;
+        let daemon = fleet.ingress(0);
+        for name in fleet.deployment.replicas().iter().filter(|name| name.starts_with("engine-0")) {
+            let replica = fleet.deployment.replica(name).expect("it runs");
+            replica.fault.set(ReplicaFault::BreaksOff);
+        }
+        let mut resumed = 0;
+        for number in 0..20 {
+            let id = format!("r{number}");
+            let answer = Client.stream(daemon, RESUMABLE, &id, 12).await.expect("an answer");
+            assert!(is_whole_stream(&id, 12, &answer.body), "{id} is whole");
+            resumed += usize::from(fleet.runs(&id) > 1);
+            let id = format!("n{number}");
+            let answer = Client.stream(daemon, STREAM, &id, 12).await;
+            assert!(fleet.runs(&id) <= 1, "{id} ran once");
+            if let Ok(answer) = answer {
+                assert!(
+                    !answer.status.is_success() || is_whole_stream(&id, 12, &answer.body),
+                    "{id} does not look complete"
+                );
+            }
+        }
+        assert!(resumed > 0, "a stream met the broken replica");
+    });
+}
+
+#[test]
+fn a_lost_home_is_replaced_and_no_result_is_lost() {
+    run_local("adopt", |folder| async move {
+        let mut fleet = Fleet::start(folder, 3).await;
+        let job = items("a1", 10, 60);
+        let accepted = Client.submit(fleet.ingress(0), JOBS, "a1", &job).await.expect("an answer");
+        assert_eq!(accepted.status, StatusCode::ACCEPTED);
+        sleep(Duration::from_millis(400)).await;
+        fleet.daemons[0].kill().expect("it ends");
+        let results = read_whole_job(fleet.ingress(1), "a1", Duration::from_secs(20)).await;
+        assert_eq!(results.len(), 10);
+        assert!(results.iter().all(|result| result.text == whole_text(&result.id, 60)));
+    });
+}
+
+#[test]
+fn jobs_of_a_fleet_that_was_lost_as_a_whole_go_on() {
+    run_local("herd", |folder| async move {
+        let mut fleet = Fleet::start(folder, 3).await;
+        let job = items("h1", 10, 60);
+        let accepted = Client.submit(fleet.ingress(0), JOBS, "h1", &job).await.expect("an answer");
+        assert_eq!(accepted.status, StatusCode::ACCEPTED);
+        for daemon in &mut fleet.daemons {
+            daemon.kill().expect("it ends");
+        }
+        // The daemon that accepted the job does not come back, and no client asks for the job.
+        for daemon in &mut fleet.daemons[1..] {
+            daemon.restart().expect("it starts");
+        }
+        assert!(fleet.daemons[1].ready(Duration::from_secs(10)).await);
+        let until = Instant::now() + Duration::from_secs(15);
+        while !fleet.ran_whole(&job) && Instant::now() < until {
+            sleep(Duration::from_millis(100)).await;
+        }
+        assert!(fleet.ran_whole(&job), "the items run though nobody asked for the job");
+    });
+}
+
+#[test]
+fn an_ended_job_stops_and_stays_readable() {
+    run_local("end", |folder| async move {
+        let fleet = Fleet::start(folder, 2).await;
+        let job = items("e1", 30, 200);
+        let accepted = Client.submit(fleet.ingress(0), JOBS, "e1", &job).await.expect("an answer");
+        assert_eq!(accepted.status, StatusCode::ACCEPTED);
+        sleep(Duration::from_millis(300)).await;
+        let ended = Client.end(fleet.ingress(1), "e1").await.expect("an answer");
+        assert_eq!(ended, StatusCode::OK);
+        let again = Client.end(fleet.ingress(0), "e1").await.expect("an answer");
+        assert_eq!(again, StatusCode::OK);
+        sleep(Duration::from_millis(500)).await;
+        let runs: usize = job.iter().map(|item| fleet.runs(&item.id)).sum();
+        sleep(Duration::from_millis(1_500)).await;
+        let later: usize = job.iter().map(|item| fleet.runs(&item.id)).sum();
+        assert_eq!(runs, later, "nothing was started after the end");
+        let (status, _) = Client.results(fleet.ingress(1), "e1", 0).await.expect("an answer");
+        assert_eq!(status, StatusCode::OK);
+    });
+}
+
+#[test]
+fn a_planned_stop_cuts_no_request() {
+    run_local("stop", |folder| async move {
+        let mut fleet = Fleet::start(folder, 2).await;
+        let daemon = fleet.ingress(0);
+        let streams: Vec<_> = (0..10)
+            .map(|number| {
+                tokio::task::spawn_local(async move {
+                    let id = format!("t{number}");
+                    let answer = Client.stream(daemon, STREAM, &id, 60).await;
+                    answer.is_ok_and(|answer| is_whole_stream(&id, 60, &answer.body))
+                })
+            })
+            .collect();
+        sleep(Duration::from_millis(200)).await;
+        fleet.daemons[0].signal(Signal::TERM).expect("it is told");
+        sleep(Duration::from_millis(100)).await;
+        let late = Client.stream(daemon, STREAM, "late", 10).await.expect("it still serves");
+        assert!(is_whole_stream("late", 10, &late.body));
+        for stream in streams {
+            assert!(stream.await.expect("it ran"), "a stream was cut");
+        }
+        assert!(fleet.daemons[0].stop(Duration::from_secs(10)).await.expect("it ends"));
+    });
+}
+
+#[test]
+fn no_request_reaches_a_replica_that_has_drained() {
+    run_local("drain", |folder| async move {
+        let fleet = Fleet::start(folder, 2).await;
+        let name = "engine-0".to_owned();
+        fleet.deployment.drain_replica(&name);
+        let until = Instant::now() + Duration::from_millis(3_500);
+        let mut number = 0;
+        while Instant::now() < until {
+            let id = format!("d{number}");
+            let daemon = fleet.ingress(number % 2);
+            let answer = Client.stream(daemon, STREAM, &id, 4).await.expect("an answer");
+            assert!(is_whole_stream(&id, 4, &answer.body));
+            number += 1;
+        }
+        assert_eq!(fleet.deployment.log.borrow().late_arrivals, Vec::<String>::new());
+    });
+}
+
+#[test]
+fn a_job_is_refused_or_kept_while_the_store_is_away() {
+    run_local("store", |folder| async move {
+        let fleet = Fleet::start(folder, 2).await;
+        fleet.deployment.store.fault.set(StoreFault::Busy);
+        let job = items("b1", 4, 5);
+        let refused = Client.submit(fleet.ingress(0), JOBS, "b1", &job).await.expect("an answer");
+        assert_ne!(refused.status, StatusCode::ACCEPTED);
+        let answer = Client.stream(fleet.ingress(0), STREAM, "b2", 5).await.expect("an answer");
+        assert!(is_whole_stream("b2", 5, &answer.body), "online requests go on");
+        fleet.deployment.store.fault.set(StoreFault::LostAnswers { share: 0.7, late_ms: 300 });
+        let mut daemon = 0;
+        loop {
+            let answer = Client.submit(fleet.ingress(daemon % 2), JOBS, "b3", &job).await;
+            if answer.is_ok_and(|answer| answer.status == StatusCode::ACCEPTED) {
+                break;
+            }
+            daemon += 1;
+            assert!(daemon < 12, "the job is accepted at last");
+        }
+        fleet.deployment.store.fault.set(StoreFault::None);
+        let results = read_whole_job(fleet.ingress(1), "b3", Duration::from_secs(20)).await;
+        assert_eq!(results.len(), 4);
+    });
+}
+
+#[test]
+fn a_large_job_lies_in_parts() {
+    run_local("parts", |folder| async move {
+        let fleet = Fleet::start(folder, 2).await;
+        let events = 40_000 / 17;
+        let job = items("p1", 40, events);
+        let accepted = Client.submit(fleet.ingress(0), JOBS, "p1", &job).await.expect("an answer");
+        assert_eq!(accepted.status, StatusCode::ACCEPTED);
+        let results = read_whole_job(fleet.ingress(1), "p1", Duration::from_secs(60)).await;
+        assert_eq!(results.len(), 40);
+        assert!(results.iter().all(|result| result.text == whole_text(&result.id, events)));
+        assert!(TOKENS_PER_EVENT > 0);
+    });
+}
--- /dev/null
+++ b/crates/daemon/tests/platform_fleet/mod.rs
@@ -0,0 +1,162 @@
+//! A small fleet of real daemons for the tests.
+
+use std::future::Future;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use platform_stub::Client;
+use platform_stub::DaemonProcess;
+use platform_stub::Deployment;
+use platform_stub::client::ItemResult;
+use platform_stub::client::NewItem;
+use platform_stub::deployment::ENGINES;
+use platform_stub::deployment::JOBS;
+use platform_stub::deployment::PLAIN;
+use platform_stub::replica::ReplicaSettings;
+use platform_stub::replica::TOKENS_PER_EVENT;
+use platform_stub::settings::DaemonSettings;
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+/// The first port of every daemon; each test has addresses of its own.
+const FIRST_PORT: u16 = 21_400;
+static NEXT_NET: AtomicU8 = AtomicU8::new(1);
+
+/// Daemons and the deployment that they serve.
+pub struct Fleet {
+    pub deployment: Rc<Deployment>,
+    pub daemons: Vec<DaemonProcess>,
+}
+
+impl Fleet {
+    /// Starts a deployment with three engines and two plain replicas, and `count` daemons.
+    pub async fn start(folder: PathBuf, count: u8) -> Self {
+        let deployment = Deployment::start().expect("the deployment starts");
+        deployment.configure(|_| {});
+        for number in 0..3 {
+            deployment.add_replica(replica(ENGINES, "engine", number)).expect("it starts");
+        }
+        for number in 0..2 {
+            deployment.add_replica(replica(PLAIN, "plain", number)).expect("it starts");
+        }
+        let net = (std::process::id() % 200) as u8 + 20;
+        let group = NEXT_NET.fetch_add(1, Ordering::Relaxed);
+        let ip = |number: u8| IpAddr::V4(Ipv4Addr::new(127, net, group, number + 1));
+        let binary = Path::new(env!("CARGO_BIN_EXE_crocusd"));
+        let mut daemons = Vec::new();
+        for number in 0..count {
+            let settings = DaemonSettings {
+                name: format!("daemon-{number}"),
+                ip: ip(number),
+                zone: "a".to_owned(),
+                first_port: FIRST_PORT,
+                seeds: vec![ip(0)],
+                store: deployment.store_address,
+                grace_s: 3,
+                is_first_start: true,
+            };
+            daemons.push(DaemonProcess::start(binary, settings, &folder).expect("it starts"));
+        }
+        for daemon in &mut daemons {
+            assert!(daemon.ready(Duration::from_secs(10)).await, "the daemon is ready");
+        }
+        let fleet = Self { deployment, daemons };
+        fleet.settle(count as usize).await;
+        fleet
+    }
+
+    /// Returns where clients reach a daemon.
+    pub fn ingress(&self, daemon: usize) -> SocketAddr {
+        self.daemons[daemon].settings.ingress()
+    }
+
+    /// Returns how many times a request ran.
+    pub fn runs(&self, id: &str) -> usize {
+        self.deployment.log.borrow().of(id).len()
+    }
+
+    /// Returns whether every item of a job ran to its end.
+    pub fn ran_whole(&self, items: &[NewItem]) -> bool {
+        let log = self.deployment.log.borrow();
+        items.iter().all(|item| log.of(&item.id).iter().any(|run| run.is_whole))
+    }
+
+    /// Waits until every daemon knows all daemons.
+    async fn settle(&self, count: usize) {
+        let until = Instant::now() + Duration::from_secs(10);
+        for daemon in &self.daemons {
+            let directory = daemon.settings.directory();
+            while Client.resolve(directory).await.map_or(0, |addresses| addresses.len()) < count {
+                assert!(Instant::now() < until, "the daemons find each other");
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+        // The replicas' records follow within one period of the watch.
+        sleep(Duration::from_millis(700)).await;
+    }
+}
+
+/// Runs a test on one thread with a folder of its own.
+pub fn run_local<F, T>(name: &str, test: F)
+where
+    F: FnOnce(PathBuf) -> T,
+    T: Future<Output = ()>,
+{
+    let folder = std::env::temp_dir().join(format!("crocus-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder for the test");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("a runtime");
+    LocalSet::new().block_on(&runtime, test(folder.clone()));
+    std::fs::remove_dir_all(&folder).expect("the folder is removed");
+}
+
+/// Returns the items of a job, with `events` events each.
+pub fn items(job: &str, count: usize, events: u64) -> Vec<NewItem> {
+    let item = |number: usize| NewItem {
+        id: format!("{job}-{number}"),
+        path: format!("{JOBS}{job}/{number}"),
+        tokens: events * TOKENS_PER_EVENT,
+    };
+    (0..count).map(item).collect()
+}
+
+/// Reads a job until all results are there.
+pub async fn read_whole_job(
+    daemon: SocketAddr,
+    job: &str,
+    patience: Duration,
+) -> Vec<ItemResult> {
+    let until = Instant::now() + patience;
+    let mut results = Vec::new();
+    let mut total = usize::MAX;
+    while results.len() < total && Instant::now() < until {
+        match Client.results(daemon, job, results.len()).await {
+            Ok((status, Some(page))) if status.is_success() => {
+                total = page.total;
+                results.extend(page.results);
+            }
+            _ => sleep(Duration::from_millis(100)).await,
+        }
+    }
+    results
+}
+
+fn replica(service: &str, name: &str, number: usize) -> ReplicaSettings {
+    ReplicaSettings {
+        name: format!("{name}-{number}"),
+        service: service.to_owned(),
+        zone: "a".to_owned(),
+        slots: 8,
+        queue: 16,
+        step: Duration::from_millis(5),
+        is_engine: service == ENGINES,
+    }
+}
--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -89,6 +89,8 @@
     pub changed: Notify,
     /// Cancelled when the job's runs must stop.
     pub stop: CancellationToken,
+    /// Whether another daemon is the job's home now.
+    pub is_deposed: Cell<bool>,
     /// Whether a write of its status is in progress.
     pub is_saving: Cell<bool>,
 }
@@ -121,6 +123,7 @@
     pub(crate) wake: Notify,
     pub(crate) asking: Cell<usize>,
     pub(crate) is_leaving: Cell<bool>,
+    pub(crate) sweeps: RefCell<Vec<Millis>>,
     known: RefCell<HashMap<JobId, Home>>,
     peer_waiting: RefCell<HashMap<DaemonName, Vec<WaitingTokens>>>,
 }
@@ -139,6 +142,7 @@
             wake: Notify::new(),
             asking: Cell::new(0),
             is_leaving: Cell::new(false),
+            sweeps: RefCell::new(Vec::new()),
             known: RefCell::new(HashMap::new()),
             peer_waiting: RefCell::new(HashMap::new()),
         })
@@ -278,6 +282,7 @@
     /// Lets a job go whose home is another daemon now.
     pub fn drop_job(&self, id: &JobId, home: Option<&Home>) {
         if let Some(cell) = self.jobs.borrow_mut().remove(id) {
+            cell.is_deposed.set(true);
             cell.stop.cancel();
             cell.changed.notify_waiters();
         }
@@ -479,6 +484,7 @@
         job: RefCell::new(job),
         changed: Notify::new(),
         stop: CancellationToken::new(),
+        is_deposed: Cell::new(false),
         is_saving: Cell::new(false),
     }
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod runner;
 pub mod saver;
 pub mod serve;
+pub mod sweep;
 
 pub use board::Board;
 pub use dialect::JobDialect;
--- a/crates/jobs/src/notes.rs
+++ b/crates/jobs/src/notes.rs
@@ -30,3 +30,13 @@
     /// The tokens.
     pub tokens: u64,
 }
+
+/// A message about one job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobMessage {
+    /// The job's home is gone, and the receiver should take its place.
+    Adopt {
+        /// The job.
+        job: JobId,
+    },
+}
--- a/crates/jobs/src/saver.rs
+++ b/crates/jobs/src/saver.rs
@@ -38,7 +38,7 @@
             return;
         }
         let id = cell.job.borrow().id.clone();
-        while cell.job.borrow().has_unsaved() && !cell.stop.is_cancelled() {
+        while cell.job.borrow().has_unsaved() && !cell.is_deposed.get() {
             match self.save_once(&id, &cell).await {
                 Written::Yes => cell.changed.notify_waiters(),
                 Written::Deposed => break,
--- a/crates/jobs/src/serve.rs
+++ b/crates/jobs/src/serve.rs
@@ -169,7 +169,7 @@
             loop {
                 let changed = cell.changed.notified();
                 let is_there = cell.job.borrow().listed().len() > after;
-                if is_there || cell.stop.is_cancelled() || cell.job.borrow().is_over() {
+                if is_there || cell.is_deposed.get() || cell.job.borrow().is_over() {
                     return;
                 }
                 changed.await;
@@ -207,7 +207,7 @@
         let written = async {
             loop {
                 let changed = cell.changed.notified();
-                if cell.stop.is_cancelled() {
+                if cell.is_deposed.get() {
                     return false;
                 }
                 if !cell.job.borrow().has_unsaved() {
--- a/crates/kernel/src/logs.rs
+++ b/crates/kernel/src/logs.rs
@@ -15,7 +15,7 @@
     out: &mut impl Write,
     timestamp: impl std::fmt::Display,
     record: &log::Record<'_>,
-) -> std::io::Result<()> {
+) -> io::Result<()> {
     let level = record.level().as_str().to_ascii_lowercase();
     writeln!(out, "ts={timestamp} level={level} at={} {}", record.target(), record.args())
 }
--- a/crates/node/src/beats.rs
+++ b/crates/node/src/beats.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use jobs::Board;
+use jobs::notes::JobMessage;
 use log::info;
 use peers::Heartbeat;
 use peers::Topic;
@@ -18,6 +19,7 @@
 use store::ObjectClient;
 use store::Reach;
 use tokio::task::spawn_local;
+use wire::DaemonName;
 use wire::Millis;
 
 use crate::knowledge::Knowledge;
@@ -50,6 +52,9 @@
         let beats = self.clone();
         let receiver = move |datagram: &Datagram, _from: IpAddr| beats.take_members(datagram);
         self.transport.on(Topic::Members, Rc::new(receiver));
+        let beats = self.clone();
+        let receiver = move |datagram: &Datagram, _from: IpAddr| beats.take_job_message(datagram);
+        self.transport.on(Topic::Jobs, Rc::new(receiver));
     }
 
     /// Takes daemons that the store names.
@@ -137,17 +142,26 @@
                 }
                 MemberAction::Restarted(name) => {
                     info!("event=peer_restarted peer={name}");
-                    self.slots.holder_lost(&name);
-                    self.board.forget_waiting(&name);
-                }
-                MemberAction::Lost(name) => {
-                    self.slots.holder_lost(&name);
-                    self.board.forget_waiting(&name);
+                    self.forget_life(&name);
                 }
+                MemberAction::Lost(name) => self.forget_life(&name),
             }
         }
     }
 
+    /// Forgets what a lost life of a daemon held in memory.
+    fn forget_life(&self, name: &DaemonName) {
+        self.slots.holder_lost(name);
+        self.board.forget_waiting(name);
+        self.board.suspect_orphans();
+    }
+
+    fn take_job_message(&self, datagram: &Datagram) {
+        if let Some(message) = decode::<JobMessage>(Topic::Jobs, &datagram.payload) {
+            self.board.take_message(message);
+        }
+    }
+
     fn take_beat(&self, datagram: &Datagram) {
         let Some(beat) = decode::<Heartbeat>(Topic::Heartbeat, &datagram.payload) else { return };
         let now_ms = self.knowledge.clock.now_ms();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -215,12 +215,16 @@
         store: store.clone(),
     });
     beats.listen();
-    spawn_local(transport.run());
+    spawn_local(transport.clone().run());
     spawn_local(beats.clone().run());
     spawn_local(register(own, beats, store.clone()));
     spawn_local(watch::watch(Watched::Configuration, knowledge.clone(), store.clone()));
     spawn_local(watch::watch(Watched::Replicas, knowledge.clone(), store.clone()));
     spawn_local(board.clone().run());
+    spawn_local(board.clone().run_sweeps(transport));
+    if !settings.is_first_start {
+        board.suspect_orphans();
+    }
     spawn_local(sweep(pool, control));
 
     let steady = || Rc::new(ServerLife::new(FIRST_LIMITS));
--- a/crates/peers/src/membership.rs
+++ b/crates/peers/src/membership.rs
@@ -23,6 +23,8 @@
 const LOST_AFTER_MS: Millis = 2_000;
 /// Silence after which a lost daemon is forgotten.
 const FORGET_AFTER_MS: Millis = 60_000;
+/// How long after its start a daemon takes nobody's work over: it has yet to hear who lives.
+const SETTLE_MS: Millis = 1_500;
 /// How often a lost daemon is tried again.
 const RETRY_LOST_MS: Millis = 1_000;
 
@@ -98,6 +100,8 @@
     own_readiness: Readiness,
     seeds: Vec<IpAddr>,
     peers: BTreeMap<DaemonName, Peer>,
+    started_ms: Option<Millis>,
+    now_ms: Millis,
     sent_ms: Option<Millis>,
     seeds_tried_ms: Option<Millis>,
     is_urgent: bool,
@@ -112,6 +116,8 @@
             own_readiness: Readiness::Starting,
             seeds,
             peers: BTreeMap::new(),
+            started_ms: None,
+            now_ms: 0,
             sent_ms: None,
             seeds_tried_ms: None,
             is_urgent: false,
@@ -220,6 +226,8 @@
     /// Sends what is due and notes who has gone silent.
     pub fn tick(&mut self, now_ms: Millis) -> Vec<MemberAction> {
         let mut actions = Vec::new();
+        self.now_ms = now_ms;
+        self.started_ms.get_or_insert(now_ms);
         self.note_silence(now_ms, &mut actions);
         self.try_seeds(now_ms, &mut actions);
         let is_due =
@@ -273,11 +281,17 @@
         if *name == self.own.name {
             return incarnation != self.own.incarnation;
         }
-        self.peers.get(name).is_none_or(|peer| {
-            peer.identity.incarnation > incarnation
-                || peer.state == PeerState::Lost
-                || (peer.state == PeerState::Alive && peer.readiness == Readiness::Leaving)
-        })
+        match self.peers.get(name) {
+            Some(peer) => {
+                peer.identity.incarnation > incarnation || peer.state == PeerState::Lost
+            }
+            None => self.is_settled(),
+        }
+    }
+
+    /// Returns whether this daemon has had the time to hear who lives.
+    pub fn is_settled(&self) -> bool {
+        self.started_ms.is_some_and(|started_ms| self.now_ms >= started_ms + SETTLE_MS)
     }
 
     /// Returns all identities, this daemon's own included.
