Wait for a lost store's return instead of trying each call by itself

Change: after half a second without an answer the store counts as lost; calls go through a peer or wait, one stale probe every 400 ms looks for its return; a daemon that the store turns away does not watch. Time-outs follow the usual latency.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -1,5 +1,7 @@
 //! Calls of other daemons.
 
+use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,12 +23,14 @@
 use log::debug;
 use peers::ControlClient;
 use peers::Membership;
+use peers::control::PeerFault;
+use rand::seq::SliceRandom;
 use serde::Deserialize;
 use serde::Serialize;
-use std::cell::RefCell;
 use store::ObjectClient;
-use store::client::Relay;
+use store::StoreError;
 use store::call::Encoded;
+use store::client::Relay;
 
 use crate::knowledge::Knowledge;
 
@@ -117,12 +121,13 @@
         let encoded = Encoded { method, target: call.target, body: Bytes::from(call.body) };
         match self.store.for_peer(&encoded, RELAY_LIMIT).await {
             // The store's own refusals must not look like this daemon's.
-            Some((status, body)) => {
+            Ok((status, body)) => {
                 let mut framed = status.as_u16().to_be_bytes().to_vec();
                 framed.extend_from_slice(&body);
                 (StatusCode::OK, Bytes::from(framed))
             }
-            None => (StatusCode::BAD_GATEWAY, Bytes::new()),
+            Err(StoreError::Unavailable(_)) => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+            Err(_) => (StatusCode::BAD_GATEWAY, Bytes::new()),
         }
     }
 }
@@ -157,18 +162,9 @@
         &'a self,
         call: &'a Encoded,
         limit: Duration,
-    ) -> LocalBoxFuture<'a, Option<(StatusCode, Bytes)>> {
+    ) -> LocalBoxFuture<'a, Option<Option<(StatusCode, Bytes)>>> {
         Box::pin(async move {
-            let peer = {
-                let membership = self.membership.borrow();
-                let mut reaching: Vec<_> = membership
-                    .alive()
-                    .filter(|peer| peer.reaches_store)
-                    .filter_map(|peer| peer.identity.control)
-                    .collect();
-                let place = rand::random::<usize>() % reaching.len().max(1);
-                (place < reaching.len()).then(|| reaching.swap_remove(place))
-            }?;
+            let peer = self.any_that_reaches_the_store()?;
             let relayed = RelayedCall {
                 method: call.method.to_string(),
                 target: call.target.clone(),
@@ -176,12 +172,24 @@
             };
             let body = serde_json::to_vec(&relayed).ok()?;
             let answered = self.control.call(peer, Method::POST, "/store", &body, limit).await;
-            let (status, framed) = answered.ok()?;
-            if status != StatusCode::OK || framed.len() < 2 {
-                return None;
+            match answered {
+                Ok((StatusCode::OK, framed)) if framed.len() >= 2 => {
+                    let code = u16::from_be_bytes([framed[0], framed[1]]);
+                    Some(StatusCode::from_u16(code).ok().map(|status| (status, framed.slice(2..))))
+                }
+                Ok((StatusCode::SERVICE_UNAVAILABLE, _)) | Err(PeerFault::NotSent) => None,
+                Ok(_) | Err(PeerFault::Unknown) => Some(None),
             }
-            let status = StatusCode::from_u16(u16::from_be_bytes([framed[0], framed[1]])).ok()?;
-            Some((status, framed.slice(2..)))
         })
     }
 }
+
+impl PeerRelay {
+    fn any_that_reaches_the_store(&self) -> Option<SocketAddr> {
+        let membership = self.membership.borrow();
+        let reaching = membership.alive().filter(|peer| peer.reaches_store);
+        let addresses: Vec<SocketAddr> =
+            reaching.filter_map(|peer| peer.identity.control).collect();
+        addresses.choose(&mut rand::thread_rng()).copied()
+    }
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -25,6 +25,7 @@
 use peers::Transport;
 use peers::heartbeat::Identity;
 use peers::heartbeat::Readiness;
+use platform::names::RETIREMENT_KIND;
 use slots::Slots;
 use store::Call;
 use store::CallClass;
@@ -111,6 +112,8 @@
         counters.clone(),
     ));
     serve_page(&settings, &counters);
+    let watched = store.clone();
+    spawn_local(async move { watched.watch_reach(RETIREMENT_KIND).await });
     if settings.duties.ingress {
         let node = start(settings, counters, store).await?;
         wait_for_end(terminate, hangup).await;
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -13,6 +13,7 @@
 use store::Call;
 use store::CallClass;
 use store::ObjectClient;
+use store::Reach;
 use store::Reply;
 use store::StoreError;
 use store::call::Change;
@@ -61,7 +62,7 @@
     sleep(SETTLE).await;
     let mut cursor: Option<u64> = None;
     loop {
-        if !is_watcher(what, &knowledge) {
+        if !is_watcher(what, &knowledge, &store) {
             if cursor.take().is_some() {
                 info!("event=watch_ended kind={}", what.kind());
             }
@@ -84,7 +85,7 @@
             }
             Err(error) => {
                 debug!("event=watch_failed kind={} error=\"{error}\"", what.kind());
-                if store.reach() == store::Reach::Lost {
+                if store.reach() == Reach::Lost {
                     knowledge.replicas.borrow_mut().store_lost();
                 }
                 sleep(FAILED_PAUSE).await;
@@ -96,8 +97,11 @@
 /// Returns whether this daemon is one of the watchers of a kind.
 ///
 /// A daemon that the store does not answer is passed over.
-fn is_watcher(what: Watched, knowledge: &Knowledge) -> bool {
+fn is_watcher(what: Watched, knowledge: &Knowledge, store: &ObjectClient) -> bool {
     let membership = knowledge.membership.borrow();
+    if store.reach() == Reach::Lost && membership.alive().any(|peer| peer.reaches_store) {
+        return false;
+    }
     let own = membership.own();
     let own_weight = rendezvous::weight(what.kind(), own.name.as_str());
     let others = membership.alive().filter(|peer| peer.reaches_store);
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -7,11 +7,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::future::LocalBoxFuture;
 use http::StatusCode;
 use kernel::Counters;
 use kernel::counters::RetryReason;
+use log::debug;
 use log::info;
 use log::warn;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -30,6 +33,16 @@
 /// The longest wait for an answer; a store that is a hundred times slower than usual answers in
 /// less.
 const CALL_TIMEOUT_MS: Millis = 1_500;
+/// The shortest wait for an answer, so that a busy moment does not look like a lost answer.
+const MIN_TIMEOUT_MS: Millis = 300;
+/// How many times the usual latency an answer may take.
+const TIMEOUT_LATENCIES: f64 = 8.0;
+/// The weight of the newest latency in the usual one.
+const LATENCY_WEIGHT: f64 = 0.1;
+/// How often a store that does not answer is asked whether it does.
+const PROBE_EVERY_MS: Millis = 400;
+/// The longest wait for the answer to a probe.
+const PROBE_TIMEOUT_MS: Millis = 400;
 /// The pause before a call is tried again; it doubles up to `MAX_BACKOFF_MS`.
 const FIRST_BACKOFF_MS: Millis = 40;
 /// The longest pause before a call is tried again.
@@ -40,17 +53,19 @@
 const MAX_IDLE: Duration = Duration::from_secs(8);
 /// The longest wait for a connection to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// How long every call must fail before the store counts as lost.
+/// How long no call may have been answered before the store counts as lost.
 const LOST_AFTER_MS: Millis = 500;
 
 /// Carries calls to the store for a daemon that cannot reach it itself.
 pub trait Relay {
     /// Sends one encoded call through a peer and returns status and body of the answer.
+    ///
+    /// Nothing at all means that the call had no effect, nothing inside that it may have had one.
     fn relay<'a>(
         &'a self,
         call: &'a Encoded,
         limit: Duration,
-    ) -> futures::future::LocalBoxFuture<'a, Option<(StatusCode, Bytes)>>;
+    ) -> LocalBoxFuture<'a, Option<Option<(StatusCode, Bytes)>>>;
 }
 
 /// Whether the store answers this daemon.
@@ -71,8 +86,11 @@
     started: Instant,
     writes: RefCell<Budget>,
     reads: RefCell<Budget>,
-    failing_since: Cell<Option<Instant>>,
+    answered: Cell<Instant>,
+    latency_ms: Cell<f64>,
+    timeout_ms: Cell<Millis>,
     reach: Cell<Reach>,
+    regained: Notify,
     relay: RefCell<Option<Rc<dyn Relay>>>,
 }
 
@@ -93,8 +111,11 @@
             started: Instant::now(),
             writes: RefCell::new(Budget::new(writes_per_s, 0)),
             reads: RefCell::new(Budget::new(reads_per_s, 0)),
-            failing_since: Cell::new(None),
+            answered: Cell::new(Instant::now()),
+            latency_ms: Cell::new(0.0),
+            timeout_ms: Cell::new(CALL_TIMEOUT_MS),
             reach: Cell::new(Reach::Answers),
+            regained: Notify::new(),
             relay: RefCell::new(None),
         }
     }
@@ -117,23 +138,21 @@
 
     /// Makes one call once. `Unknown` means that a write may still take effect.
     pub async fn once(&self, class: CallClass, call: &Call) -> Result<Reply, StoreError> {
+        if self.reach.get() == Reach::Lost {
+            return Err(StoreError::Unavailable("the store does not answer".to_owned()));
+        }
         self.take_turn(class, call).await?;
-        let limit_ms = match call {
-            Call::Changes { wait_ms, .. } => wait_ms + CALL_TIMEOUT_MS,
-            _ => CALL_TIMEOUT_MS,
+        let wait_ms = match call {
+            Call::Changes { wait_ms, .. } => *wait_ms,
+            _ => 0,
         };
-        let encoded = self.dialect.encode(call);
-        let result = match self.exchange(&encoded, Duration::from_millis(limit_ms)).await {
-            Ok((status, body)) => self.dialect.decode(call, status, &body),
-            Err(error) => Err(error),
-        };
-        self.note_reach(call, &result);
-        result
+        self.attempt(call, wait_ms + self.timeout_ms.get()).await
     }
 
     /// Makes a call until it is answered for certain or `patience` has passed.
     ///
-    /// Writes must be conditional or idempotent, since one without an answer is sent again.
+    /// Writes must be conditional or idempotent, since one without an answer is sent again. While
+    /// the store does not answer this daemon, calls go through a peer or wait for its return.
     pub async fn until(
         &self,
         class: CallClass,
@@ -156,8 +175,10 @@
                 return Err(error);
             }
             is_unknown |= matches!(error, StoreError::Unknown(_));
-            if let Some(reply) = self.through_peer(call, give_up).await {
-                return Ok(reply);
+            match self.through_peer(call, give_up).await {
+                Relayed::Answered(reply) => return Ok(reply),
+                Relayed::Unknown => is_unknown = true,
+                Relayed::NotSent => {}
             }
             let pause = Duration::from_millis(backoff_ms);
             if Instant::now() + pause >= give_up {
@@ -171,30 +192,77 @@
                 StoreError::RateLimited => RetryReason::StoreRate,
                 _ => RetryReason::StoreCall,
             });
-            sleep(pause).await;
+            match self.reach.get() {
+                Reach::Answers => sleep(pause).await,
+                Reach::Lost => self.wait_for_return(pause).await,
+            }
             backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
         }
     }
 
-    /// Makes a call on behalf of a peer; returns nothing if the store does not answer here either.
-    pub async fn for_peer(&self, call: &Encoded, limit: Duration) -> Option<(StatusCode, Bytes)> {
+    /// Asks a lost store whether it answers again, until the task is dropped.
+    ///
+    /// A probe is a stale read of a kind that has few objects, at a tenth of a call's price.
+    pub async fn watch_reach(&self, probe_kind: &'static str) {
+        let probe = Call::Page { kind: probe_kind, after: String::new(), may_be_stale: true };
+        loop {
+            sleep(Duration::from_millis(PROBE_EVERY_MS)).await;
+            if self.reach.get() == Reach::Lost
+                && let Err(error) = self.attempt(&probe, PROBE_TIMEOUT_MS).await
+            {
+                debug!("event=store_probe_failed error=\"{error}\"");
+            }
+        }
+    }
+
+    async fn attempt(&self, call: &Call, limit_ms: Millis) -> Result<Reply, StoreError> {
+        let began = Instant::now();
+        let encoded = self.dialect.encode(call);
+        let result = match self.exchange(&encoded, Duration::from_millis(limit_ms)).await {
+            Ok((status, body)) => self.dialect.decode(call, status, &body),
+            Err(error) => Err(error),
+        };
+        self.note_reach(call, began, &result);
+        result
+    }
+
+    /// Waits until the store answers again, at most for a few pauses.
+    async fn wait_for_return(&self, pause: Duration) {
+        let regained = self.regained.notified();
         if self.reach.get() == Reach::Lost {
-            return None;
+            // Without the store's return in time the caller looks at its patience again.
+            let _ = timeout(pause, regained).await;
         }
-        self.exchange(call, limit).await.ok()
     }
 
-    async fn through_peer(&self, call: &Call, give_up: Instant) -> Option<Reply> {
-        if matches!(call, Call::Changes { .. }) {
-            return None;
+    /// Makes a call on behalf of a peer.
+    pub async fn for_peer(
+        &self,
+        call: &Encoded,
+        limit: Duration,
+    ) -> Result<(StatusCode, Bytes), StoreError> {
+        if self.reach.get() == Reach::Lost {
+            return Err(StoreError::Unavailable("the store does not answer here".to_owned()));
         }
-        let relay = self.relay.borrow().clone()?;
+        self.exchange(call, limit).await
+    }
+
+    async fn through_peer(&self, call: &Call, give_up: Instant) -> Relayed {
+        let relay = self.relay.borrow().clone();
+        let (Some(relay), false) = (relay, matches!(call, Call::Changes { .. })) else {
+            return Relayed::NotSent;
+        };
         let left = give_up.saturating_duration_since(Instant::now());
         let limit = left.min(Duration::from_millis(CALL_TIMEOUT_MS));
         let encoded = self.dialect.encode(call);
-        let (status, body) = relay.relay(&encoded, limit).await?;
+        let Some(answered) = relay.relay(&encoded, limit).await else { return Relayed::NotSent };
+        let Some((status, body)) = answered else { return Relayed::Unknown };
         self.counters.count("store_calls_relayed");
-        self.dialect.decode(call, status, &body).ok()
+        match self.dialect.decode(call, status, &body) {
+            Ok(reply) => Relayed::Answered(reply),
+            Err(StoreError::Unavailable(_) | StoreError::RateLimited) => Relayed::NotSent,
+            Err(_) => Relayed::Unknown,
+        }
     }
 
     async fn exchange(
@@ -240,26 +308,49 @@
         Ok(())
     }
 
-    fn note_reach(&self, call: &Call, result: &Result<Reply, StoreError>) {
+    fn note_reach(&self, call: &Call, began: Instant, result: &Result<Reply, StoreError>) {
+        let now = Instant::now();
         let is_answered = !matches!(
             result,
             Err(StoreError::Unavailable(_) | StoreError::Unknown(_) | StoreError::RateLimited)
         );
         if is_answered {
-            self.failing_since.set(None);
+            self.answered.set(now);
+            if !matches!(call, Call::Changes { .. }) {
+                self.note_latency((now - began).as_secs_f64() * 1000.0);
+            }
             if self.reach.replace(Reach::Answers) == Reach::Lost {
+                self.regained.notify_waiters();
                 info!("event=dependency_regained dependency=store verb={}", call.verb());
             }
             return;
         }
-        let now = Instant::now();
-        let since = self.failing_since.get().unwrap_or(now);
-        self.failing_since.set(Some(since));
-        if now.duration_since(since) >= Duration::from_millis(LOST_AFTER_MS)
-            && self.reach.replace(Reach::Lost) == Reach::Answers
-        {
+        if matches!(result, Err(StoreError::Unknown(_))) {
+            self.timeout_ms.set((self.timeout_ms.get() * 2).min(CALL_TIMEOUT_MS));
+        }
+        let is_silent = self.answered.get() < began
+            && now.duration_since(self.answered.get()) >= Duration::from_millis(LOST_AFTER_MS);
+        if is_silent && self.reach.replace(Reach::Lost) == Reach::Answers {
             let error = result.as_ref().err().map(ToString::to_string).unwrap_or_default();
             warn!("event=dependency_lost dependency=store verb={} error=\"{error}\"", call.verb());
         }
     }
+
+    fn note_latency(&self, latency_ms: f64) {
+        let usual_ms = self.latency_ms.get();
+        let usual_ms = usual_ms + LATENCY_WEIGHT * (latency_ms - usual_ms);
+        self.latency_ms.set(usual_ms);
+        let timeout_ms = (usual_ms * TIMEOUT_LATENCIES) as Millis;
+        self.timeout_ms.set(timeout_ms.clamp(MIN_TIMEOUT_MS, CALL_TIMEOUT_MS));
+    }
+}
+
+/// What became of a call that was sent through a peer.
+enum Relayed {
+    /// The store answered.
+    Answered(Reply),
+    /// The call certainly had no effect.
+    NotSent,
+    /// The call may have had an effect.
+    Unknown,
 }
