Order items by due time less their progress

Cause: items were ordered by their latest start with a fixed run time; a nearly finished item counted as late and lost its slot first.

Change: homes learn how long items run; a wish carries its order beside the time until which it can be on time; of equal items the shortest run yields. Counters are logged every 10 s and store calls counted by verb and kind.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -144,6 +144,7 @@
             service: route.service_for(request.id.as_str()),
             class: Class::Online,
             on_time_at_ms,
+            order_at_ms: on_time_at_ms,
             give_up_at_ms: policy.give_up_at_ms.saturating_sub(MIN_SEND_MS),
             excluded: &report.tried,
         };
--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -41,6 +41,7 @@
 use crate::item::Submission;
 use crate::job::Job;
 use crate::job::JobLimits;
+use crate::job::Pace;
 use crate::notes::HomeNotes;
 use crate::notes::JobNote;
 use crate::notes::WaitingTokens;
@@ -123,6 +124,7 @@
     pub(crate) wake: Notify,
     pub(crate) asking: Cell<usize>,
     pub(crate) is_leaving: Cell<bool>,
+    pub(crate) pace: Cell<Pace>,
     pub(crate) sweeps: RefCell<Vec<Millis>>,
     known: RefCell<HashMap<JobId, Home>>,
     peer_waiting: RefCell<HashMap<DaemonName, Vec<WaitingTokens>>>,
@@ -142,6 +144,7 @@
             wake: Notify::new(),
             asking: Cell::new(0),
             is_leaving: Cell::new(false),
+            pace: Cell::new(Pace::default()),
             sweeps: RefCell::new(Vec::new()),
             known: RefCell::new(HashMap::new()),
             peer_waiting: RefCell::new(HashMap::new()),
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -19,8 +19,17 @@
 const RETRY_PAUSE_MS: Millis = 60;
 /// The pause before a failed item is tried again; it doubles with each failure.
 const FAILED_PAUSE_MS: Millis = 150;
-/// How long an item runs on a free replica, about; those that cannot be on time go last.
-const TYPICAL_RUN_MS: Millis = 5_000;
+/// What is added to the time that an item still needs, in percent, for the times at which online
+/// requests take its slot.
+const INTERRUPTION_PERCENT: u64 = 30;
+/// The least time that an item is thought to need; its output has no known length.
+const MIN_LEFT_MS: Millis = 600;
+/// The weight of the newest item in the pace.
+const PACE_WEIGHT: f64 = 0.1;
+/// The events of an item before any was seen.
+const FIRST_EVENTS: f64 = 200.0;
+/// The time between two events before any was seen, in milliseconds.
+const FIRST_GAP_MS: f64 = 22.0;
 
 /// How one try of an item ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -106,6 +115,50 @@
     pub max_attempts: u32,
 }
 
+/// How long items run, as learned from those that were completed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pace {
+    events: f64,
+    gap_ms: f64,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self { events: FIRST_EVENTS, gap_ms: FIRST_GAP_MS }
+    }
+}
+
+impl Pace {
+    /// Learns from a completed item whose last try made `tried` of its `events` in `took_ms`.
+    pub fn learn(&mut self, events: u32, tried: u32, took_ms: Millis) {
+        self.events += PACE_WEIGHT * (f64::from(events) - self.events);
+        if tried > 0 {
+            let gap_ms = took_ms as f64 / f64::from(tried);
+            self.gap_ms += PACE_WEIGHT * (gap_ms - self.gap_ms);
+        }
+    }
+
+    /// Returns how long the first `events` events of an item take.
+    pub fn time_of(&self, events: u32) -> Millis {
+        (f64::from(events) * self.gap_ms) as Millis
+    }
+
+    /// Returns how long an item still needs after `events` events, interruptions included.
+    pub fn time_left(&self, events: u32) -> Millis {
+        let left_ms = ((self.events - f64::from(events)) * self.gap_ms).max(0.0) as Millis;
+        left_ms.max(MIN_LEFT_MS) * (100 + INTERRUPTION_PERCENT) / 100
+    }
+}
+
+/// How urgent a try is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ItemUrgency {
+    /// Until when it can wait and still end before the due time.
+    pub on_time_at_ms: Millis,
+    /// What orders tries that can be on time: the due time, less what is done already.
+    pub order_at_ms: Millis,
+}
+
 /// A try that the home should start.
 #[derive(Clone, Debug)]
 pub struct Try {
@@ -222,15 +275,24 @@
         Some(entry.item.body.clone())
     }
 
-    /// Returns until when a try of this job can start and still end before the due time.
-    pub fn on_time_at_ms(&self, limits: &JobLimits) -> Millis {
-        let due_ms = self.submitted_ms + limits.due_ms as i64;
-        (due_ms - TYPICAL_RUN_MS as i64).max(0) as Millis
-    }
-
-    /// Returns whether an item waits to be tried.
-    pub fn has_waiting(&self, now_ms: Millis) -> bool {
-        !self.is_ended && self.entries.iter().any(|entry| is_ready(entry, now_ms))
+    /// Returns how urgent the next try is, or `None` if no item waits.
+    pub fn next_urgency(
+        &self,
+        now_ms: Millis,
+        limits: &JobLimits,
+        pace: &Pace,
+    ) -> Option<ItemUrgency> {
+        if self.is_ended {
+            return None;
+        }
+        let due_ms = (self.submitted_ms + limits.due_ms as i64).max(0) as Millis;
+        let ready = self.entries.iter().filter(|entry| is_ready(entry, now_ms));
+        let most = ready.max_by_key(|entry| entry.progress.events)?;
+        let done_ms = pace.time_of(most.progress.events);
+        Some(ItemUrgency {
+            on_time_at_ms: due_ms.saturating_sub(pace.time_left(most.progress.events)),
+            order_at_ms: due_ms.saturating_sub(done_ms),
+        })
     }
 
     /// Returns the number of items that run.
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -21,6 +21,8 @@
 
 use crate::board::Board;
 use crate::board::JobCell;
+use crate::job::ItemUrgency;
+use crate::job::JobLimits;
 use crate::job::Progress;
 use crate::job::Try;
 use crate::job::TryEnd;
@@ -69,36 +71,39 @@
 
     fn start_items(self: &Rc<Self>, cells: &[Rc<JobCell>], now_ms: Millis) {
         while self.asking.get() < MAX_ASKING {
+            let pace = self.pace.get();
             let next = cells
                 .iter()
-                .filter(|cell| cell.job.borrow().has_waiting(now_ms))
                 .filter_map(|cell| {
                     let job = cell.job.borrow();
-                    let on_time_at_ms = job.on_time_at_ms(&self.limits_of(&job)?);
-                    Some(((on_time_at_ms < now_ms, on_time_at_ms), cell))
+                    let limits = self.limits_of(&job)?;
+                    Some((job.next_urgency(now_ms, &limits, &pace)?, cell))
                 })
-                .min_by_key(|(urgency, _)| *urgency);
-            let Some(((_, on_time_at_ms), cell)) = next else { return };
+                .min_by_key(|(urgency, _)| (urgency.on_time_at_ms < now_ms, urgency.order_at_ms));
+            let Some((urgency, cell)) = next else { return };
             let Some(item) = cell.job.borrow_mut().start_next(now_ms) else { return };
             self.asking.set(self.asking.get() + 1);
-            spawn_local(self.clone().run_item(cell.clone(), item, on_time_at_ms));
+            spawn_local(self.clone().run_item(cell.clone(), item, urgency));
         }
     }
 
-    async fn run_item(self: Rc<Self>, cell: Rc<JobCell>, item: Try, on_time_at_ms: Millis) {
+    async fn run_item(self: Rc<Self>, cell: Rc<JobCell>, item: Try, urgency: ItemUrgency) {
         let place = item.place;
-        let started_ms = self.now_ms();
         let lease = tokio::select! {
-            lease = self.slot_for(&cell, &item, on_time_at_ms) => lease,
+            lease = self.slot_for(&cell, &item, urgency) => lease,
             () = cell.stop.cancelled() => None,
         };
         self.asking.set(self.asking.get().saturating_sub(1));
         self.wake.notify_one();
         let Some(lease) = lease else {
-            self.try_ended(&cell, place, TryEnd::Interrupted, item.progress, None, started_ms);
+            let limits = self.limits_or_none(&cell);
+            let mut job = cell.job.borrow_mut();
+            job.try_ended(self.now_ms(), place, TryEnd::Interrupted, item.progress, &limits);
             return;
         };
         let replica = lease.replica.name.clone();
+        let started_ms = self.now_ms();
+        let before = item.progress.events;
         let mut progress = item.progress.clone();
         let end = tokio::select! {
             end = self.stream_item(&cell, &item, &lease, &mut progress) => end,
@@ -106,20 +111,22 @@
             () = cell.stop.cancelled() => TryEnd::Interrupted,
         };
         drop(lease);
-        self.try_ended(&cell, place, end, progress, Some(replica), started_ms);
+        let ran = Ran { replica, before, took_ms: self.now_ms().saturating_sub(started_ms) };
+        self.try_ended(&cell, place, end, progress, &ran);
     }
 
     async fn slot_for(
         &self,
         cell: &JobCell,
         item: &Try,
-        on_time_at_ms: Millis,
+        urgency: ItemUrgency,
     ) -> Option<SlotLease> {
         let route = self.route_of(&cell.job.borrow())?;
         let ask = SlotAsk {
             service: route.service_for(&item.item.id),
             class: Class::Batch,
-            on_time_at_ms,
+            on_time_at_ms: urgency.on_time_at_ms,
+            order_at_ms: urgency.order_at_ms,
             give_up_at_ms: self.now_ms() + ASK_MS,
             excluded: &[],
         };
@@ -197,25 +204,36 @@
         place: usize,
         end: TryEnd,
         progress: Progress,
-        replica: Option<ReplicaName>,
-        started_ms: Millis,
+        ran: &Ran,
     ) {
-        let now_ms = self.now_ms();
-        let limits = self.limits_of(&cell.job.borrow());
         let events = progress.events;
-        let mut job = cell.job.borrow_mut();
-        let fallback = crate::job::JobLimits { due_ms: 0, retention_ms: 0, max_attempts: 1 };
-        job.try_ended(now_ms, place, end, progress, limits.as_ref().unwrap_or(&fallback));
-        if let Some(replica) = replica {
-            info!(
-                "event=item_try job={} place={place} end={end:?} replica={replica} \
-                 events={events} took_ms={}",
-                job.id,
-                now_ms.saturating_sub(started_ms)
-            );
-            self.parts.counters.count_tagged("item_tries", "end", end.as_str());
+        if end == TryEnd::Completed {
+            let mut pace = self.pace.get();
+            pace.learn(events, events - ran.before, ran.took_ms);
+            self.pace.set(pace);
         }
+        let limits = self.limits_or_none(cell);
+        let mut job = cell.job.borrow_mut();
+        job.try_ended(self.now_ms(), place, end, progress, &limits);
+        info!(
+            "event=item_try job={} place={place} end={end:?} replica={} events={events} took_ms={}",
+            job.id, ran.replica, ran.took_ms
+        );
+        self.parts.counters.count_tagged("item_tries", "end", end.as_str());
         drop(job);
         self.wake.notify_one();
     }
+
+    /// Returns the limits of a job; one whose route is gone may not be tried again.
+    fn limits_or_none(&self, cell: &JobCell) -> JobLimits {
+        let gone = JobLimits { due_ms: 0, retention_ms: 0, max_attempts: 1 };
+        self.limits_of(&cell.job.borrow()).unwrap_or(gone)
+    }
+}
+
+/// A try that had a slot.
+struct Ran {
+    replica: ReplicaName,
+    before: u32,
+    took_ms: Millis,
 }
--- a/crates/kernel/src/counters.rs
+++ b/crates/kernel/src/counters.rs
@@ -139,6 +139,17 @@
         })
     }
 
+    /// Returns every counter that is not zero as `name=value` pairs on one line.
+    pub fn summary(&self) -> String {
+        let totals = self.totals.lock().unwrap_or_else(PoisonError::into_inner);
+        let counted = totals.iter().filter(|(_, value)| **value != 0);
+        let pairs = counted.map(|(name, value)| {
+            let name = name.strip_prefix(PREFIX).unwrap_or(name);
+            format!("{}={value}", name.trim_start_matches('_').replace('"', ""))
+        });
+        pairs.collect::<Vec<_>>().join(" ")
+    }
+
     fn register_reasons(&self) {
         for reason in Reason::ALL {
             self.client.count_with_tags("refused", 0).with_tag("reason", reason.as_str()).send();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -69,6 +69,8 @@
 const LAST_ANSWERS: Duration = Duration::from_millis(1_500);
 /// How often idle connections are looked through.
 const SWEEP_EVERY: Duration = Duration::from_secs(2);
+/// How often the counters are logged.
+const SUMMARY_EVERY: Duration = Duration::from_secs(10);
 /// How long the store is tried for the daemon's own record before the next pause.
 const REGISTER_PATIENCE: Duration = Duration::from_secs(5);
 
@@ -112,6 +114,7 @@
         counters.clone(),
     ));
     serve_page(&settings, &counters);
+    spawn_local(summarize(counters.clone()));
     let watched = store.clone();
     spawn_local(async move { watched.watch_reach(RETIREMENT_KIND).await });
     if settings.duties.ingress {
@@ -315,6 +318,14 @@
     }
 }
 
+/// Logs the counters now and then, for those who have only the log.
+async fn summarize(counters: Counters) {
+    loop {
+        sleep(SUMMARY_EVERY).await;
+        info!("event=counters {}", counters.summary());
+    }
+}
+
 /// Closes idle connections whose time is over.
 async fn sweep(pool: Rc<Pool>, control: Rc<ControlClient>) {
     loop {
--- a/crates/slots/src/client.rs
+++ b/crates/slots/src/client.rs
@@ -34,6 +34,7 @@
 use crate::message::Ticket;
 use crate::message::ToHolder;
 use crate::message::ToOwner;
+use crate::message::Urgency;
 use crate::picture::Picture;
 use crate::table::Table;
 use crate::table::TableAction;
@@ -60,8 +61,10 @@
     pub service: &'a ServiceName,
     /// What for.
     pub class: Class,
-    /// Until when the request is on time.
+    /// Until when the request can wait and still be on time.
     pub on_time_at_ms: Millis,
+    /// What orders requests that can be on time.
+    pub order_at_ms: Millis,
     /// Until when it waits.
     pub give_up_at_ms: Millis,
     /// Replicas that were tried already.
@@ -94,6 +97,7 @@
     replica: ReplicaName,
     class: Class,
     on_time_at_ms: Millis,
+    order_at_ms: Millis,
     revoked: Rc<Revocation>,
 }
 
@@ -315,7 +319,7 @@
                 let run = Run {
                     ticket: *ticket,
                     class: held.class,
-                    on_time_left_ms: held.on_time_at_ms.saturating_sub(now_ms),
+                    urgency: urgency(now_ms, held.on_time_at_ms, held.order_at_ms),
                 };
                 lists.entry(held.replica.clone()).or_default().push(run);
             }
@@ -482,6 +486,7 @@
                 replica: replica.name.clone(),
                 class: ask.class,
                 on_time_at_ms: ask.on_time_at_ms,
+                order_at_ms: ask.order_at_ms,
                 revoked: revocation.clone(),
             },
         );
@@ -514,7 +519,7 @@
             replica: replica.clone(),
             ticket,
             class: ask.class,
-            on_time_left_ms: ask.on_time_at_ms.saturating_sub(now_ms),
+            urgency: urgency(now_ms, ask.on_time_at_ms, ask.order_at_ms),
             give_up_left_ms: ask.give_up_at_ms.saturating_sub(now_ms),
         };
         self.send_to_owner(owner, message);
@@ -564,9 +569,9 @@
             let mut inner = self.inner.borrow_mut();
             let Some(table) = inner.tables.get_mut(&replica) else { return };
             match message {
-                ToOwner::Ask { ticket, class, on_time_left_ms, give_up_left_ms, .. } => {
+                ToOwner::Ask { ticket, class, urgency, give_up_left_ms, .. } => {
                     let holder = holder.clone();
-                    let wish = Wish { ticket, holder, class, on_time_left_ms, give_up_left_ms };
+                    let wish = Wish { ticket, holder, class, urgency, give_up_left_ms };
                     table.ask(now_ms, wish)
                 }
                 ToOwner::Release { ticket, .. } => table.release(now_ms, ticket),
@@ -730,6 +735,13 @@
     ToHolder(ReplicaName, ToHolder),
 }
 
+fn urgency(now_ms: Millis, on_time_at_ms: Millis, order_at_ms: Millis) -> Urgency {
+    Urgency {
+        on_time_left_ms: on_time_at_ms.saturating_sub(now_ms),
+        order_left_ms: order_at_ms.saturating_sub(now_ms),
+    }
+}
+
 fn new_ticket() -> Ticket {
     Ticket(rand::thread_rng().r#gen())
 }
--- a/crates/slots/src/message.rs
+++ b/crates/slots/src/message.rs
@@ -18,6 +18,15 @@
     Batch,
 }
 
+/// How urgent a wish is, in times that are left at the moment of its sending.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Urgency {
+    /// How long the request can wait and still be on time.
+    pub on_time_left_ms: Millis,
+    /// What orders wishes that can be on time: the least first.
+    pub order_left_ms: Millis,
+}
+
 /// A message to the owner of a replica.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ToOwner {
@@ -29,8 +38,8 @@
         ticket: Ticket,
         /// What it is for.
         class: Class,
-        /// How long the request can wait and still be on time.
-        on_time_left_ms: Millis,
+        /// How urgent it is.
+        urgency: Urgency,
         /// How long the wish stands.
         give_up_left_ms: Millis,
     },
@@ -57,8 +66,8 @@
     pub ticket: Ticket,
     /// What it is for.
     pub class: Class,
-    /// How long it can wait and still be on time, if it were interrupted now.
-    pub on_time_left_ms: Millis,
+    /// How urgent it is.
+    pub urgency: Urgency,
 }
 
 /// A message to a holder.
--- a/crates/slots/src/table.rs
+++ b/crates/slots/src/table.rs
@@ -7,6 +7,7 @@
 use crate::message::Load;
 use crate::message::Run;
 use crate::message::Ticket;
+use crate::message::Urgency;
 
 /// How long a revoked slot is waited for before another one is revoked in its place; a message to
 /// the holder and back takes a few milliseconds.
@@ -19,12 +20,16 @@
 /// How old a grant must be before a holder's list without it means that it was given back.
 const LIST_LAG_MS: Millis = 250;
 
+/// Longer than any run; keeps the order of grants above zero.
+const MAX_RUN_MS: Millis = 600_000;
+
 #[derive(Clone, Debug)]
 struct Grant {
     ticket: Ticket,
     holder: DaemonName,
     class: Class,
     on_time_at_ms: Millis,
+    order_at_ms: Millis,
     granted_ms: Millis,
     confirmed_ms: Millis,
     revoked_ms: Option<Millis>,
@@ -36,6 +41,7 @@
     holder: DaemonName,
     class: Class,
     on_time_at_ms: Millis,
+    order_at_ms: Millis,
     give_up_at_ms: Millis,
     heard_ms: Millis,
 }
@@ -49,8 +55,8 @@
     pub holder: DaemonName,
     /// What for.
     pub class: Class,
-    /// How long the request can wait and still be on time.
-    pub on_time_left_ms: Millis,
+    /// How urgent it is.
+    pub urgency: Urgency,
     /// How long the wish stands.
     pub give_up_left_ms: Millis,
 }
@@ -124,7 +130,7 @@
 
     /// Takes a wish; one that is known already is answered again.
     pub fn ask(&mut self, now_ms: Millis, wish: Wish) -> Vec<TableAction> {
-        let Wish { ticket, holder, class, on_time_left_ms, give_up_left_ms } = wish;
+        let Wish { ticket, holder, class, urgency, give_up_left_ms } = wish;
         if self.grants.iter().any(|grant| grant.ticket == ticket) {
             return vec![TableAction::Grant { holder, ticket }];
         }
@@ -135,7 +141,8 @@
                 ticket,
                 holder: holder.clone(),
                 class,
-                on_time_at_ms: now_ms + on_time_left_ms,
+                on_time_at_ms: now_ms + urgency.on_time_left_ms,
+                order_at_ms: now_ms + urgency.order_left_ms,
                 give_up_at_ms: now_ms + give_up_left_ms,
                 heard_ms: now_ms,
             });
@@ -175,7 +182,8 @@
                 ticket: run.ticket,
                 holder: holder.clone(),
                 class: run.class,
-                on_time_at_ms: now_ms + run.on_time_left_ms,
+                on_time_at_ms: now_ms + run.urgency.on_time_left_ms,
+                order_at_ms: now_ms + run.urgency.order_left_ms,
                 granted_ms: now_ms,
                 confirmed_ms: now_ms,
                 revoked_ms: None,
@@ -218,6 +226,7 @@
                 holder: waiting.holder,
                 class: waiting.class,
                 on_time_at_ms: waiting.on_time_at_ms,
+                order_at_ms: waiting.order_at_ms,
                 granted_ms: now_ms,
                 confirmed_ms: now_ms,
                 revoked_ms: None,
@@ -228,17 +237,18 @@
     }
 
     /// Returns the place of the wish that is served next: online before batch, and in each class
-    /// those that can still be on time, the first due first, before those that are late.
+    /// those that can still be on time, in their order, before those that are late.
     fn most_urgent(&self, now_ms: Millis) -> Option<usize> {
         let key = |waiting: &Waiting| {
             let is_late = waiting.on_time_at_ms < now_ms;
-            let at_ms = if is_late { waiting.give_up_at_ms } else { waiting.on_time_at_ms };
+            let at_ms = if is_late { waiting.give_up_at_ms } else { waiting.order_at_ms };
             (waiting.class, is_late, at_ms, waiting.ticket)
         };
         (0..self.waiting.len()).min_by_key(|place| key(&self.waiting[*place]))
     }
 
-    /// Revokes as many items as online requests wait, those with the most time left first.
+    /// Revokes as many items as online requests wait: those that cannot be on time, then those
+    /// that are last in the order, the shortest run first.
     fn revoke_for_online(&mut self, now_ms: Millis, actions: &mut Vec<TableAction>) {
         let online = self.waiting.iter().filter(|waiting| waiting.class == Class::Online).count();
         let is_expected = |grant: &Grant| {
@@ -254,7 +264,10 @@
                 .iter_mut()
                 .filter(|grant| grant.class == Class::Batch && may_revoke(grant))
                 .max_by_key(|grant| {
-                    (grant.revoked_ms.is_none(), grant.on_time_at_ms, grant.ticket)
+                    let ran_ms = now_ms.saturating_sub(grant.granted_ms);
+                    let is_late = grant.on_time_at_ms + ran_ms < now_ms;
+                    let order = (grant.order_at_ms + MAX_RUN_MS).saturating_sub(ran_ms);
+                    (grant.revoked_ms.is_none(), is_late, order, grant.ticket)
                 });
             let Some(victim) = victim else { return };
             victim.revoked_ms = Some(now_ms);
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -218,6 +218,8 @@
     async fn attempt(&self, call: &Call, limit_ms: Millis) -> Result<Reply, StoreError> {
         let began = Instant::now();
         let encoded = self.dialect.encode(call);
+        let name = format!("{}_{}", call.verb(), call.kind());
+        self.counters.count_tagged("store_calls", "call", &name);
         let result = match self.exchange(&encoded, Duration::from_millis(limit_ms)).await {
             Ok((status, body)) => self.dialect.decode(call, status, &body),
             Err(error) => Err(error),
