--- a/crates/slots/src/table.rs
+++ b/crates/slots/src/table.rs
@@ -14,6 +14,9 @@
 const REVOKE_PATIENCE_MS: Millis = 30;
 /// How long until a revoked slot is asked for again, should the message have been lost.
 const REVOKE_AGAIN_MS: Millis = 200;
+/// How long after a revocation no item gets a slot of the replica: the next online request takes
+/// it back before the item has made up for the reading of its prompt.
+const BATCH_HOLD_OFF_MS: Millis = 300;
 /// How long a grant stands that its holder has not confirmed; several times the longest period of
 /// heartbeats.
 const UNCONFIRMED_MS: Millis = 4_000;
@@ -95,6 +98,7 @@
     waiting: Vec<Waiting>,
     inherited: u32,
     inherited_until_ms: Millis,
+    batch_from_ms: Millis,
 }
 
 impl Table {
@@ -112,6 +116,7 @@
             waiting: Vec::new(),
             inherited: occupied,
             inherited_until_ms: until_ms,
+            batch_from_ms: 0,
         }
     }
 
@@ -244,7 +249,12 @@
             let at_ms = if is_late { waiting.give_up_at_ms } else { waiting.order_at_ms };
             (waiting.class, is_late, at_ms, waiting.ticket)
         };
-        (0..self.waiting.len()).min_by_key(|place| key(&self.waiting[*place]))
+        let is_allowed = |waiting: &Waiting| {
+            waiting.class == Class::Online || now_ms >= self.batch_from_ms
+        };
+        (0..self.waiting.len())
+            .filter(|place| is_allowed(&self.waiting[*place]))
+            .min_by_key(|place| key(&self.waiting[*place]))
     }
 
     /// Revokes as many items as online requests wait: those that cannot be on time, then those
@@ -271,6 +281,7 @@
                 });
             let Some(victim) = victim else { return };
             victim.revoked_ms = Some(now_ms);
+            self.batch_from_ms = now_ms + BATCH_HOLD_OFF_MS;
             actions.push(TableAction::Revoke {
                 holder: victim.holder.clone(),
                 ticket: victim.ticket,
