Let an online request wait in the queues of two replicas

Cause: at the start of a peak 129 online requests waited while 57 to 125 slots were held by items: loads are up to a heartbeat old, and a request stayed in one queue.

Change: the search of a request for a slot is a module of its own; it asks a second owner as soon as the first has no slot, takes what comes first, and moves on while another replica seems to have room.

--- a/crates/slots/src/client.rs
+++ b/crates/slots/src/client.rs
@@ -5,7 +5,6 @@
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use catalog::ReplicaSet;
 use kernel::BootClock;
@@ -20,7 +19,6 @@
 use peers::transport::encode;
 use rand::Rng;
 use tokio::sync::Notify;
-use tokio::time::timeout;
 use wire::DaemonName;
 use wire::Millis;
 use wire::ReplicaName;
@@ -36,21 +34,15 @@
 use crate::message::ToOwner;
 use crate::message::Urgency;
 use crate::picture::Picture;
+use crate::search::PendingWish;
+use crate::search::Search;
+use crate::search::WishState;
 use crate::table::Table;
 use crate::table::TableAction;
 use crate::table::Wish;
 
-/// How long an owner may take to answer before it is asked again; a round trip between data
-/// centres takes a few milliseconds, and a busy small host some more.
-const OWNER_PATIENCE_MS: Millis = 25;
-/// Asks without an answer after which the owner counts as mute.
-const MUTE_AFTER_ASKS: u32 = 2;
 /// How long a mute owner is not asked.
 const MUTE_MS: Millis = 600;
-/// How often a waiting wish looks for a better replica, and is repeated.
-const REVIEW_MS: Millis = 150;
-/// The pause before a choice is tried again when no replica is left.
-const NO_REPLICA_PAUSE_MS: Millis = 40;
 /// How long after its last run a replica's owner still gets lists, so that a lost release heals.
 const LIST_AFTER_MS: Millis = 2_000;
 
@@ -80,19 +72,6 @@
     Full,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum WishState {
-    Asked,
-    Queued,
-    Granted,
-    NotOwner,
-}
-
-struct PendingWish {
-    state: Cell<WishState>,
-    changed: Notify,
-}
-
 struct HeldRun {
     replica: ReplicaName,
     class: Class,
@@ -160,23 +139,6 @@
     }
 }
 
-/// Gives a wish back if its request stops waiting.
-struct WishGuard<'a> {
-    slots: &'a Slots,
-    replica: ReplicaName,
-    ticket: Ticket,
-    is_kept: bool,
-}
-
-impl Drop for WishGuard<'_> {
-    fn drop(&mut self) {
-        self.slots.inner.borrow_mut().wishes.remove(&self.ticket);
-        if !self.is_kept {
-            self.slots.tell_owner_released(&self.replica, self.ticket);
-        }
-    }
-}
-
 impl Slots {
     /// Creates the slots and takes their messages from the transport.
     pub fn start(
@@ -205,20 +167,21 @@
     }
 
     /// Waits for a slot at the best replica of a service.
+    ///
+    /// An online request that has to wait stands in the queues of two replicas and takes the slot
+    /// that comes first, since the loads that it chose by are up to a heartbeat old.
     pub async fn acquire(self: &Rc<Self>, ask: &SlotAsk<'_>) -> Result<SlotLease, NoSlot> {
+        let mut search = Search::new(self, ask);
         loop {
             let now_ms = self.clock.now_ms();
-            let Some(replica) = self.choose(now_ms, ask) else {
-                if now_ms + NO_REPLICA_PAUSE_MS >= ask.give_up_at_ms {
-                    return Err(NoSlot::NoReplica);
-                }
-                tokio::time::sleep(Duration::from_millis(NO_REPLICA_PAUSE_MS)).await;
-                continue;
-            };
             if now_ms >= ask.give_up_at_ms {
-                return Err(NoSlot::Full);
+                return Err(search.no_slot());
             }
-            if let Some(lease) = self.try_replica(ask, replica).await {
+            if let Some(lease) = search.ask_more(now_ms) {
+                return Ok(lease);
+            }
+            search.wait(now_ms).await;
+            if let Some(lease) = search.take() {
                 return Ok(lease);
             }
         }
@@ -226,7 +189,7 @@
 
     /// Takes a replica of a plain service, which has no owner: the one with the fewest own runs.
     pub fn take_any(self: &Rc<Self>, ask: &SlotAsk<'_>) -> Option<SlotLease> {
-        let replica = self.choose(self.clock.now_ms(), ask)?;
+        let replica = self.choose(self.clock.now_ms(), ask, |_| false)?;
         Some(self.hold(ask, replica, new_ticket(), false))
     }
 
@@ -346,11 +309,17 @@
         })
     }
 
-    fn choose(&self, now_ms: Millis, ask: &SlotAsk<'_>) -> Option<ReplicaRecord> {
+    pub(crate) fn choose(
+        &self,
+        now_ms: Millis,
+        ask: &SlotAsk<'_>,
+        is_asked: impl Fn(&ReplicaName) -> bool,
+    ) -> Option<ReplicaRecord> {
         let replicas = self.replicas.borrow();
         let mut candidates: Vec<&ReplicaRecord> = replicas
             .records()
             .filter(|replica| replica.service == *ask.service && !replica.is_draining)
+            .filter(|replica| !is_asked(&replica.name))
             .collect();
         let is_untried = |replica: &&ReplicaRecord| !ask.excluded.contains(&replica.name);
         if candidates.iter().any(is_untried) {
@@ -360,117 +329,55 @@
         let own = membership.data_centre();
         let inner = self.inner.borrow();
         let mut random = rand::thread_rng();
-        inner
-            .picture
-            .choose(now_ms, &candidates, ask.class, own, || random.r#gen())
-            .cloned()
+        inner.picture.choose(now_ms, &candidates, ask.class, own, || random.r#gen()).cloned()
     }
 
-    /// Asks the owner of one replica; returns nothing if another replica should be tried.
-    async fn try_replica(
-        self: &Rc<Self>,
-        ask: &SlotAsk<'_>,
-        replica: ReplicaRecord,
-    ) -> Option<SlotLease> {
-        let ticket = new_ticket();
-        let owner = self.owner_of(&replica);
-        let Some(owner) = owner.filter(|owner| !self.is_mute(owner)) else {
-            return self.without_owner(ask, replica, ticket).await;
-        };
-        let wish = Rc::new(PendingWish { state: Cell::new(WishState::Asked), changed: Notify::new() });
-        {
-            let mut inner = self.inner.borrow_mut();
-            inner.wishes.insert(ticket, wish.clone());
-            inner.picture.asked(&replica.name);
-        }
-        let mut guard =
-            WishGuard { slots: self, replica: replica.name.clone(), ticket, is_kept: false };
-        let mut unanswered = 0;
-        loop {
-            let now_ms = self.clock.now_ms();
-            if now_ms >= ask.give_up_at_ms {
-                return None;
-            }
-            self.ask_owner(&owner, ask, &replica.name, ticket, now_ms);
-            let wait_ms = match wish.state.get() {
-                WishState::Queued => REVIEW_MS,
-                _ => OWNER_PATIENCE_MS,
-            };
-            let wait_ms = wait_ms.min(ask.give_up_at_ms.saturating_sub(now_ms)).max(1);
-            let is_heard = self.wait_for_owner(&wish, wait_ms).await;
-            match wish.state.get() {
-                WishState::Granted => {
-                    guard.is_kept = true;
-                    return Some(self.hold(ask, replica, ticket, true));
-                }
-                WishState::NotOwner => {
-                    self.mute(&owner);
-                    return self.without_owner(ask, replica, ticket).await;
-                }
-                WishState::Queued if self.has_better(ask, &replica) => return None,
-                WishState::Queued => {}
-                WishState::Asked if !is_heard => {
-                    unanswered += 1;
-                    if unanswered >= MUTE_AFTER_ASKS {
-                        self.mute(&owner);
-                        guard.is_kept = true;
-                        return self.without_owner(ask, replica, ticket).await;
-                    }
-                }
-                WishState::Asked => {}
-            }
-        }
+    pub(crate) fn remember_wish(
+        &self,
+        ticket: Ticket,
+        wish: Rc<PendingWish>,
+        replica: &ReplicaName,
+    ) {
+        let mut inner = self.inner.borrow_mut();
+        inner.wishes.insert(ticket, wish);
+        inner.picture.asked(replica);
     }
 
-    /// Waits until a wish is granted, refused, or was queued and the time is over.
-    async fn wait_for_owner(&self, wish: &PendingWish, wait_ms: Millis) -> bool {
-        let settled = async {
-            loop {
-                let changed = wish.changed.notified();
-                match wish.state.get() {
-                    WishState::Granted | WishState::NotOwner => return,
-                    WishState::Asked | WishState::Queued => changed.await,
-                }
-            }
-        };
-        timeout(Duration::from_millis(wait_ms), settled).await.is_ok()
-            || wish.state.get() == WishState::Queued
+    pub(crate) fn forget_wish(&self, ticket: Ticket) {
+        self.inner.borrow_mut().wishes.remove(&ticket);
     }
 
-    /// Goes on without a grant: online requests are sent, items wait for another replica.
-    async fn without_owner(
-        self: &Rc<Self>,
-        ask: &SlotAsk<'_>,
-        replica: ReplicaRecord,
-        ticket: Ticket,
-    ) -> Option<SlotLease> {
-        if ask.class == Class::Batch {
-            tokio::time::sleep(Duration::from_millis(REVIEW_MS)).await;
-            return None;
-        }
+    pub(crate) fn count_without_owner(&self) {
         self.counters.count("slots_without_owner");
-        Some(self.hold(ask, replica, ticket, false))
     }
 
-    fn has_better(&self, ask: &SlotAsk<'_>, current: &ReplicaRecord) -> bool {
-        let replicas = self.replicas.borrow();
-        if replicas.get(&current.name).is_none_or(|record| record.is_draining) {
-            return true;
-        }
+    /// Returns whether a replica that was not asked has room for a request of the class.
+    pub(crate) fn any_has_room(
+        &self,
+        ask: &SlotAsk<'_>,
+        is_asked: impl Fn(&ReplicaName) -> bool,
+    ) -> bool {
         let now_ms = self.clock.now_ms();
-        let inner = self.inner.borrow();
-        let is_better = replicas
+        let replicas = self.replicas.borrow();
+        let picture = &self.inner.borrow().picture;
+        replicas
             .records()
             .filter(|replica| replica.service == *ask.service && !replica.is_draining)
-            .filter(|replica| replica.name != current.name && !ask.excluded.contains(&replica.name))
+            .filter(|replica| !is_asked(&replica.name) && !ask.excluded.contains(&replica.name))
             .any(|replica| {
-                !inner.picture.is_ejected(now_ms, &replica.name)
-                    && inner.picture.has_room(replica, ask.class)
-            });
-        is_better
+                !picture.is_ejected(now_ms, &replica.name) && picture.has_room(replica, ask.class)
+            })
+    }
+
+    pub(crate) fn is_usable(&self, replica: &ReplicaName) -> bool {
+        self.replicas.borrow().get(replica).is_some_and(|record| !record.is_draining)
     }
 
-    fn hold(
+    pub(crate) fn has_room(&self, replica: &ReplicaRecord, class: Class) -> bool {
+        self.inner.borrow().picture.has_room(replica, class)
+    }
+
+    pub(crate) fn hold(
         self: &Rc<Self>,
         ask: &SlotAsk<'_>,
         replica: ReplicaRecord,
@@ -503,11 +410,11 @@
         self.tell_owner_released(replica, ticket);
     }
 
-    fn tell_owner_released(&self, replica: &ReplicaName, ticket: Ticket) {
+    pub(crate) fn tell_owner_released(&self, replica: &ReplicaName, ticket: Ticket) {
         self.tell_owner(replica, ToOwner::Release { replica: replica.clone(), ticket });
     }
 
-    fn ask_owner(
+    pub(crate) fn ask_owner(
         &self,
         owner: &DaemonName,
         ask: &SlotAsk<'_>,
@@ -640,11 +547,7 @@
         let is_held = inner.held.contains_key(&ticket);
         drop(inner);
         match wish {
-            Some(wish) if wish.state.get() != WishState::Granted => {
-                wish.state.set(state);
-                wish.changed.notify_waiters();
-            }
-            Some(_) => {}
+            Some(wish) => wish.heard(state),
             None if state == WishState::Granted && !is_held => {
                 debug!("event=grant_not_wanted replica={replica}");
                 self.tell_owner_released(replica, ticket);
@@ -662,7 +565,7 @@
         }
     }
 
-    fn owner_of(&self, replica: &ReplicaRecord) -> Option<DaemonName> {
+    pub(crate) fn owner_of(&self, replica: &ReplicaRecord) -> Option<DaemonName> {
         let membership = self.membership.borrow();
         let working = membership.working();
         let near = working.iter().filter(|daemon| daemon.data_centre == replica.data_centre);
@@ -716,12 +619,12 @@
         }
     }
 
-    fn is_mute(&self, owner: &DaemonName) -> bool {
+    pub(crate) fn is_mute(&self, owner: &DaemonName) -> bool {
         let now_ms = self.clock.now_ms();
         self.inner.borrow().mute.get(owner).is_some_and(|until_ms| now_ms < *until_ms)
     }
 
-    fn mute(&self, owner: &DaemonName) {
+    pub(crate) fn mute(&self, owner: &DaemonName) {
         let until_ms = self.clock.now_ms() + MUTE_MS;
         self.inner.borrow_mut().mute.insert(owner.clone(), until_ms);
         log::info!("event=owner_mute owner={owner} for_ms={MUTE_MS}");
@@ -742,6 +645,6 @@
     }
 }
 
-fn new_ticket() -> Ticket {
+pub(crate) fn new_ticket() -> Ticket {
     Ticket(rand::thread_rng().r#gen())
 }
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod client;
 pub mod message;
 pub mod picture;
+mod search;
 pub mod table;
 
 pub use client::NoSlot;
