Hand jobs over at a stop; ask silent replicas; forgive own pauses; follow the settings file

Cause: (1) a stopping home lost the output of running items, its heirs ran them again; (2) a replica that went dark kept getting requests on open connections until one of them had waited for its whole time; (3) a request whose time was over counted as a lost replica (502, replica left out) instead of a passed deadline; (4) a daemon that woke after a pause took all others for lost and would have stolen their jobs; (5) a home that no peer hears never learned that another one had taken its jobs; (6) a changed settings file was ignored.

Change: PUT /jobs/ID/home with the output so far; suspicion is told to the replica's owner, which probes it and grants nothing meanwhile; 504 for passed deadlines; silence during an own pause is not counted; isolated homes have their jobs confirmed by the store; SIGHUP and unsignalled changes of the store's address, its rates and the seeds are followed.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -205,6 +205,24 @@
     });
 }
 
+#[test]
+fn a_planned_stop_hands_jobs_over_and_no_item_starts_anew() {
+    run_local("handover", |folder| async move {
+        let mut fleet = Fleet::start(folder, 3).await;
+        let job = items("o1", 12, 150);
+        let accepted = Client.submit(fleet.ingress(0), JOBS, "o1", &job).await.expect("an answer");
+        assert_eq!(accepted.status, StatusCode::ACCEPTED);
+        sleep(Duration::from_millis(400)).await;
+        fleet.daemons[0].signal(Signal::TERM).expect("it is told");
+        let results = read_whole_job(fleet.ingress(1), "o1", Duration::from_secs(20)).await;
+        assert_eq!(results.len(), 12);
+        assert!(results.iter().all(|result| result.text == whole_text(&result.id, 150)));
+        let log = fleet.deployment.log.borrow();
+        let anew = |id: &str| log.of(id).iter().filter(|run| run.after.is_none()).count();
+        assert!(job.iter().all(|item| anew(&item.id) == 1), "each item began once");
+    });
+}
+
 #[test]
 fn no_request_reaches_a_replica_that_has_drained() {
     run_local("drain", |folder| async move {
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -55,6 +55,8 @@
     NoAnswer,
     /// The replica's answer cannot be understood or belongs to another request.
     Garbled,
+    /// The time of the request was over before the answer came.
+    TimedOut,
     /// A started answer broke off.
     BrokenOff,
     /// A started stream made no progress.
@@ -71,6 +73,7 @@
             Self::TurnedAway => "turned_away",
             Self::NoAnswer => "no_answer",
             Self::Garbled => "garbled",
+            Self::TimedOut => "timed_out",
             Self::BrokenOff => "broken_off",
             Self::Stalled => "stalled",
             Self::ServerError => "server_error",
@@ -169,11 +172,13 @@
         if self.is_answering {
             return Next::Cut(failure);
         }
+        if failure == Failure::TimedOut {
+            let message = "the replica did not answer within the request's time";
+            return Next::Refuse(Refusal::unknown(Reason::Deadline, message));
+        }
         if self.runs > 0 {
-            return Next::Refuse(Refusal::unknown(
-                Reason::BackendLost,
-                "the replica was lost after the request was sent",
-            ));
+            let message = "the replica was lost after the request was sent";
+            return Next::Refuse(Refusal::unknown(Reason::BackendLost, message));
         }
         Next::Refuse(Refusal::not_run(Reason::NoBackend, "no replica took the request"))
     }
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -44,6 +44,9 @@
 const MIN_SEND_MS: Millis = 20;
 /// The largest answer of a plain request that is held back until it is whole, in bytes.
 const MAX_WHOLE_ANSWER_BYTES: usize = 16 << 20;
+/// The silence before an answer's head after which a replica with a granted slot is asked whether
+/// it lives: reading a prompt and a first step take some tens of milliseconds.
+const HEAD_SILENCE: Duration = Duration::from_millis(400);
 /// How many times its objective a replica may take for a repeatable request before another one is
 /// tried.
 const PATIENCE_OBJECTIVES: Millis = 2;
@@ -161,13 +164,32 @@
         let deadline_left_ms = Some(left_ms);
         let send = exchange::Send { request, lease: &lease, deadline_left_ms, last_event };
         let limit = Duration::from_millis(limit_ms);
-        match exchange::send(&self.pool, &*self.dialect, &send, limit).await {
-            Ok(answer) => Ok((lease, answer)),
-            Err(failure) => {
-                self.note_failure(&lease, failure, report);
-                Err(SendEnd::Failed(failure))
-            }
+        let sending = exchange::send(&self.pool, &*self.dialect, &send, limit);
+        let failure = match self.watched(&lease, HEAD_SILENCE, sending).await {
+            Ok(answer) => return Ok((lease, answer)),
+            Err(Failure::NoAnswer) if self.now_ms() >= policy.give_up_at_ms => Failure::TimedOut,
+            Err(failure) => failure,
+        };
+        self.note_failure(&lease, failure, report);
+        Err(SendEnd::Failed(failure))
+    }
+
+    /// Waits for a replica, and has its owner ask whether it lives when it is silent for too long.
+    pub(crate) async fn watched<T>(
+        &self,
+        lease: &SlotLease,
+        silence: Duration,
+        work: impl Future<Output = T>,
+    ) -> T {
+        let mut work = std::pin::pin!(work);
+        if let Ok(done) = timeout(silence, work.as_mut()).await {
+            return done;
+        }
+        if lease.is_granted {
+            info!("event=replica_silent replica={} for_ms={}", lease.replica.name, silence.as_millis());
+            self.slots.suspect(&lease.replica.name);
         }
+        work.await
     }
 
     /// Reads the whole answer of a plain request, so that a broken one can still be replaced.
@@ -219,7 +241,7 @@
     /// Notes a failed send: the replica is left out for a while unless it only was full.
     pub(crate) fn note_failure(&self, lease: &SlotLease, failure: Failure, report: &mut Report) {
         let replica = &lease.replica;
-        if failure != Failure::TurnedAway {
+        if !matches!(failure, Failure::TurnedAway | Failure::TimedOut) {
             self.slots.failed(&replica.name, failure.as_str());
             self.pool.forget(replica.address);
         }
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -33,6 +33,9 @@
 
 /// How many pauses of the longest allowed length a stream may make before it counts as stalled.
 const STALL_PAUSES: Millis = 3;
+/// The silence inside a stream after which its replica is asked whether it lives: several times the
+/// pause that reading the prompts of others makes.
+const EVENT_SILENCE: Duration = Duration::from_millis(300);
 /// The stall limit of a route that names no longest pause.
 const DEFAULT_STALL_MS: Millis = 1_000;
 
@@ -144,8 +147,11 @@
     }
 
     async fn read(&mut self, limit_ms: Millis) -> Result<Option<Bytes>, Failure> {
-        let Some(connection) = &mut self.connection else { return Err(Failure::BrokenOff) };
-        match timeout(Duration::from_millis(limit_ms), connection.read_body()).await {
+        let (Some(connection), Some(lease)) = (&mut self.connection, &self.lease) else {
+            return Err(Failure::BrokenOff);
+        };
+        let read = timeout(Duration::from_millis(limit_ms), connection.read_body());
+        match self.gate.watched(lease, EVENT_SILENCE, read).await {
             Ok(Ok(part)) => Ok(part),
             Ok(Err(fault)) => Err(match failure_of(&fault) {
                 Failure::Garbled => Failure::Garbled,
--- a/crates/gate/tests/attempt.rs
+++ b/crates/gate/tests/attempt.rs
@@ -69,3 +69,10 @@
     let mut attempt = Attempt::new(Policy { is_repeatable: true, ..policy() });
     assert!(matches!(attempt.failed(1_000, Failure::Unreachable), Next::Refuse(_)));
 }
+
+#[test]
+fn a_request_whose_time_is_over_gets_its_final_answer() {
+    let mut attempt = Attempt::new(Policy { is_repeatable: true, ..policy() });
+    let (reason, ran) = refusal(attempt.failed(1_000, Failure::TimedOut));
+    assert_eq!((reason, ran), (Reason::Deadline, Ran::Unknown));
+}
--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -161,11 +161,6 @@
         self.is_leaving.get()
     }
 
-    /// Starts no more items; those that run go on and are written.
-    pub fn leave(&self) {
-        self.is_leaving.set(true);
-    }
-
     /// Returns this daemon's jobs as a part of a heartbeat.
     pub fn rider(&self) -> Rider {
         let mut waiting: HashMap<u64, u64> = HashMap::new();
@@ -317,6 +312,32 @@
         }
     }
 
+    /// Asks the store who is the home of the open jobs, while no peer can tell.
+    ///
+    /// Another daemon may have taken this one for lost, and a client may have ended the job there.
+    pub async fn confirm_homes(&self) {
+        let open: Vec<Rc<JobCell>> = self.jobs.borrow().values().cloned().collect();
+        for cell in open.iter().filter(|cell| !cell.job.borrow().is_over()) {
+            if cell.is_saving.get() {
+                continue;
+            }
+            let id = cell.job.borrow().id.clone();
+            let call = Call::Get { kind: JOB_KIND, name: id.to_string() };
+            let object = match self.parts.store.once(CallClass::Claim, &call).await {
+                Ok(Reply::Object(object)) => object,
+                Ok(_) => continue,
+                Err(error) => {
+                    info!("event=home_not_confirmed job={id} error=\"{error}\"");
+                    return;
+                }
+            };
+            let home = JobStatus::decode(&object.status).ok().map(|status| status.home);
+            if home.as_ref().is_some_and(|home| *home != self.own) {
+                self.drop_job(&id, home.as_ref());
+            }
+        }
+    }
+
     /// Takes a job's record as it was read.
     pub async fn take_object(
         &self,
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -2,10 +2,14 @@
 
 use std::sync::Arc;
 
+use serde::Deserialize;
+use serde::Serialize;
 use upstream::Event;
 use wire::JobId;
 use wire::Millis;
 
+use crate::handover::HandedItem;
+use crate::handover::HandedJob;
 use crate::item::Item;
 use crate::item::Listed;
 use crate::item::Outcome;
@@ -75,7 +79,7 @@
 }
 
 /// The output of an item so far.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
     /// The data of the events so far.
     pub text: String,
@@ -401,6 +405,52 @@
         self.needs_save = self.is_ended && !is_ended;
     }
 
+    /// Returns the job as it is handed to another home.
+    pub fn to_handed(&self, now_ms: Millis) -> HandedJob {
+        let items = self.entries.iter().map(|entry| HandedItem {
+            item: entry.item.clone(),
+            failures: entry.failures,
+            progress: entry.progress.clone(),
+        });
+        HandedJob {
+            id: self.id.clone(),
+            host: self.host.to_string(),
+            path: self.path.to_string(),
+            age_ms: (now_ms as i64 - self.submitted_ms).max(0) as Millis,
+            revision: self.revision,
+            value_bytes: self.value_bytes,
+            result_parts: self.result_parts,
+            spilled: self.spilled,
+            is_ended: self.is_ended,
+            results: self.results(),
+            listed: self.listed.len(),
+            items: items.collect(),
+        }
+    }
+
+    /// Returns a job that another home handed over.
+    pub fn from_handed(handed: HandedJob, now_ms: Millis) -> Self {
+        let submitted_ms = now_ms as i64 - handed.age_ms as i64;
+        let progress: Vec<(u32, Progress)> =
+            handed.items.iter().map(|item| (item.failures, item.progress.clone())).collect();
+        let items = handed.items.into_iter().map(|item| item.item).collect();
+        let results = handed.results;
+        let mut job =
+            Self::new(handed.id, &handed.host, &handed.path, submitted_ms, items, results);
+        job.unsaved = job.listed.split_off(handed.listed.min(job.listed.len()));
+        job.unsaved_since_ms = (!job.unsaved.is_empty()).then_some(now_ms);
+        for (entry, (failures, progress)) in job.entries.iter_mut().zip(progress) {
+            entry.failures = failures;
+            entry.progress = progress;
+        }
+        job.revision = handed.revision;
+        job.value_bytes = handed.value_bytes;
+        job.result_parts = handed.result_parts;
+        job.spilled = handed.spilled;
+        job.is_ended = handed.is_ended;
+        job
+    }
+
     fn finish(&mut self, now_ms: Millis, place: usize, outcome: Outcome, text: Arc<str>) {
         let entry = &mut self.entries[place];
         entry.phase = Phase::Done;
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod board;
 pub mod dialect;
+pub mod handover;
 pub mod item;
 pub mod job;
 pub mod notes;
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -190,6 +190,9 @@
 
     fn lost(&self, lease: &SlotLease, failure: Failure) -> TryEnd {
         let replica = &lease.replica;
+        if failure == Failure::Stalled || failure == Failure::NoAnswer {
+            self.parts.slots.suspect(&replica.name);
+        }
         if failure != Failure::TurnedAway {
             self.parts.slots.failed(&replica.name, failure.as_str());
             self.parts.pool.forget(replica.address);
--- a/crates/jobs/src/serve.rs
+++ b/crates/jobs/src/serve.rs
@@ -312,7 +312,10 @@
             self.now_ms().saturating_sub(submitted_ms),
             self.waiting_tokens(route)
         );
-        self.hold(job);
+        let cell = self.hold(job);
+        if self.is_leaving() {
+            self.hand_over_later(cell);
+        }
         Ok(())
     }
 
--- a/crates/node/src/beats.rs
+++ b/crates/node/src/beats.rs
@@ -26,6 +26,9 @@
 
 /// How often the daemon looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
+/// How often an isolated daemon has the homes of its jobs confirmed; results that another daemon
+/// shows must be seen here within a second.
+const CONFIRM_EVERY: Duration = Duration::from_millis(800);
 /// How often orphaned jobs are looked for.
 const ORPHANS_EVERY_MS: Millis = 500;
 
@@ -105,6 +108,16 @@
         }
     }
 
+    /// Has the homes of open jobs confirmed by the store for as long as no peer is heard.
+    pub async fn run_isolated(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(CONFIRM_EVERY).await;
+            if self.knowledge.membership.borrow().is_isolated() {
+                self.board.confirm_homes().await;
+            }
+        }
+    }
+
     fn heartbeat(&self) -> Heartbeat {
         let membership = self.knowledge.membership.borrow();
         Heartbeat {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -34,8 +34,8 @@
 
 use crate::knowledge::Knowledge;
 
-/// The largest body of a peer's call, in bytes: an object and its frame.
-const MAX_BODY_BYTES: usize = 8 << 20;
+/// The largest body of a peer's call, in bytes: an object, or a job with its output.
+const MAX_BODY_BYTES: usize = 16 << 20;
 /// How long a relayed call may take at the store.
 const RELAY_LIMIT: Duration = Duration::from_millis(1_200);
 
@@ -76,13 +76,15 @@
         match (&parts.method, path) {
             (&Method::GET, "/configuration") => self.configuration(),
             (&Method::GET, "/replicas") => self.replicas(),
-            (&Method::POST, "/store") => match Limited::new(body, MAX_BODY_BYTES).collect().await {
-                Ok(whole) => self.relay(&whole.to_bytes()).await,
-                Err(error) => {
-                    debug!("event=peer_call_malformed path={path} error=\"{error}\"");
-                    (StatusCode::BAD_REQUEST, Bytes::new())
+            (&Method::POST | &Method::PUT, _) => {
+                match Limited::new(body, MAX_BODY_BYTES).collect().await {
+                    Ok(whole) => self.take(path, &whole.to_bytes()).await,
+                    Err(error) => {
+                        debug!("event=peer_call_malformed path={path} error=\"{error}\"");
+                        (StatusCode::BAD_REQUEST, Bytes::new())
+                    }
                 }
-            },
+            }
             (method, path) => match job_call(method, path) {
                 Some(call) => self.board.answer(&call, Asker::Peer).await,
                 None => (StatusCode::NOT_FOUND, Bytes::new()),
@@ -90,6 +92,14 @@
         }
     }
 
+    async fn take(&self, path: &str, body: &[u8]) -> (StatusCode, Bytes) {
+        match path.strip_prefix("/jobs/").and_then(|rest| rest.strip_suffix("/home")) {
+            Some(_) => (self.board.inherit(body).await, Bytes::new()),
+            None if path == "/store" => self.relay(body).await,
+            None => (StatusCode::NOT_FOUND, Bytes::new()),
+        }
+    }
+
     fn configuration(&self) -> (StatusCode, Bytes) {
         let raw = self.knowledge.raw_configuration();
         if raw.is_empty() { (StatusCode::NOT_FOUND, raw) } else { (StatusCode::OK, raw) }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod knowledge;
 pub mod metrics;
 pub mod node;
+pub mod probe;
+pub mod reload;
 pub mod retirement;
 pub mod watch;
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -48,6 +48,8 @@
 use crate::directory::ReadyCheck;
 use crate::knowledge::Knowledge;
 use crate::metrics::MetricsPage;
+use crate::probe::StateProbe;
+use crate::reload::Reload;
 use crate::retirement;
 use crate::watch;
 use crate::watch::Watched;
@@ -69,6 +71,8 @@
 const LAST_ANSWERS: Duration = Duration::from_millis(1_500);
 /// How often idle connections are looked through.
 const SWEEP_EVERY: Duration = Duration::from_secs(2);
+/// How often the settings file is looked at; it may change without a signal.
+const LOOK_FOR_SETTINGS_EVERY: Duration = Duration::from_secs(2);
 /// How often the counters are logged.
 const SUMMARY_EVERY: Duration = Duration::from_secs(10);
 /// How long the store is tried for the daemon's own record before the next pause.
@@ -118,23 +122,28 @@
     let watched = store.clone();
     spawn_local(async move { watched.watch_reach(RETIREMENT_KIND).await });
     if settings.duties.ingress {
-        let node = start(settings, counters, store).await?;
-        wait_for_end(terminate, hangup).await;
+        let node = start(settings, counters, store.clone()).await?;
+        let reload = Reload { store, membership: Some(node.membership.clone()) };
+        wait_for_end(terminate, hangup, reload).await;
         node.leave().await;
     } else {
-        spawn_local(retirement::serve(settings.daemon.clone(), store));
-        wait_for_end(terminate, hangup).await;
+        spawn_local(retirement::serve(settings.daemon.clone(), store.clone()));
+        wait_for_end(terminate, hangup, Reload { store, membership: None }).await;
     }
     info!("event=stop");
     Ok(())
 }
 
-async fn wait_for_end(mut terminate: Signal, mut hangup: Signal) {
+async fn wait_for_end(mut terminate: Signal, mut hangup: Signal, reload: Reload) {
+    let mut looks = tokio::time::interval(LOOK_FOR_SETTINGS_EVERY);
+    let mut current = None;
     loop {
-        tokio::select! {
+        let is_asked = tokio::select! {
             _ = terminate.recv() => return,
-            _ = hangup.recv() => info!("event=reload"),
-        }
+            _ = hangup.recv() => true,
+            _ = looks.tick() => false,
+        };
+        reload.look(&mut current, is_asked);
     }
 }
 
@@ -180,6 +189,7 @@
     let relay = PeerRelay { membership: membership.clone(), control: control.clone() };
     store.set_relay(Rc::new(relay));
     let pool = Rc::new(Pool::new(MAX_IDLE, CONNECT_TIMEOUT));
+    slots.set_probe(Rc::new(StateProbe { pool: pool.clone() }));
     let dialect = Rc::new(platform::ingress::Ingress);
     let board = Board::new(jobs::board::Parts {
         dialect: Rc::new(platform::jobs::Jobs),
@@ -223,6 +233,7 @@
     beats.listen();
     spawn_local(transport.clone().run());
     spawn_local(beats.clone().run());
+    spawn_local(beats.clone().run_isolated());
     spawn_local(register(own, beats, store.clone()));
     spawn_local(watch::watch(Watched::Configuration, knowledge.clone(), store.clone()));
     spawn_local(watch::watch(Watched::Replicas, knowledge.clone(), store.clone()));
--- a/crates/peers/src/membership.rs
+++ b/crates/peers/src/membership.rs
@@ -25,6 +25,8 @@
 const FORGET_AFTER_MS: Millis = 60_000;
 /// How long after its start a daemon takes nobody's work over: it has yet to hear who lives.
 const SETTLE_MS: Millis = 1_500;
+/// The time between two ticks from which on this daemon counts as paused: it ticks every 50 ms.
+const OWN_PAUSE_MS: Millis = 400;
 /// How often a lost daemon is tried again.
 const RETRY_LOST_MS: Millis = 1_000;
 
@@ -225,6 +227,7 @@
     /// Sends what is due and notes who has gone silent.
     pub fn tick(&mut self, now_ms: Millis) -> Vec<MemberAction> {
         let mut actions = Vec::new();
+        self.forgive_own_pause(now_ms);
         self.now_ms = now_ms;
         self.started_ms.get_or_insert(now_ms);
         self.note_silence(now_ms, &mut actions);
@@ -268,6 +271,17 @@
         own.into_iter().chain(others.map(|peer| &peer.identity)).collect()
     }
 
+    /// Returns whether this daemon has heard of others and hears none of them now.
+    pub fn is_isolated(&self) -> bool {
+        let has_heard = self.peers.values().any(|peer| peer.heard_ms.is_some());
+        has_heard && self.alive().next().is_none()
+    }
+
+    /// Replaces the addresses that are asked first.
+    pub fn set_seeds(&mut self, seeds: Vec<IpAddr>) {
+        self.seeds = seeds.into_iter().filter(|ip| *ip != self.own.ip).collect();
+    }
+
     /// Returns whether a daemon is known to live.
     pub fn is_alive(&self, name: &DaemonName) -> bool {
         *name == self.own.name
@@ -301,6 +315,18 @@
         &self.own.data_centre
     }
 
+    /// Counts no silence for a time in which this daemon itself did not run.
+    fn forgive_own_pause(&mut self, now_ms: Millis) {
+        let paused_ms = now_ms.saturating_sub(self.now_ms);
+        if self.started_ms.is_none() || paused_ms < OWN_PAUSE_MS {
+            return;
+        }
+        for peer in self.peers.values_mut() {
+            let since_ms = peer.heard_ms.as_mut().unwrap_or(&mut peer.introduced_ms);
+            *since_ms = (*since_ms + paused_ms).min(now_ms);
+        }
+    }
+
     fn note_silence(&mut self, now_ms: Millis, actions: &mut Vec<MemberAction>) {
         let suspect_ms = self.period_ms() * SUSPECT_PERIODS;
         for (name, peer) in &mut self.peers {
--- a/crates/peers/tests/membership.rs
+++ b/crates/peers/tests/membership.rs
@@ -36,6 +36,24 @@
     identity(number, 0).ip
 }
 
+/// Ticks as a daemon does and returns all actions.
+fn ticks(membership: &mut Membership, from_ms: u64, to_ms: u64) -> Vec<MemberAction> {
+    (from_ms..=to_ms).step_by(50).flat_map(|now_ms| membership.tick(now_ms)).collect()
+}
+
+#[test]
+fn a_daemon_that_was_paused_itself_takes_nobodys_silence_for_a_loss() {
+    let mut membership = Membership::new(identity(1, 1), Vec::new());
+    membership.tick(0);
+    membership.heard(0, &beat(2, 1));
+    ticks(&mut membership, 0, 400);
+    let actions = membership.tick(5_000);
+    assert!(!actions.contains(&MemberAction::Lost(identity(2, 1).name)));
+    assert!(membership.is_alive(&identity(2, 1).name));
+    let actions = ticks(&mut membership, 5_050, 7_000);
+    assert!(actions.contains(&MemberAction::Lost(identity(2, 1).name)), "it really is silent");
+}
+
 #[test]
 fn a_new_daemon_greets_its_seeds_and_is_told_of_the_others() {
     let mut newcomer = Membership::new(identity(1, 1), vec![ip(2), ip(1)]);
@@ -53,10 +71,10 @@
     membership.tick(0);
     membership.heard(0, &beat(2, 1));
     assert!(membership.is_alive(&identity(2, 1).name));
-    membership.tick(900);
+    ticks(&mut membership, 0, 900);
     assert!(!membership.is_alive(&identity(2, 1).name));
     assert!(!membership.is_gone(&identity(2, 1).name, 1), "its work is not taken over yet");
-    let actions = membership.tick(2_100);
+    let actions = ticks(&mut membership, 900, 2_100);
     assert!(actions.contains(&MemberAction::Lost(identity(2, 1).name)));
     assert!(membership.is_gone(&identity(2, 1).name, 1));
     membership.heard(2_200, &beat(2, 1));
@@ -110,3 +128,14 @@
     membership.hurry();
     assert_eq!(membership.tick(20).len(), 148);
 }
+
+#[test]
+fn a_daemon_that_hears_none_of_those_it_knew_is_isolated() {
+    let mut membership = Membership::new(identity(1, 1), Vec::new());
+    assert!(!membership.is_isolated(), "a daemon alone is not cut off");
+    membership.tick(0);
+    membership.heard(0, &beat(2, 1));
+    assert!(!membership.is_isolated());
+    ticks(&mut membership, 0, 1_000);
+    assert!(membership.is_isolated());
+}
--- a/crates/slots/src/client.rs
+++ b/crates/slots/src/client.rs
@@ -5,11 +5,15 @@
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::rc::Rc;
+use std::rc::Weak;
+use std::time::Duration;
 
 use catalog::ReplicaSet;
+use futures::future::LocalBoxFuture;
 use kernel::BootClock;
 use kernel::Counters;
 use log::debug;
+use log::info;
 use peers::Membership;
 use peers::Topic;
 use peers::Transport;
@@ -18,6 +22,8 @@
 use peers::transport::decode;
 use peers::transport::encode;
 use rand::Rng;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
 use tokio::sync::Notify;
 use wire::DaemonName;
 use wire::Millis;
@@ -46,6 +52,9 @@
 /// How long after its last run a replica's owner still gets lists, so that a lost release heals.
 const LIST_AFTER_MS: Millis = 2_000;
 
+/// How often a suspect replica is asked whether it answers.
+const PROBE_EVERY_MS: Millis = 400;
+
 /// A wish for a slot.
 #[derive(Clone, Debug)]
 pub struct SlotAsk<'a> {
@@ -118,9 +127,17 @@
     transport: Rc<Transport>,
     membership: Rc<RefCell<Membership>>,
     replicas: Rc<RefCell<ReplicaSet>>,
+    probe: RefCell<Option<Rc<dyn Probe>>>,
+    own: Weak<Self>,
     inner: RefCell<Inner>,
 }
 
+/// Asks a replica whether it answers.
+pub trait Probe {
+    /// Returns whether the replica answered in time.
+    fn answers(&self, replica: &ReplicaRecord) -> LocalBoxFuture<'static, bool>;
+}
+
 /// A slot that this daemon holds until the lease is dropped.
 pub struct SlotLease {
     /// The replica.
@@ -148,12 +165,14 @@
         membership: Rc<RefCell<Membership>>,
         replicas: Rc<RefCell<ReplicaSet>>,
     ) -> Rc<Self> {
-        let slots = Rc::new(Self {
+        let slots = Rc::new_cyclic(|own| Self {
             clock,
             counters,
             transport: transport.clone(),
             membership,
             replicas,
+            probe: RefCell::new(None),
+            own: own.clone(),
             inner: RefCell::new(Inner::default()),
         });
         let weak = Rc::downgrade(&slots);
@@ -204,12 +223,22 @@
         let ejection_ms = self.inner.borrow_mut().picture.failed(now_ms, replica);
         if ejection_ms > 0 {
             self.counters.count_tagged("replica_ejected", "cause", cause);
-            log::info!(
+            info!(
                 "event=replica_ejected replica={replica} cause={cause} for_ms={ejection_ms}"
             );
         }
     }
 
+    /// Gives the slots a way to ask a replica whether it answers.
+    pub fn set_probe(&self, probe: Rc<dyn Probe>) {
+        *self.probe.borrow_mut() = Some(probe);
+    }
+
+    /// Notes that a replica does not answer; its owner asks it and grants nothing meanwhile.
+    pub fn suspect(&self, replica: &ReplicaName) {
+        self.tell_owner(replica, ToOwner::Suspect { replica: replica.clone() });
+    }
+
     /// Forgets a replica that is gone.
     pub fn forget(&self, replica: &ReplicaName) {
         let mut inner = self.inner.borrow_mut();
@@ -464,9 +493,9 @@
         let now_ms = self.clock.now_ms();
         let (replica, ticket) = match &message {
             ToOwner::Ask { replica, ticket, .. } => (replica.clone(), Some(*ticket)),
-            ToOwner::Release { replica, .. } | ToOwner::Held { replica, .. } => {
-                (replica.clone(), None)
-            }
+            ToOwner::Release { replica, .. }
+            | ToOwner::Held { replica, .. }
+            | ToOwner::Suspect { replica } => (replica.clone(), None),
         };
         if !self.ensure_table(now_ms, &replica) {
             if let Some(ticket) = ticket {
@@ -485,11 +514,44 @@
                 }
                 ToOwner::Release { ticket, .. } => table.release(now_ms, ticket),
                 ToOwner::Held { runs, .. } => table.held(now_ms, holder, &runs),
+                ToOwner::Suspect { .. } => {
+                    if table.suspect() {
+                        info!("event=replica_suspect replica={replica} said_by={holder}");
+                        self.counters.count("replicas_suspected");
+                        self.probe_until_answered(&replica);
+                    }
+                    Vec::new()
+                }
             }
         };
         self.perform(&replica, actions);
     }
 
+    /// Asks a suspect replica until it answers, and grants its slots again then.
+    fn probe_until_answered(&self, replica: &ReplicaName) {
+        let (Some(slots), Some(probe)) = (self.own.upgrade(), self.probe.borrow().clone()) else {
+            return;
+        };
+        let name = replica.clone();
+        spawn_local(async move {
+            let since_ms = slots.clock.now_ms();
+            loop {
+                let record = slots.replicas.borrow().get(&name).cloned();
+                let is_owned = slots.inner.borrow().tables.contains_key(&name);
+                let (Some(record), true) = (record, is_owned) else { return };
+                if probe.answers(&record).await {
+                    break;
+                }
+                sleep(Duration::from_millis(PROBE_EVERY_MS)).await;
+            }
+            let now_ms = slots.clock.now_ms();
+            let for_ms = now_ms.saturating_sub(since_ms);
+            info!("event=replica_trusted replica={name} after_ms={for_ms}");
+            let trusted = slots.inner.borrow_mut().tables.get_mut(&name).map(|t| t.trust(now_ms));
+            slots.perform(&name, trusted.unwrap_or_default());
+        });
+    }
+
     fn perform(&self, replica: &ReplicaName, actions: Vec<TableAction>) {
         if actions.is_empty() {
             return;
@@ -599,7 +661,7 @@
         let table = Table::inherit(record.slots, occupied, until_ms);
         inner.tables.insert(replica.clone(), table);
         drop(inner);
-        log::info!("event=replica_owned replica={replica} occupied={occupied}");
+        info!("event=replica_owned replica={replica} occupied={occupied}");
         true
     }
 
@@ -611,7 +673,7 @@
         let tables: Vec<ReplicaName> = self.inner.borrow().tables.keys().cloned().collect();
         for name in tables.iter().filter(|name| !own(name)) {
             self.inner.borrow_mut().tables.remove(name);
-            log::info!("event=replica_disowned replica={name}");
+            info!("event=replica_disowned replica={name}");
         }
         for record in &records {
             if self.is_own(record) {
@@ -628,7 +690,7 @@
     pub(crate) fn mute(&self, owner: &DaemonName) {
         let until_ms = self.clock.now_ms() + MUTE_MS;
         self.inner.borrow_mut().mute.insert(owner.clone(), until_ms);
-        log::info!("event=owner_mute owner={owner} for_ms={MUTE_MS}");
+        info!("event=owner_mute owner={owner} for_ms={MUTE_MS}");
     }
 }
 
--- a/crates/slots/src/message.rs
+++ b/crates/slots/src/message.rs
@@ -50,6 +50,11 @@
         /// The wish.
         ticket: Ticket,
     },
+    /// Says that a replica does not answer the sender.
+    Suspect {
+        /// The replica.
+        replica: ReplicaName,
+    },
     /// Names every run that the sender has at one replica.
     Held {
         /// The replica.
@@ -112,6 +117,8 @@
     pub online_waiting: u16,
     /// Items that wait.
     pub batch_waiting: u16,
+    /// Whether the replica is thought not to answer; its slots are not granted meanwhile.
+    pub is_suspect: bool,
 }
 
 /// The load of one replica, as heartbeats carry it.
--- a/crates/slots/src/picture.rs
+++ b/crates/slots/src/picture.rs
@@ -14,6 +14,8 @@
 const OTHER_DATA_CENTRE_COST: f64 = 0.15;
 /// The cost of taking a slot back from an item.
 const REVOKE_COST: f64 = 1.0;
+/// The cost of a replica that is thought not to answer.
+const SUSPECT_COST: f64 = 100.0;
 /// The cost of waiting for a slot.
 const WAIT_COST: f64 = 10.0;
 /// The part of a choice that is drawn by lot, so that daemons with the same picture spread.
@@ -146,6 +148,9 @@
         } else if f64::from(total) >= slots {
             cost += REVOKE_COST;
         }
+        if belief.load.is_suspect {
+            cost += SUSPECT_COST;
+        }
         if replica.data_centre != *own {
             cost += OTHER_DATA_CENTRE_COST;
         }
--- a/crates/slots/src/table.rs
+++ b/crates/slots/src/table.rs
@@ -99,6 +99,7 @@
     inherited: u32,
     inherited_until_ms: Millis,
     batch_from_ms: Millis,
+    is_suspect: bool,
 }
 
 impl Table {
@@ -117,6 +118,7 @@
             inherited: occupied,
             inherited_until_ms: until_ms,
             batch_from_ms: 0,
+            is_suspect: false,
         }
     }
 
@@ -130,6 +132,7 @@
             batch: count(Class::Batch),
             online_waiting: queued(Class::Online),
             batch_waiting: queued(Class::Batch),
+            is_suspect: self.is_suspect,
         }
     }
 
@@ -205,9 +208,15 @@
         self.settle(now_ms)
     }
 
-    /// Sets the number of slots.
-    pub fn set_slots(&mut self, slots: u32) {
-        self.slots = slots;
+    /// Grants nothing while the replica is thought not to answer; returns whether that is news.
+    pub fn suspect(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_suspect, true)
+    }
+
+    /// Grants slots again.
+    pub fn trust(&mut self, now_ms: Millis) -> Vec<TableAction> {
+        self.is_suspect = false;
+        self.settle(now_ms)
     }
 
     /// Drops what is over and hands out what is free.
@@ -219,6 +228,9 @@
     fn settle(&mut self, now_ms: Millis) -> Vec<TableAction> {
         let mut actions = Vec::new();
         self.waiting.retain(|waiting| now_ms < waiting.give_up_at_ms);
+        if self.is_suspect {
+            return actions;
+        }
         let inherited = if now_ms < self.inherited_until_ms { self.inherited } else { 0 };
         while self.grants.len() as u32 + inherited < self.slots {
             let Some(next) = self.most_urgent(now_ms) else { break };
--- a/crates/slots/tests/picture.rs
+++ b/crates/slots/tests/picture.rs
@@ -22,7 +22,7 @@
 }
 
 fn load(online: u16, batch: u16) -> Load {
-    Load { slots: 8, online, batch, online_waiting: 0, batch_waiting: 0 }
+    Load { slots: 8, online, batch, online_waiting: 0, batch_waiting: 0, is_suspect: false }
 }
 
 fn chosen(picture: &Picture, now_ms: u64, replicas: &[ReplicaRecord], class: Class) -> String {
@@ -82,3 +82,13 @@
     picture.failed(0, &replicas[1].name);
     assert_ne!(chosen(&picture, 1, &replicas, Class::Online), "");
 }
+
+#[test]
+fn a_suspect_replica_is_the_last_choice() {
+    let replicas = [replica("suspect", "a"), replica("full", "b")];
+    let mut picture = Picture::default();
+    picture.reported(0, &replicas[0].name, Load { is_suspect: true, ..load(0, 0) });
+    picture.reported(0, &replicas[1].name, load(8, 0));
+    assert_eq!(chosen(&picture, 1, &replicas, Class::Online), "full");
+    assert!(!picture.has_room(&replicas[0], Class::Online));
+}
--- a/crates/slots/tests/table.rs
+++ b/crates/slots/tests/table.rs
@@ -156,3 +156,13 @@
     assert_eq!(table.load().online_waiting, 0);
     assert_eq!(grants(&table.release(70, Ticket(1))), [0_u64; 0]);
 }
+
+#[test]
+fn a_suspect_replica_gets_nothing_until_it_is_trusted_again() {
+    let mut table = Table::new(2);
+    assert!(table.suspect());
+    assert!(!table.suspect(), "only the first suspicion is news");
+    assert_eq!(grants(&table.ask(0, wish(1, Class::Online, 100))), [0_u64; 0]);
+    assert!(table.load().is_suspect);
+    assert_eq!(grants(&table.trust(10)), [1]);
+}
--- a/crates/store/src/budget.rs
+++ b/crates/store/src/budget.rs
@@ -73,6 +73,12 @@
         self.tokens = self.tokens.min(self.burst());
     }
 
+    /// Sets the rate of the whole fleet.
+    pub fn set_fleet_rate(&mut self, fleet_calls_per_s: f64) {
+        self.fleet_calls_per_s = fleet_calls_per_s;
+        self.tokens = self.tokens.min(self.burst());
+    }
+
     /// Takes one call, or returns how long to wait for it.
     pub fn take(&mut self, now_ms: Millis, class: CallClass) -> Result<(), Millis> {
         self.fill(now_ms);
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -125,6 +125,13 @@
         *self.relay.borrow_mut() = Some(relay);
     }
 
+    /// Follows a change of the store's address or rates.
+    pub fn reconfigure(&self, address: SocketAddr, writes_per_s: f64, reads_per_s: f64) {
+        self.address.set(address);
+        self.writes.borrow_mut().set_fleet_rate(writes_per_s);
+        self.reads.borrow_mut().set_fleet_rate(reads_per_s);
+    }
+
     /// Returns whether the store answers this daemon itself.
     pub fn reach(&self) -> Reach {
         self.reach.get()
