Explain a request from logs; histograms; a log that never waits

Cause: an id could not be followed from a daemon's log to the decision about it, times were not measured, and a process whose log nobody reads would have waited for the reader at its end. Change: one line for each send with the load it was decided by and that load's age; causes of item tries; 'crocus explain'; histograms of request, slot wait, first byte, store call and job times on the metrics page; dropped log lines counted and logged; the end of the log is bounded.

--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -31,6 +31,8 @@
     BadBundle(Vec<String>),
     /// The job ended without every item done.
     ItemsNotDone(String),
+    /// No log names the id.
+    NotInLogs(String),
 }
 
 impl CliError {
@@ -47,7 +49,9 @@
     pub fn exit_code(&self) -> ExitCode {
         match self {
             Self::Refused(refusal) if refusal.ran == Ran::Unknown => ExitCode::from(3),
-            Self::Refused(_) | Self::BadBundle(_) | Self::ItemsNotDone(_) => ExitCode::from(1),
+            Self::Refused(_) | Self::BadBundle(_) | Self::ItemsNotDone(_) | Self::NotInLogs(_) => {
+                ExitCode::from(1)
+            }
             Self::Usage(_) | Self::File { .. } => ExitCode::from(2),
             Self::Unknown(_) | Self::Answer(_) => ExitCode::from(3),
             Self::Unreachable(_) => ExitCode::from(4),
@@ -79,6 +83,9 @@
                 problems.iter().try_for_each(|problem| write!(f, "\n  {problem}"))
             }
             Self::ItemsNotDone(message) => f.write_str(message),
+            Self::NotInLogs(id) => {
+                write!(f, "no log names '{id}'; give the logs of all daemons, the older ones too")
+            }
         }
     }
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod bundles;
 pub mod client;
 pub mod error;
+pub mod explain;
 pub mod job_file;
 pub mod jobs;
 pub mod keys;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,6 +8,7 @@
 use cli::Client;
 use cli::ask;
 use cli::bundles;
+use cli::explain;
 use cli::jobs;
 use cli::jobs::JobClient;
 use cli::jobs::StartJob;
@@ -48,6 +49,7 @@
         Command::Bundle(command) => run_bundle(connection, command, form).await,
         Command::Job(command) => run_job(connection, command, form).await,
         Command::Key(command) => run_key(command, form),
+        Command::Explain(args) => explain::run(args, form),
     }
 }
 
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -76,6 +76,18 @@
     /// Make keys, tokens and certificates.
     #[command(subcommand)]
     Key(KeyCommand),
+    /// Tell from logs what happened to a request, an item or a job.
+    Explain(ExplainArgs),
+}
+
+/// What to explain from which logs.
+#[derive(Clone, Debug, Args)]
+pub struct ExplainArgs {
+    /// The id of the request, the item or the job.
+    pub id: String,
+    /// Logs of daemons; give those of all daemons, since a request's story crosses them.
+    #[arg(required = true, value_name = "LOG")]
+    pub logs: Vec<PathBuf>,
 }
 
 /// One question to a model.
--- /dev/null
+++ b/crates/cli/tests/explain.rs
@@ -0,0 +1,92 @@
+//! Stories of requests, items and jobs, told from logs.
+
+use std::path::PathBuf;
+use std::process::Command;
+
+use cli::explain::Line;
+use cli::explain::tell;
+
+const LOGS: [(&str, &str); 2] = [
+    (
+        "daemon-1",
+        r#"ts=2026-12-04T10:00:00.100Z level=info at=gate event=request_sent id=r1 replica=e-1 granted=true load_age_ms=12 left_ms=4900
+ts=2026-12-04T10:00:00.500Z level=info at=gate event=replica_silent replica=e-1 for_ms=400
+ts=2026-12-04T10:00:05.100Z level=info at=gate event=request id=r1 route=a outcome=deadline status=504 replica=e-1 slot_wait_ms=2 first_ms=-1 events=0 total_ms=5000
+not a line of the log
+ts=2026-12-04T10:00:06.000Z level=info at=gate event=request id=r2 outcome=overload status=503 replica=- slot_wait_ms=1200 first_ms=-1 events=0 total_ms=1200
+"#,
+    ),
+    (
+        "daemon-2",
+        r#"  12.5 daemon-2 ts=2026-12-04T10:00:00.502Z level=info at=slots event=replica_suspect replica=e-1 said_by=daemon-1
+ts=2026-12-04T10:00:01.000Z level=info at=jobs event=job_accepted job=j1 route=b items=2
+ts=2026-12-04T10:00:02.000Z level=info at=jobs event=item_try item=i1 job=j1 end=interrupted cause=slot_revoked replica=e-2 from_event=0 events=7 took_ms=150
+ts=2026-12-04T10:00:03.000Z level=info at=jobs event=item_try item=i2 job=j1 end=completed cause=whole replica=e-2 from_event=0 events=9 took_ms=200
+ts=2026-12-04T10:00:04.000Z level=info at=jobs event=item_try item=i1 job=j1 end=impossible cause=answered_422 replica=e-3 from_event=7 events=7 took_ms=20
+ts=2026-12-04T10:00:05.000Z level=warn at=jobs event=job_refused job=j2 reason=rate_limit message="too many tokens wait on the route"
+"#,
+    ),
+];
+
+fn lines() -> Vec<Line> {
+    LOGS.iter()
+        .flat_map(|(name, text)| text.lines().filter_map(|line| Line::parse(line, name)))
+        .collect()
+}
+
+#[test]
+fn a_request_is_followed_to_the_replica_that_its_owner_found_silent() {
+    let story = tell("r1", lines());
+    assert_eq!(story.lines.len(), 2);
+    assert_eq!(story.context.len(), 2);
+    assert_eq!(
+        story.cause(),
+        "Its time was over after 5000 ms while e-1, which its owner found silent worked on it."
+    );
+}
+
+#[test]
+fn a_refused_request_says_what_it_waited_for() {
+    let cause = tell("r2", lines()).cause();
+    assert_eq!(cause, "It was refused unrun: no slot came free within 1200 ms.");
+}
+
+#[test]
+fn an_item_is_followed_over_its_tries_and_its_job() {
+    let story = tell("i1", lines());
+    let events: Vec<&str> = story.lines.iter().filter_map(|line| line.get("event")).collect();
+    assert_eq!(events, ["job_accepted", "item_try", "item_try"]);
+    assert_eq!(
+        story.cause(),
+        "The item's last try ended as impossible (answered_422); its tries: \
+         answered_422 1 times, slot_revoked 1 times."
+    );
+}
+
+#[test]
+fn a_refused_job_says_why() {
+    let cause = tell("j2", lines()).cause();
+    assert_eq!(cause, "The job was refused: too many tokens wait on the route.");
+}
+
+#[test]
+fn the_command_reads_files_and_counts_lines_that_it_cannot_read() {
+    let folder = std::env::temp_dir().join(format!("crocus-explain-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let paths: Vec<PathBuf> =
+        LOGS.iter().map(|(name, _)| folder.join(format!("{name}.log"))).collect();
+    for (path, (_, text)) in paths.iter().zip(LOGS) {
+        std::fs::write(path, text).expect("it is written");
+    }
+    let explain = |id: &str| {
+        Command::new(env!("CARGO_BIN_EXE_crocus")).arg("explain").arg(id).args(&paths).output()
+    };
+    let output = explain("r1").expect("it runs");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(output.status.success());
+    assert!(text.contains("(1 lines of the logs could not be read)"), "{text}");
+    assert!(text.contains("daemon-2 event=replica_suspect"), "{text}");
+    let missing = explain("nobody").expect("it runs");
+    assert_eq!(missing.status.code(), Some(1));
+    std::fs::remove_dir_all(&folder).expect("the folder is removed");
+}
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -156,6 +156,7 @@
         let now_ms = self.now_ms();
         report.slot_wait_ms += now_ms.saturating_sub(asked_ms);
         report.replica = Some(lease.replica.name.clone());
+        note_send(request, &lease, attempt, now_ms);
         let left_ms = policy.give_up_at_ms.saturating_sub(now_ms).max(1);
         let mut limit_ms = left_ms;
         if let (true, Some(objective_ms)) = (policy.is_repeatable, route.objective_ms) {
@@ -186,7 +187,11 @@
             return done;
         }
         if lease.is_granted {
-            info!("event=replica_silent replica={} for_ms={}", lease.replica.name, silence.as_millis());
+            info!(
+                "event=replica_silent replica={} for_ms={}",
+                lease.replica.name,
+                silence.as_millis()
+            );
             self.slots.suspect(&lease.replica.name);
         }
         work.await
@@ -287,6 +292,24 @@
     }
 }
 
+/// Logs what decided that a request goes to a replica.
+fn note_send(request: &ClientRequest, lease: &SlotLease, attempt: &Attempt, now_ms: Millis) {
+    let (load, age_ms) = lease.load.unwrap_or_default();
+    info!(
+        "event=request_sent id={} replica={} granted={} slots={} online={} batch={} waiting={} \
+         load_age_ms={age_ms} runs={} left_ms={}",
+        request.id,
+        lease.replica.name,
+        lease.is_granted,
+        load.slots,
+        load.online,
+        load.batch,
+        load.online_waiting,
+        attempt.runs(),
+        attempt.policy().give_up_at_ms.saturating_sub(now_ms)
+    );
+}
+
 /// Drops the header lines that concern only the connection to the replica.
 pub(crate) fn end_to_end_headers(mut headers: HeaderMap) -> HeaderMap {
     let named: Vec<HeaderName> = headers
--- a/crates/gate/src/report.rs
+++ b/crates/gate/src/report.rs
@@ -67,6 +67,11 @@
         self.gate.in_flight.set(self.gate.in_flight.get().saturating_sub(1));
         self.gate.counters.count_tagged("requests", "outcome", self.outcome);
         let total_ms = self.gate.now_ms().saturating_sub(self.arrived_ms);
+        self.gate.counters.observe("request_ms", total_ms);
+        self.gate.counters.observe("slot_wait_ms", self.slot_wait_ms);
+        if let Some(first_ms) = self.first_ms {
+            self.gate.counters.observe("first_byte_ms", first_ms);
+        }
         info!(
             "event=request id={} route={} version={} outcome={} status={} replica={} tried={} \
              slot_wait_ms={} first_ms={} events={} total_ms={total_ms}",
--- a/crates/jobs/src/handover.rs
+++ b/crates/jobs/src/handover.rs
@@ -123,8 +123,12 @@
                     self.let_go(&id, &cell, &heir);
                     return;
                 }
-                Ok((status, _)) => info!("event=heir_refused job={id} heir={} status={status}", heir.daemon),
-                Err(fault) => info!("event=heir_silent job={id} heir={} fault={fault:?}", heir.daemon),
+                Ok((status, _)) => {
+                    info!("event=heir_refused job={id} heir={} status={status}", heir.daemon)
+                }
+                Err(fault) => {
+                    info!("event=heir_silent job={id} heir={} fault={fault:?}", heir.daemon)
+                }
             }
         }
         // The record still names this daemon; others adopt the job when it has stopped.
@@ -147,8 +151,7 @@
         let peers = names.into_iter().filter_map(|name| membership.peer(name));
         let heirs = peers.filter_map(|peer| {
             let identity = &peer.identity;
-            let home =
-                Home { daemon: identity.name.clone(), incarnation: identity.incarnation };
+            let home = Home { daemon: identity.name.clone(), incarnation: identity.incarnation };
             Some((home, identity.control?))
         });
         heirs.take(MAX_HEIRS).collect()
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -1,6 +1,7 @@
 //! Runs the items of this daemon's jobs on slots that online requests leave free.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use gate::attempt::Failure;
@@ -105,13 +106,14 @@
         let started_ms = self.now_ms();
         let before = item.progress.events;
         let mut progress = item.progress.clone();
-        let end = tokio::select! {
+        let (end, cause) = tokio::select! {
             end = self.stream_item(&cell, &item, &lease, &mut progress) => end,
-            () = lease.revocation.revoked() => TryEnd::Interrupted,
-            () = cell.stop.cancelled() => TryEnd::Interrupted,
+            () = lease.revocation.revoked() => (TryEnd::Interrupted, "slot_revoked"),
+            () = cell.stop.cancelled() => (TryEnd::Interrupted, "job_stopped"),
         };
         drop(lease);
-        let ran = Ran { replica, before, took_ms: self.now_ms().saturating_sub(started_ms) };
+        let took_ms = self.now_ms().saturating_sub(started_ms);
+        let ran = Ran { item: item.item.id.clone(), replica, before, took_ms, cause };
         self.try_ended(&cell, place, end, progress, &ran);
     }
 
@@ -140,7 +142,7 @@
         item: &Try,
         lease: &SlotLease,
         progress: &mut Progress,
-    ) -> TryEnd {
+    ) -> (TryEnd, &'static str) {
         let host = cell.job.borrow().host.clone();
         let request = ClientRequest {
             method: Method::POST,
@@ -162,8 +164,8 @@
             Err(failure) => return self.lost(lease, failure),
         };
         match answer.head.status {
-            StatusCode::UNPROCESSABLE_ENTITY => return TryEnd::Impossible,
-            StatusCode::INTERNAL_SERVER_ERROR => return TryEnd::Failed,
+            StatusCode::UNPROCESSABLE_ENTITY => return (TryEnd::Impossible, "answered_422"),
+            StatusCode::INTERNAL_SERVER_ERROR => return (TryEnd::Failed, "answered_500"),
             status if !status.is_success() => return self.lost(lease, Failure::ServerError),
             _ => {}
         }
@@ -177,7 +179,7 @@
                 Ok(Ok(None)) => {
                     pool.put(answer.connection);
                     self.parts.slots.succeeded(&lease.replica.name);
-                    return TryEnd::Completed;
+                    return (TryEnd::Completed, "whole");
                 }
                 Ok(Err(_)) => return self.lost(lease, Failure::BrokenOff),
                 Err(_) => return self.lost(lease, Failure::Stalled),
@@ -188,7 +190,7 @@
         }
     }
 
-    fn lost(&self, lease: &SlotLease, failure: Failure) -> TryEnd {
+    fn lost(&self, lease: &SlotLease, failure: Failure) -> (TryEnd, &'static str) {
         let replica = &lease.replica;
         if failure == Failure::Stalled || failure == Failure::NoAnswer {
             self.parts.slots.suspect(&replica.name);
@@ -198,7 +200,7 @@
             self.parts.pool.forget(replica.address);
         }
         self.parts.counters.count_tagged("item_retried", "cause", failure.as_str());
-        TryEnd::Lost
+        (TryEnd::Lost, failure.as_str())
     }
 
     fn try_ended(
@@ -219,8 +221,15 @@
         let mut job = cell.job.borrow_mut();
         job.try_ended(self.now_ms(), place, end, progress, &limits);
         info!(
-            "event=item_try job={} place={place} end={end:?} replica={} events={events} took_ms={}",
-            job.id, ran.replica, ran.took_ms
+            "event=item_try item={} job={} end={} cause={} replica={} from_event={} events={events} \
+             took_ms={}",
+            ran.item,
+            job.id,
+            end.as_str(),
+            ran.cause,
+            ran.replica,
+            ran.before,
+            ran.took_ms
         );
         self.parts.counters.count_tagged("item_tries", "end", end.as_str());
         drop(job);
@@ -236,6 +245,8 @@
 
 /// A try that had a slot.
 struct Ran {
+    item: Arc<str>,
+    cause: &'static str,
     replica: ReplicaName,
     before: u32,
     took_ms: Millis,
--- a/crates/jobs/src/saver.rs
+++ b/crates/jobs/src/saver.rs
@@ -81,6 +81,10 @@
                 let now_ms = self.now_ms();
                 let mut job = cell.job.borrow_mut();
                 job.saved(now_ms, object.revision, count, status.is_ended);
+                if job.is_over() {
+                    let age_ms = (now_ms as i64 - job.submitted_ms).max(0);
+                    self.parts.counters.observe("job_ms", age_ms as u64);
+                }
                 info!(
                     "event=results_written job={id} listed={} total={} revision={} ended={}",
                     job.listed().len(),
--- a/crates/kernel/src/counters.rs
+++ b/crates/kernel/src/counters.rs
@@ -7,19 +7,28 @@
 use std::net::UdpSocket;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
 use cadence::Counted;
 use cadence::Gauged;
+use cadence::Histogrammed;
 use cadence::MetricSink;
 use cadence::StatsdClient;
 use cadence::UdpMetricSink;
+use hdrhistogram::Histogram;
 use wire::Ran;
 use wire::Reason;
 use wire::Refusal;
 
 /// The prefix of every metric.
 const PREFIX: &str = "crocus";
+/// The largest value that a histogram tells apart, ten minutes in milliseconds.
+const MAX_OBSERVED: u64 = 600_000;
+/// The digits that a histogram keeps.
+const OBSERVED_DIGITS: u8 = 2;
+/// The quantiles on the metrics page.
+const QUANTILES: [f64; 4] = [0.5, 0.95, 0.99, 0.999];
 
 /// Why something was tried again; every retry counts under one of these.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,13 +87,39 @@
 #[derive(Clone)]
 pub struct Counters {
     client: Arc<StatsdClient>,
-    totals: Arc<Mutex<BTreeMap<String, i64>>>,
+    totals: Arc<Mutex<Totals>>,
+}
+
+#[derive(Default)]
+struct Totals {
+    values: BTreeMap<String, i64>,
+    histograms: BTreeMap<String, Histogram<u64>>,
+}
+
+impl Totals {
+    fn take(&mut self, sample: Sample) {
+        match sample.kind {
+            SampleKind::Count => *self.values.entry(sample.key).or_insert(0) += sample.value,
+            SampleKind::Gauge => {
+                self.values.insert(sample.key, sample.value);
+            }
+            SampleKind::Observation => {
+                let histogram = self.histograms.entry(sample.key).or_insert_with(new_histogram);
+                histogram.saturating_record(sample.value.unsigned_abs());
+            }
+        }
+    }
+}
+
+fn new_histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, MAX_OBSERVED, OBSERVED_DIGITS)
+        .unwrap_or_else(|error| unreachable!("the bounds are constants: {error}"))
 }
 
 impl Counters {
     /// Creates counters that are also sent to `statsd`, if given.
     pub fn new(statsd: Option<SocketAddr>) -> io::Result<Self> {
-        let totals = Arc::new(Mutex::new(BTreeMap::new()));
+        let totals = Arc::new(Mutex::new(Totals::default()));
         let sink = TotalsSink { totals: Arc::clone(&totals), forward: forward_sink(statsd)? };
         let counters = Self { client: Arc::new(StatsdClient::from_sink(PREFIX, sink)), totals };
         counters.register_reasons();
@@ -106,6 +141,11 @@
         let _ = self.client.gauge(name, value);
     }
 
+    /// Records one value, such as a time in milliseconds, in a histogram.
+    pub fn observe(&self, name: &str, value: u64) {
+        let _ = self.client.histogram(name, value.min(MAX_OBSERVED));
+    }
+
     /// Counts one event under a tag.
     pub fn count_tagged(&self, name: &str, tag: &str, value: &str) {
         self.client.count_with_tags(name, 1).with_tag(tag, value).send();
@@ -127,27 +167,45 @@
     /// Returns one metric's value, 0 if it was never counted.
     pub fn value(&self, name: &str) -> i64 {
         let key = format!("{PREFIX}_{name}");
-        self.totals.lock().unwrap_or_else(PoisonError::into_inner).get(&key).copied().unwrap_or(0)
+        self.lock().values.get(&key).copied().unwrap_or(0)
     }
 
-    /// Returns the metrics page: one `name value` line for each metric.
+    /// Returns the metrics page: one `name value` line for each metric, histograms as quantiles.
     pub fn page(&self) -> String {
-        let totals = self.totals.lock().unwrap_or_else(PoisonError::into_inner);
-        totals.iter().fold(String::new(), |mut page, (name, value)| {
+        let totals = self.lock();
+        let mut page = String::new();
+        for (name, value) in &totals.values {
             let _ = writeln!(page, "{name} {value}");
-            page
-        })
+        }
+        for (name, histogram) in &totals.histograms {
+            for quantile in QUANTILES {
+                let value = histogram.value_at_quantile(quantile);
+                let _ = writeln!(page, "{name}{{quantile=\"{quantile}\"}} {value}");
+            }
+            let sum = histogram.mean() * histogram.len() as f64;
+            let _ = writeln!(page, "{name}_sum {sum:.0}\n{name}_count {}", histogram.len());
+        }
+        page
     }
 
     /// Returns every counter that is not zero as `name=value` pairs on one line.
     pub fn summary(&self) -> String {
-        let totals = self.totals.lock().unwrap_or_else(PoisonError::into_inner);
-        let counted = totals.iter().filter(|(_, value)| **value != 0);
-        let pairs = counted.map(|(name, value)| {
+        let totals = self.lock();
+        let short = |name: &str| {
             let name = name.strip_prefix(PREFIX).unwrap_or(name);
-            format!("{}={value}", name.trim_start_matches('_').replace('"', ""))
+            name.trim_start_matches('_').replace('"', "")
+        };
+        let counted = totals.values.iter().filter(|(_, value)| **value != 0);
+        let counted = counted.map(|(name, value)| format!("{}={value}", short(name)));
+        let observed = totals.histograms.iter().map(|(name, histogram)| {
+            let p99 = histogram.value_at_quantile(0.99);
+            format!("{}_p99={p99}", short(name))
         });
-        pairs.collect::<Vec<_>>().join(" ")
+        counted.chain(observed).collect::<Vec<_>>().join(" ")
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Totals> {
+        self.totals.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn register_reasons(&self) {
@@ -171,16 +229,14 @@
 
 /// Adds up what cadence emits and passes it on.
 struct TotalsSink {
-    totals: Arc<Mutex<BTreeMap<String, i64>>>,
+    totals: Arc<Mutex<Totals>>,
     forward: Option<UdpMetricSink>,
 }
 
 impl MetricSink for TotalsSink {
     fn emit(&self, metric: &str) -> io::Result<usize> {
         if let Some(sample) = Sample::parse(metric) {
-            let mut totals = self.totals.lock().unwrap_or_else(PoisonError::into_inner);
-            let total = totals.entry(sample.key).or_insert(0);
-            *total = if sample.is_gauge { sample.value } else { *total + sample.value };
+            self.totals.lock().unwrap_or_else(PoisonError::into_inner).take(sample);
         }
         match &self.forward {
             Some(sink) => sink.emit(metric),
@@ -189,11 +245,17 @@
     }
 }
 
+enum SampleKind {
+    Count,
+    Gauge,
+    Observation,
+}
+
 /// One statsd line, read back.
 struct Sample {
     key: String,
     value: i64,
-    is_gauge: bool,
+    kind: SampleKind,
 }
 
 impl Sample {
@@ -201,13 +263,17 @@
         let (name, rest) = metric.split_once(':')?;
         let mut parts = rest.split('|');
         let value = parts.next()?.parse().ok()?;
-        let is_gauge = parts.next()? == "g";
+        let kind = match parts.next()? {
+            "g" => SampleKind::Gauge,
+            "h" => SampleKind::Observation,
+            _ => SampleKind::Count,
+        };
         let mut key = name.replace('.', "_");
         if let Some((tag, text)) =
             parts.next().and_then(|tags| tags.strip_prefix('#')?.split_once(':'))
         {
             let _ = write!(key, "{{{tag}=\"{text}\"}}");
         }
-        Some(Self { key, value, is_gauge })
+        Some(Self { key, value, kind })
     }
 }
--- a/crates/kernel/src/log_writer.rs
+++ b/crates/kernel/src/log_writer.rs
@@ -7,21 +7,36 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
+use jiff::Timestamp;
+
 /// The most bytes that wait for the reader; more lines are dropped and counted.
 const MAX_WAITING_BYTES: usize = 512 << 10;
 /// How long lines wait for others, so that a line costs no wake-up of its own.
 const FLUSH_EVERY: Duration = Duration::from_millis(200);
 /// The bytes at which lines are written without waiting for others.
 const FLUSH_BYTES: usize = 32 << 10;
+/// How long the end of the process waits for a reader of the last lines.
+const END_PATIENCE: Duration = Duration::from_millis(300);
+
+/// The lines that this process has dropped.
+static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
+
+/// Returns how many lines this process has dropped since its start.
+pub fn dropped_lines() -> u64 {
+    DROPPED_LINES.load(Ordering::Relaxed)
+}
 
 #[derive(Default)]
 struct Waiting {
     bytes: Vec<u8>,
     dropped_lines: u64,
     is_closed: bool,
+    is_ended: bool,
     is_idle: bool,
 }
 
@@ -48,12 +63,13 @@
         let mut waiting = self.shared.lock();
         if waiting.bytes.len() + line.len() > MAX_WAITING_BYTES {
             waiting.dropped_lines += 1;
+            DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
             return Ok(line.len());
         }
         waiting.bytes.extend_from_slice(line);
         if waiting.is_idle || waiting.bytes.len() >= FLUSH_BYTES {
             waiting.is_idle = false;
-            self.shared.changed.notify_one();
+            self.shared.changed.notify_all();
         }
         Ok(line.len())
     }
@@ -63,20 +79,22 @@
     }
 }
 
-/// Writes what waits when it is dropped.
+/// Writes what waits when it is dropped, unless the reader does not take it in time.
 pub struct LogGuard {
     shared: Arc<Shared>,
-    thread: Option<thread::JoinHandle<()>>,
 }
 
 impl Drop for LogGuard {
     fn drop(&mut self) {
-        self.shared.lock().is_closed = true;
-        self.shared.changed.notify_one();
-        if let Some(thread) = self.thread.take()
-            && thread.join().is_err()
-        {
-            eprintln!("the log's thread panicked");
+        let mut waiting = self.shared.lock();
+        waiting.is_closed = true;
+        self.shared.changed.notify_all();
+        let ended = self
+            .shared
+            .changed
+            .wait_timeout_while(waiting, END_PATIENCE, |waiting| !waiting.is_ended);
+        if ended.is_ok_and(|(waiting, _)| !waiting.is_ended) {
+            eprintln!("the last lines of the log were not written: nobody reads them");
         }
     }
 }
@@ -85,11 +103,15 @@
 pub fn start(out: impl Write + Send + 'static) -> io::Result<(LogWriter, LogGuard)> {
     let writer = LogWriter::default();
     let shared = Arc::clone(&writer.shared);
-    let thread = thread::Builder::new().name("log".to_owned()).spawn({
+    thread::Builder::new().name("log".to_owned()).spawn({
         let shared = Arc::clone(&shared);
-        move || run(&shared, out)
+        move || {
+            run(&shared, out);
+            shared.lock().is_ended = true;
+            shared.changed.notify_all();
+        }
     })?;
-    Ok((writer, LogGuard { shared, thread: Some(thread) }))
+    Ok((writer, LogGuard { shared }))
 }
 
 fn run(shared: &Shared, mut out: impl Write) {
@@ -97,7 +119,11 @@
         let (bytes, dropped_lines, is_closed) = take(shared);
         let mut written = out.write_all(&bytes);
         if dropped_lines > 0 {
-            let line = format!("level=warn event=log_lines_dropped lines={dropped_lines}\n");
+            let now = Timestamp::now();
+            let line = format!(
+                "ts={now:.3} level=warn at=kernel::log_writer event=log_lines_dropped \
+                 lines={dropped_lines}\n"
+            );
             written = written.and_then(|()| out.write_all(line.as_bytes()));
         }
         if written.and_then(|()| out.flush()).is_err() || is_closed {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -11,6 +11,7 @@
 use kernel::Counters;
 use kernel::local_server::LocalBody;
 use kernel::local_server::LocalHandler;
+use kernel::log_writer;
 
 /// Serves the daemon's counters.
 pub struct MetricsPage {
@@ -23,6 +24,7 @@
         self: Rc<Self>,
         _request: Request<Incoming>,
     ) -> LocalBoxFuture<'static, Response<LocalBody>> {
+        self.counters.gauge("log_lines_dropped", log_writer::dropped_lines());
         let mut answer = Response::new(LocalBody::full(self.counters.page()));
         answer
             .headers_mut()
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -39,7 +39,11 @@
             return;
         }
         if !is_first {
-            info!("event=settings_changed store={} seeds={}", settings.store.address, settings.seeds.len());
+            info!(
+                "event=settings_changed store={} seeds={}",
+                settings.store.address,
+                settings.seeds.len()
+            );
             self.apply(&settings);
         }
         *current = Some(settings);
--- a/crates/slots/src/client.rs
+++ b/crates/slots/src/client.rs
@@ -22,9 +22,9 @@
 use peers::transport::decode;
 use peers::transport::encode;
 use rand::Rng;
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
-use tokio::sync::Notify;
 use wire::DaemonName;
 use wire::Millis;
 use wire::ReplicaName;
@@ -33,6 +33,7 @@
 use wire::rendezvous;
 
 use crate::message::Class;
+use crate::message::Load;
 use crate::message::LoadReport;
 use crate::message::Run;
 use crate::message::Ticket;
@@ -144,6 +145,8 @@
     pub replica: ReplicaRecord,
     /// Whether the owner granted it.
     pub is_granted: bool,
+    /// The replica's load as it was known, with its age in milliseconds.
+    pub load: Option<(Load, Millis)>,
     /// Told when the slot is needed for an online request.
     pub revocation: Rc<Revocation>,
     ticket: Ticket,
@@ -223,9 +226,7 @@
         let ejection_ms = self.inner.borrow_mut().picture.failed(now_ms, replica);
         if ejection_ms > 0 {
             self.counters.count_tagged("replica_ejected", "cause", cause);
-            info!(
-                "event=replica_ejected replica={replica} cause={cause} for_ms={ejection_ms}"
-            );
+            info!("event=replica_ejected replica={replica} cause={cause} for_ms={ejection_ms}");
         }
     }
 
@@ -327,9 +328,9 @@
     }
 
     /// Returns the sums of grants and waiting wishes over the owned replicas.
-    pub fn owned_load(&self) -> crate::message::Load {
+    pub fn owned_load(&self) -> Load {
         let inner = self.inner.borrow();
-        inner.tables.values().fold(crate::message::Load::default(), |mut sum, table| {
+        inner.tables.values().fold(Load::default(), |mut sum, table| {
             let load = table.load();
             sum.slots += load.slots;
             sum.online += load.online;
@@ -417,6 +418,7 @@
     ) -> SlotLease {
         let revocation = Rc::new(Revocation::default());
         let mut inner = self.inner.borrow_mut();
+        let load = inner.picture.load(self.clock.now_ms(), &replica.name);
         inner.picture.started(&replica.name);
         inner.held.insert(
             ticket,
@@ -429,7 +431,7 @@
             },
         );
         drop(inner);
-        SlotLease { replica, is_granted, revocation, ticket, slots: self.clone() }
+        SlotLease { replica, is_granted, load, revocation, ticket, slots: self.clone() }
     }
 
     fn release(&self, replica: &ReplicaName, ticket: Ticket) {
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -326,7 +326,9 @@
         if is_answered {
             self.answered.set(now);
             if !matches!(call, Call::Changes { .. }) {
-                self.note_latency((now - began).as_secs_f64() * 1000.0);
+                let latency_ms = (now - began).as_secs_f64() * 1000.0;
+                self.counters.observe("store_call_ms", latency_ms as u64);
+                self.note_latency(latency_ms);
             }
             if self.reach.replace(Reach::Answers) == Reach::Lost {
                 self.regained.notify_waiters();
