--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -205,6 +205,22 @@
     });
 }
 
+#[test]
+fn a_stopping_daemon_takes_no_request_that_may_outlast_it() {
+    run_local("outlast", |folder| async move {
+        let mut fleet = Fleet::start(folder, 2).await;
+        let daemon = fleet.ingress(0);
+        fleet.daemons[0].signal(Signal::TERM).expect("it is told");
+        sleep(Duration::from_millis(1_400)).await;
+        // Its deadline is 5 s and the daemon's end is 1.6 s away.
+        let late = Client.stream(daemon, STREAM, "late", 10).await.expect("an answer");
+        assert_eq!(late.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(fleet.runs("late"), 0);
+        let elsewhere = Client.stream(fleet.ingress(1), STREAM, "late", 10).await;
+        assert!(is_whole_stream("late", 10, &elsewhere.expect("an answer").body));
+    });
+}
+
 #[test]
 fn a_planned_stop_hands_jobs_over_and_no_item_starts_anew() {
     run_local("handover", |folder| async move {
@@ -238,7 +254,7 @@
             assert!(is_whole_stream(&id, 4, &answer.body));
             number += 1;
         }
-        assert_eq!(fleet.deployment.log.borrow().late_arrivals, Vec::<String>::new());
+        assert_eq!(fleet.deployment.log.borrow().late_arrivals, Vec::new());
     });
 }
 
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -20,6 +20,7 @@
 use upstream::EventSplitter;
 use wire::Millis;
 use wire::Reason;
+use wire::Refusal;
 use wire::Route;
 use wire::RouteKind;
 
@@ -85,6 +86,10 @@
         mut report: Report,
     ) -> Response<LocalBody> {
         let policy = Policy::of(&route, report.arrived_ms, meta.deadline_ms, MAX_WAIT_MS);
+        if !self.takes(policy.give_up_at_ms) {
+            let refusal = Refusal::not_run(Reason::Leaving, "this daemon is about to stop");
+            return self.end(Next::Refuse(refusal.retry_after(MIN_RETRY_AFTER_MS)), report);
+        }
         let mut attempt = Attempt::new(policy);
         let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
         let Parts { method, headers, .. } = parts;
@@ -231,10 +236,9 @@
     fn end(&self, next: Next, mut report: Report) -> Response<LocalBody> {
         let refusal = match next {
             Next::Refuse(refusal) => refusal,
-            Next::TryAnother | Next::Cut(_) => wire::Refusal::unknown(
-                Reason::BackendLost,
-                "the replica's answer could not be completed",
-            ),
+            Next::TryAnother | Next::Cut(_) => {
+                Refusal::unknown(Reason::BackendLost, "the replica's answer could not be completed")
+            }
         };
         report.outcome = refusal.reason.as_str();
         self.counters.refused(&refusal);
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -35,6 +35,7 @@
 use crate::dialect::IngressDialect;
 use crate::dialect::JobCall;
 use crate::dialect::RequestMeta;
+use crate::ending::Ending;
 use crate::report::Report;
 
 /// When a client is told to come back to a daemon that knows no configuration yet.
@@ -72,6 +73,7 @@
     /// The calls about jobs.
     pub jobs: Rc<dyn JobCalls>,
     pub(crate) in_flight: Cell<usize>,
+    ending: Cell<Option<Ending>>,
 }
 
 impl LocalHandler for Gate {
@@ -94,7 +96,17 @@
         pool: Rc<Pool>,
         jobs: Rc<dyn JobCalls>,
     ) -> Self {
-        Self { dialect, clock, counters, in_force, slots, pool, jobs, in_flight: Cell::new(0) }
+        Self {
+            dialect,
+            clock,
+            counters,
+            in_force,
+            slots,
+            pool,
+            jobs,
+            in_flight: Cell::new(0),
+            ending: Cell::new(None),
+        }
     }
 
     /// Returns the number of requests in progress.
@@ -102,6 +114,16 @@
         self.in_flight.get()
     }
 
+    /// Takes only requests from now on that end before the daemon does.
+    pub fn end_within(&self, grace_ms: Millis) {
+        self.ending.set(Some(Ending::new(self.now_ms(), grace_ms)));
+    }
+
+    /// Returns whether a request that may last until `give_up_at_ms` is taken.
+    pub(crate) fn takes(&self, give_up_at_ms: Millis) -> bool {
+        self.ending.get().is_none_or(|ending| ending.takes(self.now_ms(), give_up_at_ms))
+    }
+
     /// Returns the time on the daemon's clock.
     pub fn now_ms(&self) -> Millis {
         self.clock.now_ms()
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod dialect;
+pub mod ending;
 pub mod exchange;
 pub mod forward;
 pub mod gate;
@@ -11,4 +12,5 @@
 
 pub use dialect::IngressDialect;
 pub use dialect::JobCall;
+pub use ending::Ending;
 pub use gate::Gate;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -352,6 +352,7 @@
         self.membership.borrow_mut().set_own_readiness(Readiness::Leaving);
         self.ingress_life.leaving.cancel();
         self.board.leave();
+        self.gate.end_within(self.settings.bounds.stop_grace_ms);
         let grace = Duration::from_millis(self.settings.bounds.stop_grace_ms);
         sleep(grace.saturating_sub(LAST_ANSWERS)).await;
         self.ingress_life.closing.cancel();
