Keep adopted items for their whole retention time; split long modules

Cause: an adopting daemon took a job's age from the time of day, which may jump by seconds on either daemon; an item could have been given up early, which is a wrong result. Found by reading. Change: the retention time of a job that was read from the store counts from the reading and is carried through a hand-over; the time of day decides only the order of jobs. slots::client loses the owner's side, leases and asks to modules of their own, jobs::board the adoption, jobs::job the pace. Test: a job read with an age of 70 s and a retention time of 60 s keeps its items for 60 s.

--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -6,14 +6,11 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use catalog::InForce;
 use gate::IngressDialect;
 use kernel::BootClock;
-use kernel::Clock;
 use kernel::Counters;
-use log::info;
 use log::warn;
 use peers::ControlClient;
 use peers::Membership;
@@ -22,12 +19,7 @@
 use peers::transport::decode;
 use peers::transport::encode;
 use slots::Slots;
-use store::Call;
-use store::CallClass;
 use store::ObjectClient;
-use store::Reply;
-use store::StoreError;
-use store::call::StoredObject;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use upstream::Pool;
@@ -38,24 +30,16 @@
 use wire::rendezvous;
 
 use crate::dialect::JobDialect;
-use crate::item::Submission;
 use crate::job::Job;
 use crate::job::JobLimits;
-use crate::job::Pace;
 use crate::notes::HomeNotes;
 use crate::notes::JobNote;
 use crate::notes::WaitingTokens;
-use crate::record;
+use crate::pace::Pace;
 use crate::record::Home;
-use crate::record::JOB_KIND;
-use crate::record::JobRecord;
-use crate::record::JobStatus;
 
 /// The due time of a job whose route names none.
 const DEFAULT_DUE_MS: Millis = 60_000;
-/// How long the store is tried for an adoption before another daemon may try.
-const ADOPT_PATIENCE: Duration = Duration::from_secs(3);
-
 /// The parts of the daemon that jobs need.
 pub struct Parts {
     /// How jobs are spelled.
@@ -106,16 +90,6 @@
     Unknown,
 }
 
-/// What the store says of a job.
-pub enum Loaded {
-    /// This daemon holds it now.
-    Here(Rc<JobCell>),
-    /// A living daemon is its home; what its record holds is read only.
-    At(Home, Rc<JobCell>),
-    /// There is no such job.
-    Absent,
-}
-
 /// The jobs, as this daemon sees them.
 pub struct Board {
     pub(crate) parts: Parts,
@@ -290,200 +264,6 @@
         self.parts.counters.count("jobs_deposed");
         warn!("event=job_deposed job={id} home={}", home.map_or("-", |home| home.daemon.as_str()));
     }
-
-    /// Reads a job's record, and becomes its home if it has none that lives.
-    pub async fn load(&self, id: &JobId, patience: Duration) -> Result<Loaded, StoreError> {
-        let call = Call::Get { kind: JOB_KIND, name: id.to_string() };
-        let reply = self.parts.store.until(CallClass::Claim, &call, patience).await?;
-        let Reply::Object(object) = reply else {
-            self.unlearn(id);
-            return Ok(Loaded::Absent);
-        };
-        self.take_object(id, &object, patience).await
-    }
-
-    /// Becomes the home of an orphan.
-    pub async fn adopt(&self, id: &JobId) {
-        match self.load(id, ADOPT_PATIENCE).await {
-            Ok(Loaded::Here(_)) => {}
-            Ok(Loaded::At(home, _)) => self.learn(id, &home),
-            Ok(Loaded::Absent) => self.unlearn(id),
-            Err(error) => warn!("event=job_not_adopted job={id} error=\"{error}\""),
-        }
-    }
-
-    /// Asks the store who is the home of the open jobs, while no peer can tell.
-    ///
-    /// Another daemon may have taken this one for lost, and a client may have ended the job there.
-    pub async fn confirm_homes(&self) {
-        let open: Vec<Rc<JobCell>> = self.jobs.borrow().values().cloned().collect();
-        for cell in open.iter().filter(|cell| !cell.job.borrow().is_over()) {
-            if cell.is_saving.get() {
-                continue;
-            }
-            let id = cell.job.borrow().id.clone();
-            let call = Call::Get { kind: JOB_KIND, name: id.to_string() };
-            let object = match self.parts.store.once(CallClass::Claim, &call).await {
-                Ok(Reply::Object(object)) => object,
-                Ok(_) => continue,
-                Err(error) => {
-                    info!("event=home_not_confirmed job={id} error=\"{error}\"");
-                    return;
-                }
-            };
-            let home = JobStatus::decode(&object.status).ok().map(|status| status.home);
-            if home.as_ref().is_some_and(|home| *home != self.own) {
-                self.drop_job(&id, home.as_ref());
-            }
-        }
-    }
-
-    /// Takes a job's record as it was read.
-    pub async fn take_object(
-        &self,
-        id: &JobId,
-        object: &StoredObject,
-        patience: Duration,
-    ) -> Result<Loaded, StoreError> {
-        let malformed = |error: record::BadRecord| StoreError::Malformed {
-            key: id.to_string(),
-            message: error.message,
-        };
-        let value = JobRecord::decode(&object.value).map_err(malformed)?;
-        let status = match object.status.is_empty() {
-            true => None,
-            false => Some(JobStatus::decode(&object.status).map_err(malformed)?),
-        };
-        let home = status.as_ref().map_or(&value.home, |status| &status.home).clone();
-        let job = self.read_job(id, object, &value, status.as_ref(), patience).await?;
-        if let Place::Here(cell) = self.place(id) {
-            return Ok(Loaded::Here(cell));
-        }
-        let is_gone = self.parts.membership.borrow().is_gone(&home.daemon, home.incarnation);
-        if !job.is_over() && !is_gone && home != self.own {
-            return Ok(Loaded::At(home, Rc::new(new_cell(job))));
-        }
-        if job.is_over() {
-            return Ok(if is_gone {
-                Loaded::Here(self.hold(job))
-            } else {
-                Loaded::At(home, Rc::new(new_cell(job)))
-            });
-        }
-        self.claim(id, job, status, patience).await
-    }
-
-    /// Writes this daemon into a job's status; the condition lets one of several daemons win.
-    async fn claim(
-        &self,
-        id: &JobId,
-        mut job: Job,
-        status: Option<JobStatus>,
-        patience: Duration,
-    ) -> Result<Loaded, StoreError> {
-        let claimed = JobStatus {
-            home: self.own.clone(),
-            is_ended: job.is_ended,
-            result_parts: status.as_ref().map_or(0, |status| status.result_parts),
-            results: status.map(|status| status.results).unwrap_or_default(),
-        };
-        let body = record::to_json(&claimed).map_err(|error| StoreError::Malformed {
-            key: id.to_string(),
-            message: error.message,
-        })?;
-        let call = Call::SetStatus {
-            kind: JOB_KIND,
-            name: id.to_string(),
-            revision: Some(job.revision),
-            status: body,
-        };
-        match self.parts.store.until(CallClass::Claim, &call, patience).await? {
-            Reply::Object(object) => job.revision = object.revision,
-            Reply::Conflict(Some(object)) => {
-                let winner = JobStatus::decode(&object.status).ok().map(|status| status.home);
-                match winner {
-                    // The answer to an earlier try was lost after it took effect.
-                    Some(home) if home == self.own => job.revision = object.revision,
-                    Some(home) => {
-                        self.learn(id, &home);
-                        return Ok(Loaded::At(home, Rc::new(new_cell(job))));
-                    }
-                    None => return Err(StoreError::Conflict),
-                }
-            }
-            Reply::Absent => return Ok(Loaded::Absent),
-            _ => return Err(StoreError::Conflict),
-        }
-        if let Place::Here(cell) = self.place(id) {
-            return Ok(Loaded::Here(cell));
-        }
-        self.parts.counters.count("jobs_adopted");
-        info!(
-            "event=job_adopted job={id} revision={} listed={} total={}",
-            job.revision,
-            job.listed().len(),
-            job.total()
-        );
-        Ok(Loaded::Here(self.hold(job)))
-    }
-
-    async fn read_job(
-        &self,
-        id: &JobId,
-        object: &StoredObject,
-        value: &JobRecord,
-        status: Option<&JobStatus>,
-        patience: Duration,
-    ) -> Result<Job, StoreError> {
-        let malformed = |error: record::BadRecord| StoreError::Malformed {
-            key: id.to_string(),
-            message: error.message,
-        };
-        let mut input = value.input.clone();
-        for part in 0..value.input_parts {
-            input
-                .push_str(&self.read_part::<String>(record::INPUT_KIND, id, part, patience).await?);
-        }
-        let submission: Submission = record::decode_input(&input).map_err(malformed)?;
-        let mut listed = Vec::new();
-        let mut spilled = 0;
-        if let Some(status) = status {
-            for part in 0..status.result_parts {
-                let kind = record::RESULTS_KIND;
-                listed.extend(
-                    self.read_part::<Vec<crate::item::Listed>>(kind, id, part, patience).await?,
-                );
-            }
-            spilled = listed.len();
-            listed.extend(status.results.iter().cloned());
-        }
-        let age_ms = Clock::unix_ms() as i64 - value.submitted_unix_ms as i64;
-        let submitted_ms = self.now_ms() as i64 - age_ms.max(0);
-        let mut job =
-            Job::new(id.clone(), &value.host, &value.path, submitted_ms, submission.items, listed);
-        job.revision = object.revision;
-        job.value_bytes = object.value.len();
-        job.result_parts = status.map_or(0, |status| status.result_parts);
-        job.spilled = spilled;
-        job.is_ended = status.is_some_and(|status| status.is_ended);
-        Ok(job)
-    }
-
-    async fn read_part<T: serde::de::DeserializeOwned>(
-        &self,
-        kind: &'static str,
-        id: &JobId,
-        part: usize,
-        patience: Duration,
-    ) -> Result<T, StoreError> {
-        let name = record::part_name(id.as_str(), part);
-        let call = Call::Get { kind, name: name.clone() };
-        match self.parts.store.until(CallClass::Claim, &call, patience).await? {
-            Reply::Object(object) => serde_json::from_slice(&object.value)
-                .map_err(|error| StoreError::Malformed { key: name, message: error.to_string() }),
-            _ => Err(StoreError::Malformed { key: name, message: "it is missing".to_owned() }),
-        }
-    }
 }
 
 /// Returns the limits that a route sets for its jobs.
--- a/crates/jobs/src/handover.rs
+++ b/crates/jobs/src/handover.rs
@@ -49,6 +49,8 @@
     pub path: String,
     /// How long ago it was handed in.
     pub age_ms: Millis,
+    /// How long its retention time has counted.
+    pub kept_ms: Millis,
     /// The revision of its record.
     pub revision: u64,
     /// The size of its record's value, in bytes.
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -13,6 +13,7 @@
 use crate::item::Item;
 use crate::item::Listed;
 use crate::item::Outcome;
+use crate::pace::Pace;
 
 /// How long a finished item may wait for others before its result is written. A write costs as
 /// much as a fraction of a percent of an item, a lost result costs the whole run.
@@ -23,18 +24,6 @@
 const RETRY_PAUSE_MS: Millis = 60;
 /// The pause before a failed item is tried again; it doubles with each failure.
 const FAILED_PAUSE_MS: Millis = 150;
-/// What is added to the time that an item still needs, in percent, for the times at which online
-/// requests take its slot.
-const INTERRUPTION_PERCENT: u64 = 30;
-/// The least time that an item is thought to need; its output has no known length.
-const MIN_LEFT_MS: Millis = 600;
-/// The weight of the newest item in the pace.
-const PACE_WEIGHT: f64 = 0.1;
-/// The events of an item before any was seen.
-const FIRST_EVENTS: f64 = 200.0;
-/// The time between two events before any was seen, in milliseconds.
-const FIRST_GAP_MS: f64 = 22.0;
-
 /// How one try of an item ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TryEnd {
@@ -119,41 +108,6 @@
     pub max_attempts: u32,
 }
 
-/// How long items run, as learned from those that were completed.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Pace {
-    events: f64,
-    gap_ms: f64,
-}
-
-impl Default for Pace {
-    fn default() -> Self {
-        Self { events: FIRST_EVENTS, gap_ms: FIRST_GAP_MS }
-    }
-}
-
-impl Pace {
-    /// Learns from a completed item whose last try made `tried` of its `events` in `took_ms`.
-    pub fn learn(&mut self, events: u32, tried: u32, took_ms: Millis) {
-        self.events += PACE_WEIGHT * (f64::from(events) - self.events);
-        if tried > 0 {
-            let gap_ms = took_ms as f64 / f64::from(tried);
-            self.gap_ms += PACE_WEIGHT * (gap_ms - self.gap_ms);
-        }
-    }
-
-    /// Returns how long the first `events` events of an item take.
-    pub fn time_of(&self, events: u32) -> Millis {
-        (f64::from(events) * self.gap_ms) as Millis
-    }
-
-    /// Returns how long an item still needs after `events` events, interruptions included.
-    pub fn time_left(&self, events: u32) -> Millis {
-        let left_ms = ((self.events - f64::from(events)) * self.gap_ms).max(0.0) as Millis;
-        left_ms.max(MIN_LEFT_MS) * (100 + INTERRUPTION_PERCENT) / 100
-    }
-}
-
 /// How urgent a try is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ItemUrgency {
@@ -185,6 +139,8 @@
     pub path: Arc<str>,
     /// When it was handed in, on the daemon's clock; may lie before the clock's start.
     pub submitted_ms: i64,
+    /// From when its retention time counts, on the daemon's clock.
+    pub kept_since_ms: i64,
     /// The revision of its record.
     pub revision: u64,
     /// The size of its record's value, in bytes.
@@ -230,6 +186,7 @@
             host: Arc::from(host),
             path: Arc::from(path),
             submitted_ms,
+            kept_since_ms: submitted_ms,
             revision: 0,
             value_bytes: 0,
             result_parts: 0,
@@ -243,6 +200,25 @@
         }
     }
 
+    /// Creates a job that was read from its record, which is `age_ms` old by the time of day.
+    ///
+    /// The time of day may have jumped since, so the retention time counts from the reading: an
+    /// item is given up late rather than early.
+    pub fn read(
+        now_ms: Millis,
+        age_ms: i64,
+        id: JobId,
+        host: &str,
+        path: &str,
+        items: Vec<Item>,
+        listed: Vec<Listed>,
+    ) -> Self {
+        let submitted_ms = now_ms as i64 - age_ms.max(0);
+        let mut job = Self::new(id, host, path, submitted_ms, items, listed);
+        job.kept_since_ms = now_ms as i64;
+        job
+    }
+
     /// Returns the number of items.
     pub fn total(&self) -> usize {
         self.entries.len()
@@ -359,7 +335,7 @@
     /// Gives the items up that are past the retention time, or whose route is gone.
     pub fn give_up_old(&mut self, now_ms: Millis, limits: Option<&JobLimits>) {
         let is_over = limits
-            .is_none_or(|limits| now_ms as i64 >= self.submitted_ms + limits.retention_ms as i64);
+            .is_none_or(|limits| now_ms as i64 >= self.kept_since_ms + limits.retention_ms as i64);
         if !is_over || self.is_ended {
             return;
         }
@@ -417,6 +393,7 @@
             host: self.host.to_string(),
             path: self.path.to_string(),
             age_ms: (now_ms as i64 - self.submitted_ms).max(0) as Millis,
+            kept_ms: (now_ms as i64 - self.kept_since_ms).max(0) as Millis,
             revision: self.revision,
             value_bytes: self.value_bytes,
             result_parts: self.result_parts,
@@ -443,6 +420,7 @@
             entry.failures = failures;
             entry.progress = progress;
         }
+        job.kept_since_ms = now_ms as i64 - handed.kept_ms as i64;
         job.revision = handed.revision;
         job.value_bytes = handed.value_bytes;
         job.result_parts = handed.result_parts;
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -5,12 +5,14 @@
 //! lists their results, and writes under the condition of the record's revision, so that a home
 //! that was replaced cannot write any more. A result is shown only after it was written.
 
+pub mod adoption;
 pub mod board;
 pub mod dialect;
 pub mod handover;
 pub mod item;
 pub mod job;
 pub mod notes;
+pub mod pace;
 pub mod record;
 pub mod runner;
 pub mod saver;
--- a/crates/jobs/src/serve.rs
+++ b/crates/jobs/src/serve.rs
@@ -31,9 +31,9 @@
 use wire::Refusal;
 use wire::Route;
 
+use crate::adoption::Loaded;
 use crate::board::Board;
 use crate::board::JobCell;
-use crate::board::Loaded;
 use crate::board::Place;
 use crate::item::Listed;
 use crate::item::Submission;
--- a/crates/jobs/tests/job.rs
+++ b/crates/jobs/tests/job.rs
@@ -7,9 +7,9 @@
 use jobs::item::Submission;
 use jobs::job::Job;
 use jobs::job::JobLimits;
-use jobs::job::Pace;
 use jobs::job::Progress;
 use jobs::job::TryEnd;
+use jobs::pace::Pace;
 use jobs::record;
 
 const LIMITS: JobLimits = JobLimits { due_ms: 18_000, retention_ms: 60_000, max_attempts: 3 };
@@ -130,6 +130,20 @@
     assert_eq!(unrouted.results().len(), 1);
 }
 
+#[test]
+fn a_clock_that_jumped_gives_no_item_of_an_adopted_job_up_early() {
+    let age_ms = 70_000;
+    let items = vec![item("i0")];
+    let mut read = Job::read(1_000, age_ms, "j".into(), "host", "/jobs/", items, Vec::new());
+    read.give_up_old(60_999, Some(&LIMITS));
+    assert!(read.results().is_empty());
+    let mut handed = Job::from_handed(read.to_handed(60_999), 5_000);
+    handed.give_up_old(5_000, Some(&LIMITS));
+    assert!(handed.results().is_empty());
+    handed.give_up_old(5_001, Some(&LIMITS));
+    assert_eq!(handed.results().len(), 1);
+}
+
 #[test]
 fn an_item_that_is_nearly_done_is_on_time_longer_and_goes_first() {
     let pace = Pace::default();
--- a/crates/slots/src/client.rs
+++ b/crates/slots/src/client.rs
@@ -1,12 +1,10 @@
-//! Asks for slots, holds them, and answers for the replicas that this daemon owns.
+//! The holder's side of the slots: asks the owners of replicas for slots and holds them.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::rc::Weak;
-use std::time::Duration;
 
 use catalog::ReplicaSet;
 use futures::future::LocalBoxFuture;
@@ -18,22 +16,19 @@
 use peers::Topic;
 use peers::Transport;
 use peers::heartbeat::Datagram;
-use peers::heartbeat::Rider;
 use peers::transport::decode;
-use peers::transport::encode;
 use rand::Rng;
-use tokio::sync::Notify;
-use tokio::task::spawn_local;
-use tokio::time::sleep;
 use wire::DaemonName;
 use wire::Millis;
 use wire::ReplicaName;
 use wire::ReplicaRecord;
-use wire::ServiceName;
-use wire::rendezvous;
 
+use crate::ask::NoSlot;
+use crate::ask::SlotAsk;
+use crate::lease::HeldRun;
+use crate::lease::Revocation;
+use crate::lease::SlotLease;
 use crate::message::Class;
-use crate::message::Load;
 use crate::message::LoadReport;
 use crate::message::Run;
 use crate::message::Ticket;
@@ -45,76 +40,16 @@
 use crate::search::Search;
 use crate::search::WishState;
 use crate::table::Table;
-use crate::table::TableAction;
-use crate::table::Wish;
 
 /// How long a mute owner is not asked.
 const MUTE_MS: Millis = 600;
 /// How long after its last run a replica's owner still gets lists, so that a lost release heals.
 const LIST_AFTER_MS: Millis = 2_000;
 
-/// How often a suspect replica is asked whether it answers.
-const PROBE_EVERY_MS: Millis = 400;
-
-/// A wish for a slot.
-#[derive(Clone, Debug)]
-pub struct SlotAsk<'a> {
-    /// The service.
-    pub service: &'a ServiceName,
-    /// What for.
-    pub class: Class,
-    /// Until when the request can wait and still be on time.
-    pub on_time_at_ms: Millis,
-    /// What orders requests that can be on time.
-    pub order_at_ms: Millis,
-    /// Until when it waits.
-    pub give_up_at_ms: Millis,
-    /// Replicas that were tried already.
-    pub excluded: &'a [ReplicaName],
-}
-
-/// Why there is no slot.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NoSlot {
-    /// The service has no replica that takes work.
-    NoReplica,
-    /// Every slot was taken for as long as the request could wait.
-    Full,
-}
-
-struct HeldRun {
-    replica: ReplicaName,
-    class: Class,
-    on_time_at_ms: Millis,
-    order_at_ms: Millis,
-    revoked: Rc<Revocation>,
-}
-
-/// Tells a run that its slot is needed.
-#[derive(Default)]
-pub struct Revocation {
-    is_revoked: Cell<bool>,
-    changed: Notify,
-}
-
-impl Revocation {
-    /// Waits until the slot is needed.
-    pub async fn revoked(&self) {
-        while !self.is_revoked.get() {
-            self.changed.notified().await;
-        }
-    }
-
-    fn revoke(&self) {
-        self.is_revoked.set(true);
-        self.changed.notify_waiters();
-    }
-}
-
 #[derive(Default)]
-struct Inner {
-    tables: HashMap<ReplicaName, Table>,
-    picture: Picture,
+pub(crate) struct Inner {
+    pub(crate) tables: HashMap<ReplicaName, Table>,
+    pub(crate) picture: Picture,
     wishes: HashMap<Ticket, Rc<PendingWish>>,
     held: HashMap<Ticket, HeldRun>,
     listed: HashMap<ReplicaName, Millis>,
@@ -123,14 +58,14 @@
 
 /// The slots of all replicas, as this daemon sees them.
 pub struct Slots {
-    clock: BootClock,
-    counters: Counters,
+    pub(crate) clock: BootClock,
+    pub(crate) counters: Counters,
     transport: Rc<Transport>,
-    membership: Rc<RefCell<Membership>>,
-    replicas: Rc<RefCell<ReplicaSet>>,
-    probe: RefCell<Option<Rc<dyn Probe>>>,
-    own: Weak<Self>,
-    inner: RefCell<Inner>,
+    pub(crate) membership: Rc<RefCell<Membership>>,
+    pub(crate) replicas: Rc<RefCell<ReplicaSet>>,
+    pub(crate) probe: RefCell<Option<Rc<dyn Probe>>>,
+    pub(crate) own: Weak<Self>,
+    pub(crate) inner: RefCell<Inner>,
 }
 
 /// Asks a replica whether it answers.
@@ -139,26 +74,6 @@
     fn answers(&self, replica: &ReplicaRecord) -> LocalBoxFuture<'static, bool>;
 }
 
-/// A slot that this daemon holds until the lease is dropped.
-pub struct SlotLease {
-    /// The replica.
-    pub replica: ReplicaRecord,
-    /// Whether the owner granted it.
-    pub is_granted: bool,
-    /// The replica's load as it was known, with its age in milliseconds.
-    pub load: Option<(Load, Millis)>,
-    /// Told when the slot is needed for an online request.
-    pub revocation: Rc<Revocation>,
-    ticket: Ticket,
-    slots: Rc<Slots>,
-}
-
-impl Drop for SlotLease {
-    fn drop(&mut self) {
-        self.slots.release(&self.replica.name, self.ticket);
-    }
-}
-
 impl Slots {
     /// Creates the slots and takes their messages from the transport.
     pub fn start(
@@ -248,30 +163,6 @@
         inner.listed.remove(replica);
     }
 
-    /// Forgets what a lost daemon held.
-    pub fn holder_lost(&self, holder: &DaemonName) {
-        let now_ms = self.clock.now_ms();
-        let mut actions = Vec::new();
-        for (replica, table) in &mut self.inner.borrow_mut().tables {
-            let name = replica.clone();
-            actions.push((name, table.holder_lost(now_ms, holder)));
-        }
-        for (replica, actions) in actions {
-            self.perform(&replica, actions);
-        }
-    }
-
-    /// Returns the loads of the owned replicas as a part of a heartbeat.
-    pub fn rider(&self) -> Rider {
-        let inner = self.inner.borrow();
-        let reports: Vec<LoadReport> = inner
-            .tables
-            .iter()
-            .map(|(replica, table)| LoadReport { replica: replica.clone(), load: table.load() })
-            .collect();
-        Rider { topic: Topic::Slots, payload: encode(Topic::Slots, &reports) }
-    }
-
     /// Takes the loads of a peer's heartbeat.
     pub fn take_rider(&self, payload: &[u8]) {
         let now_ms = self.clock.now_ms();
@@ -282,24 +173,6 @@
         }
     }
 
-    /// Hands out what is free, follows changes of ownership, and lists own runs to the owners.
-    pub fn tick(&self) {
-        let now_ms = self.clock.now_ms();
-        self.follow_ownership(now_ms);
-        let mut all = Vec::new();
-        {
-            let mut inner = self.inner.borrow_mut();
-            let Inner { tables, picture, .. } = &mut *inner;
-            for (replica, table) in tables {
-                all.push((replica.clone(), table.tick(now_ms)));
-                picture.reported(now_ms, replica, table.load());
-            }
-        }
-        for (replica, actions) in all {
-            self.perform(&replica, actions);
-        }
-    }
-
     /// Tells every owner which runs this daemon has at its replicas.
     pub fn list_runs(&self) {
         let now_ms = self.clock.now_ms();
@@ -327,20 +200,6 @@
         }
     }
 
-    /// Returns the sums of grants and waiting wishes over the owned replicas.
-    pub fn owned_load(&self) -> Load {
-        let inner = self.inner.borrow();
-        inner.tables.values().fold(Load::default(), |mut sum, table| {
-            let load = table.load();
-            sum.slots += load.slots;
-            sum.online += load.online;
-            sum.batch += load.batch;
-            sum.online_waiting += load.online_waiting;
-            sum.batch_waiting += load.batch_waiting;
-            sum
-        })
-    }
-
     pub(crate) fn choose(
         &self,
         now_ms: Millis,
@@ -434,7 +293,7 @@
         SlotLease { replica, is_granted, load, revocation, ticket, slots: self.clone() }
     }
 
-    fn release(&self, replica: &ReplicaName, ticket: Ticket) {
+    pub(crate) fn release(&self, replica: &ReplicaName, ticket: Ticket) {
         {
             let mut inner = self.inner.borrow_mut();
             inner.held.remove(&ticket);
@@ -491,97 +350,12 @@
         }
     }
 
-    fn owner_received(&self, holder: &DaemonName, message: ToOwner) {
-        let now_ms = self.clock.now_ms();
-        let (replica, ticket) = match &message {
-            ToOwner::Ask { replica, ticket, .. } => (replica.clone(), Some(*ticket)),
-            ToOwner::Release { replica, .. }
-            | ToOwner::Held { replica, .. }
-            | ToOwner::Suspect { replica } => (replica.clone(), None),
-        };
-        if !self.ensure_table(now_ms, &replica) {
-            if let Some(ticket) = ticket {
-                self.tell_holder(holder, &replica, ToHolder::NotOwner { ticket });
-            }
-            return;
-        }
-        let actions = {
-            let mut inner = self.inner.borrow_mut();
-            let Some(table) = inner.tables.get_mut(&replica) else { return };
-            match message {
-                ToOwner::Ask { ticket, class, urgency, give_up_left_ms, .. } => {
-                    let holder = holder.clone();
-                    let wish = Wish { ticket, holder, class, urgency, give_up_left_ms };
-                    table.ask(now_ms, wish)
-                }
-                ToOwner::Release { ticket, .. } => table.release(now_ms, ticket),
-                ToOwner::Held { runs, .. } => table.held(now_ms, holder, &runs),
-                ToOwner::Suspect { .. } => {
-                    if table.suspect() {
-                        info!("event=replica_suspect replica={replica} said_by={holder}");
-                        self.counters.count("replicas_suspected");
-                        self.probe_until_answered(&replica);
-                    }
-                    Vec::new()
-                }
-            }
-        };
-        self.perform(&replica, actions);
-    }
-
-    /// Asks a suspect replica until it answers, and grants its slots again then.
-    fn probe_until_answered(&self, replica: &ReplicaName) {
-        let (Some(slots), Some(probe)) = (self.own.upgrade(), self.probe.borrow().clone()) else {
-            return;
-        };
-        let name = replica.clone();
-        spawn_local(async move {
-            let since_ms = slots.clock.now_ms();
-            loop {
-                let record = slots.replicas.borrow().get(&name).cloned();
-                let is_owned = slots.inner.borrow().tables.contains_key(&name);
-                let (Some(record), true) = (record, is_owned) else { return };
-                if probe.answers(&record).await {
-                    break;
-                }
-                sleep(Duration::from_millis(PROBE_EVERY_MS)).await;
-            }
-            let now_ms = slots.clock.now_ms();
-            let for_ms = now_ms.saturating_sub(since_ms);
-            info!("event=replica_trusted replica={name} after_ms={for_ms}");
-            let trusted = slots.inner.borrow_mut().tables.get_mut(&name).map(|t| t.trust(now_ms));
-            slots.perform(&name, trusted.unwrap_or_default());
-        });
-    }
-
-    fn perform(&self, replica: &ReplicaName, actions: Vec<TableAction>) {
-        if actions.is_empty() {
-            return;
-        }
-        let load = {
-            let now_ms = self.clock.now_ms();
-            let mut inner = self.inner.borrow_mut();
-            let load = inner.tables.get(replica).map(Table::load).unwrap_or_default();
-            inner.picture.reported(now_ms, replica, load);
-            load
-        };
-        for action in actions {
-            match action {
-                TableAction::Grant { holder, ticket } => {
-                    self.tell_holder(&holder, replica, ToHolder::Granted { ticket, load });
-                }
-                TableAction::Queue { holder, ticket } => {
-                    self.tell_holder(&holder, replica, ToHolder::Queued { ticket, load });
-                }
-                TableAction::Revoke { holder, ticket } => {
-                    self.counters.count("slots_revoked");
-                    self.tell_holder(&holder, replica, ToHolder::Revoked { ticket });
-                }
-            }
-        }
-    }
-
-    fn tell_holder(&self, holder: &DaemonName, replica: &ReplicaName, message: ToHolder) {
+    pub(crate) fn tell_holder(
+        &self,
+        holder: &DaemonName,
+        replica: &ReplicaName,
+        message: ToHolder,
+    ) {
         let membership = self.membership.borrow();
         if membership.own().name == *holder {
             drop(membership);
@@ -630,60 +404,6 @@
         }
     }
 
-    pub(crate) fn owner_of(&self, replica: &ReplicaRecord) -> Option<DaemonName> {
-        let membership = self.membership.borrow();
-        let working = membership.working();
-        let near = working.iter().filter(|daemon| daemon.data_centre == replica.data_centre);
-        let near: Vec<&DaemonName> = near.map(|daemon| &daemon.name).collect();
-        let any = || working.iter().map(|daemon| &daemon.name).collect::<Vec<_>>();
-        let members = if near.is_empty() { any() } else { near };
-        rendezvous::owner(replica.name.as_str(), members).cloned()
-    }
-
-    fn is_own(&self, replica: &ReplicaRecord) -> bool {
-        let own = self.membership.borrow().own().name.clone();
-        self.owner_of(replica).is_some_and(|owner| owner == own)
-    }
-
-    /// Makes sure that there is a table for a replica that this daemon owns.
-    fn ensure_table(&self, now_ms: Millis, replica: &ReplicaName) -> bool {
-        if self.inner.borrow().tables.contains_key(replica) {
-            return true;
-        }
-        let Some(record) = self.replicas.borrow().get(replica).cloned() else { return false };
-        if !self.is_own(&record) {
-            return false;
-        }
-        let until_ms = now_ms + 2 * self.membership.borrow().period_ms();
-        let mut inner = self.inner.borrow_mut();
-        let occupied = inner
-            .picture
-            .load(now_ms, replica)
-            .map_or(0, |(load, _)| u32::from(load.online) + u32::from(load.batch));
-        let table = Table::inherit(record.slots, occupied, until_ms);
-        inner.tables.insert(replica.clone(), table);
-        drop(inner);
-        info!("event=replica_owned replica={replica} occupied={occupied}");
-        true
-    }
-
-    fn follow_ownership(&self, now_ms: Millis) {
-        let records: Vec<ReplicaRecord> = self.replicas.borrow().records().cloned().collect();
-        let own = |name: &ReplicaName| {
-            records.iter().any(|record| record.name == *name && self.is_own(record))
-        };
-        let tables: Vec<ReplicaName> = self.inner.borrow().tables.keys().cloned().collect();
-        for name in tables.iter().filter(|name| !own(name)) {
-            self.inner.borrow_mut().tables.remove(name);
-            info!("event=replica_disowned replica={name}");
-        }
-        for record in &records {
-            if self.is_own(record) {
-                self.ensure_table(now_ms, &record.name);
-            }
-        }
-    }
-
     pub(crate) fn is_mute(&self, owner: &DaemonName) -> bool {
         let now_ms = self.clock.now_ms();
         self.inner.borrow().mute.get(owner).is_some_and(|until_ms| now_ms < *until_ms)
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -5,15 +5,18 @@
 //! items for online requests. Nothing depends on it for correctness: without an answer of the
 //! owner a request goes to the replica without a grant, and the engine's own queue takes it.
 
+pub mod ask;
 pub mod client;
+pub mod lease;
 pub mod message;
+pub mod owner;
 pub mod picture;
 mod search;
 pub mod table;
 
-pub use client::NoSlot;
-pub use client::SlotAsk;
-pub use client::SlotLease;
+pub use ask::NoSlot;
+pub use ask::SlotAsk;
 pub use client::Slots;
+pub use lease::SlotLease;
 pub use message::Class;
 pub use message::Ticket;
--- /dev/null
+++ b/crates/slots/src/owner.rs
@@ -0,0 +1,230 @@
+//! The owner's side of the slots: tables of the replicas that this daemon owns.
+
+use std::time::Duration;
+
+use log::info;
+use peers::Topic;
+use peers::heartbeat::Rider;
+use peers::transport::encode;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use wire::DaemonName;
+use wire::Millis;
+use wire::ReplicaName;
+use wire::ReplicaRecord;
+use wire::rendezvous;
+
+use crate::client::Inner;
+use crate::client::Slots;
+use crate::message::Load;
+use crate::message::LoadReport;
+use crate::message::ToHolder;
+use crate::message::ToOwner;
+use crate::table::Table;
+use crate::table::TableAction;
+use crate::table::Wish;
+
+/// How often a suspect replica is asked whether it answers.
+const PROBE_EVERY_MS: Millis = 400;
+
+impl Slots {
+    /// Forgets what a lost daemon held.
+    pub fn holder_lost(&self, holder: &DaemonName) {
+        let now_ms = self.clock.now_ms();
+        let mut actions = Vec::new();
+        for (replica, table) in &mut self.inner.borrow_mut().tables {
+            let name = replica.clone();
+            actions.push((name, table.holder_lost(now_ms, holder)));
+        }
+        for (replica, actions) in actions {
+            self.perform(&replica, actions);
+        }
+    }
+
+    /// Returns the loads of the owned replicas as a part of a heartbeat.
+    pub fn rider(&self) -> Rider {
+        let inner = self.inner.borrow();
+        let reports: Vec<LoadReport> = inner
+            .tables
+            .iter()
+            .map(|(replica, table)| LoadReport { replica: replica.clone(), load: table.load() })
+            .collect();
+        Rider { topic: Topic::Slots, payload: encode(Topic::Slots, &reports) }
+    }
+
+    /// Hands out what is free, follows changes of ownership, and lists own runs to the owners.
+    pub fn tick(&self) {
+        let now_ms = self.clock.now_ms();
+        self.follow_ownership(now_ms);
+        let mut all = Vec::new();
+        {
+            let mut inner = self.inner.borrow_mut();
+            let Inner { tables, picture, .. } = &mut *inner;
+            for (replica, table) in tables {
+                all.push((replica.clone(), table.tick(now_ms)));
+                picture.reported(now_ms, replica, table.load());
+            }
+        }
+        for (replica, actions) in all {
+            self.perform(&replica, actions);
+        }
+    }
+
+    /// Returns the sums of grants and waiting wishes over the owned replicas.
+    pub fn owned_load(&self) -> Load {
+        let inner = self.inner.borrow();
+        inner.tables.values().fold(Load::default(), |mut sum, table| {
+            let load = table.load();
+            sum.slots += load.slots;
+            sum.online += load.online;
+            sum.batch += load.batch;
+            sum.online_waiting += load.online_waiting;
+            sum.batch_waiting += load.batch_waiting;
+            sum
+        })
+    }
+
+    pub(crate) fn owner_received(&self, holder: &DaemonName, message: ToOwner) {
+        let now_ms = self.clock.now_ms();
+        let (replica, ticket) = match &message {
+            ToOwner::Ask { replica, ticket, .. } => (replica.clone(), Some(*ticket)),
+            ToOwner::Release { replica, .. }
+            | ToOwner::Held { replica, .. }
+            | ToOwner::Suspect { replica } => (replica.clone(), None),
+        };
+        if !self.ensure_table(now_ms, &replica) {
+            if let Some(ticket) = ticket {
+                self.tell_holder(holder, &replica, ToHolder::NotOwner { ticket });
+            }
+            return;
+        }
+        let actions = {
+            let mut inner = self.inner.borrow_mut();
+            let Some(table) = inner.tables.get_mut(&replica) else { return };
+            match message {
+                ToOwner::Ask { ticket, class, urgency, give_up_left_ms, .. } => {
+                    let holder = holder.clone();
+                    let wish = Wish { ticket, holder, class, urgency, give_up_left_ms };
+                    table.ask(now_ms, wish)
+                }
+                ToOwner::Release { ticket, .. } => table.release(now_ms, ticket),
+                ToOwner::Held { runs, .. } => table.held(now_ms, holder, &runs),
+                ToOwner::Suspect { .. } => {
+                    if table.suspect() {
+                        info!("event=replica_suspect replica={replica} said_by={holder}");
+                        self.counters.count("replicas_suspected");
+                        self.probe_until_answered(&replica);
+                    }
+                    Vec::new()
+                }
+            }
+        };
+        self.perform(&replica, actions);
+    }
+
+    /// Asks a suspect replica until it answers, and grants its slots again then.
+    fn probe_until_answered(&self, replica: &ReplicaName) {
+        let (Some(slots), Some(probe)) = (self.own.upgrade(), self.probe.borrow().clone()) else {
+            return;
+        };
+        let name = replica.clone();
+        spawn_local(async move {
+            let since_ms = slots.clock.now_ms();
+            loop {
+                let record = slots.replicas.borrow().get(&name).cloned();
+                let is_owned = slots.inner.borrow().tables.contains_key(&name);
+                let (Some(record), true) = (record, is_owned) else { return };
+                if probe.answers(&record).await {
+                    break;
+                }
+                sleep(Duration::from_millis(PROBE_EVERY_MS)).await;
+            }
+            let now_ms = slots.clock.now_ms();
+            let for_ms = now_ms.saturating_sub(since_ms);
+            info!("event=replica_trusted replica={name} after_ms={for_ms}");
+            let trusted = slots.inner.borrow_mut().tables.get_mut(&name).map(|t| t.trust(now_ms));
+            slots.perform(&name, trusted.unwrap_or_default());
+        });
+    }
+
+    fn perform(&self, replica: &ReplicaName, actions: Vec<TableAction>) {
+        if actions.is_empty() {
+            return;
+        }
+        let load = {
+            let now_ms = self.clock.now_ms();
+            let mut inner = self.inner.borrow_mut();
+            let load = inner.tables.get(replica).map(Table::load).unwrap_or_default();
+            inner.picture.reported(now_ms, replica, load);
+            load
+        };
+        for action in actions {
+            match action {
+                TableAction::Grant { holder, ticket } => {
+                    self.tell_holder(&holder, replica, ToHolder::Granted { ticket, load });
+                }
+                TableAction::Queue { holder, ticket } => {
+                    self.tell_holder(&holder, replica, ToHolder::Queued { ticket, load });
+                }
+                TableAction::Revoke { holder, ticket } => {
+                    self.counters.count("slots_revoked");
+                    self.tell_holder(&holder, replica, ToHolder::Revoked { ticket });
+                }
+            }
+        }
+    }
+
+    pub(crate) fn owner_of(&self, replica: &ReplicaRecord) -> Option<DaemonName> {
+        let membership = self.membership.borrow();
+        let working = membership.working();
+        let near = working.iter().filter(|daemon| daemon.data_centre == replica.data_centre);
+        let near: Vec<&DaemonName> = near.map(|daemon| &daemon.name).collect();
+        let any = || working.iter().map(|daemon| &daemon.name).collect::<Vec<_>>();
+        let members = if near.is_empty() { any() } else { near };
+        rendezvous::owner(replica.name.as_str(), members).cloned()
+    }
+
+    fn is_own(&self, replica: &ReplicaRecord) -> bool {
+        let own = self.membership.borrow().own().name.clone();
+        self.owner_of(replica).is_some_and(|owner| owner == own)
+    }
+
+    /// Makes sure that there is a table for a replica that this daemon owns.
+    fn ensure_table(&self, now_ms: Millis, replica: &ReplicaName) -> bool {
+        if self.inner.borrow().tables.contains_key(replica) {
+            return true;
+        }
+        let Some(record) = self.replicas.borrow().get(replica).cloned() else { return false };
+        if !self.is_own(&record) {
+            return false;
+        }
+        let until_ms = now_ms + 2 * self.membership.borrow().period_ms();
+        let mut inner = self.inner.borrow_mut();
+        let occupied = inner
+            .picture
+            .load(now_ms, replica)
+            .map_or(0, |(load, _)| u32::from(load.online) + u32::from(load.batch));
+        let table = Table::inherit(record.slots, occupied, until_ms);
+        inner.tables.insert(replica.clone(), table);
+        drop(inner);
+        info!("event=replica_owned replica={replica} occupied={occupied}");
+        true
+    }
+
+    fn follow_ownership(&self, now_ms: Millis) {
+        let records: Vec<ReplicaRecord> = self.replicas.borrow().records().cloned().collect();
+        let own = |name: &ReplicaName| {
+            records.iter().any(|record| record.name == *name && self.is_own(record))
+        };
+        let tables: Vec<ReplicaName> = self.inner.borrow().tables.keys().cloned().collect();
+        for name in tables.iter().filter(|name| !own(name)) {
+            self.inner.borrow_mut().tables.remove(name);
+            info!("event=replica_disowned replica={name}");
+        }
+        for record in &records {
+            if self.is_own(record) {
+                self.ensure_table(now_ms, &record.name);
+            }
+        }
+    }
+}
--- a/crates/slots/src/search.rs
+++ b/crates/slots/src/search.rs
@@ -10,11 +10,11 @@
 use wire::Millis;
 use wire::ReplicaRecord;
 
-use crate::client::NoSlot;
-use crate::client::SlotAsk;
-use crate::client::SlotLease;
+use crate::ask::NoSlot;
+use crate::ask::SlotAsk;
 use crate::client::Slots;
 use crate::client::new_ticket;
+use crate::lease::SlotLease;
 use crate::message::Class;
 use crate::message::Ticket;
 
