Forgive replicas the daemon's own pauses, and trust silent ones again

Change: time-outs on replicas leave a moment after a pause of the process (kernel::awake); any answer to the question counts; after 4 s without one, requests try the replica again.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -284,6 +284,66 @@
     });
 }
 
+#[test]
+fn a_daemon_that_stood_still_blames_no_replica_for_it() {
+    run_local("pause", |folder| async move {
+        let mut fleet = Fleet::start(folder, 2).await;
+        let daemon = fleet.ingress(0);
+        let streams: Vec<_> = (0..20)
+            .map(|number| {
+                tokio::task::spawn_local(async move {
+                    // Their replicas work on while the daemon stands still.
+                    Client.stream(daemon, RESUMABLE, &format!("p{number}"), 300).await.ok()
+                })
+            })
+            .collect();
+        sleep(Duration::from_millis(400)).await;
+        fleet.daemons[0].signal(Signal::STOP).expect("it stops");
+        sleep(Duration::from_millis(900)).await;
+        fleet.daemons[0].signal(Signal::CONT).expect("it goes on");
+        for stream in streams {
+            stream.await.expect("it ran");
+        }
+        let log = std::fs::read_to_string(&fleet.daemons[0].log).expect("the log is there");
+        assert!(!log.contains("event=replica_silent"), "a replica was blamed");
+        let answer = Client.stream(fleet.ingress(1), STREAM, "after", 10).await;
+        assert!(is_whole_stream("after", 10, &answer.expect("an answer").body));
+    });
+}
+
+#[test]
+fn a_replica_that_was_silent_for_a_while_gets_requests_again() {
+    run_local("silence", |folder| async move {
+        let fleet = Fleet::start(folder, 2).await;
+        let set = |fault| {
+            for name in fleet.deployment.replicas().iter().filter(|name| name.starts_with("engine"))
+            {
+                fleet.deployment.replica(name).expect("it runs").fault.set(fault);
+            }
+        };
+        set(ReplicaFault::Silent);
+        for number in 0..6 {
+            let daemon = fleet.ingress(number % 2);
+            tokio::task::spawn_local(async move {
+                Client.stream(daemon, STREAM, &format!("q{number}"), 10).await
+            });
+        }
+        sleep(Duration::from_millis(1_500)).await;
+        set(ReplicaFault::None);
+        let until = Instant::now() + Duration::from_secs(6);
+        let mut served = 0;
+        for number in 0.. {
+            let id = format!("w{number}");
+            let answer = Client.stream(fleet.ingress(number % 2), STREAM, &id, 10).await;
+            served += usize::from(answer.is_ok_and(|answer| answer.status == StatusCode::OK));
+            if served >= 4 || Instant::now() > until {
+                break;
+            }
+        }
+        assert!(served >= 4, "{served} were served");
+    });
+}
+
 #[test]
 fn a_large_job_lies_in_parts() {
     run_local("parts", |folder| async move {
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -5,9 +5,9 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Method;
+use kernel::awake;
 use log::debug;
 use slots::SlotLease;
-use tokio::time::timeout;
 use upstream::AnswerHead;
 use upstream::Connection;
 use upstream::Fault;
@@ -91,7 +91,7 @@
     dialect.write_forward(&mut writer, &request.headers, &forward);
     connection.begin(writer.finish(&request.body));
     let exchange = own_head(&mut connection, dialect, request);
-    let (head, meta) = match timeout(limit, exchange).await {
+    let (head, meta) = match awake::timeout(limit, exchange).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(fault)) => {
             debug!(
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -10,6 +10,7 @@
 use http::Response;
 use http::header;
 use http::request::Parts;
+use kernel::awake;
 use kernel::local_server::LocalBody;
 use log::info;
 use slots::Class;
@@ -188,7 +189,7 @@
         work: impl Future<Output = T>,
     ) -> T {
         let mut work = std::pin::pin!(work);
-        if let Ok(done) = timeout(silence, work.as_mut()).await {
+        if let Ok(done) = awake::timeout(silence, work.as_mut()).await {
             return done;
         }
         if lease.is_granted {
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -10,11 +10,11 @@
 use futures::stream::unfold;
 use http::Response;
 use http::header::CONTENT_LENGTH;
+use kernel::awake;
 use kernel::local_server::BodyStream;
 use kernel::local_server::LocalBody;
 use log::info;
 use slots::SlotLease;
-use tokio::time::timeout;
 use upstream::AnswerHead;
 use upstream::Connection;
 use upstream::EventSplitter;
@@ -150,7 +150,7 @@
         let (Some(connection), Some(lease)) = (&mut self.connection, &self.lease) else {
             return Err(Failure::BrokenOff);
         };
-        let read = timeout(Duration::from_millis(limit_ms), connection.read_body());
+        let read = awake::timeout(Duration::from_millis(limit_ms), connection.read_body());
         match self.gate.watched(lease, EVENT_SILENCE, read).await {
             Ok(Ok(part)) => Ok(part),
             Ok(Err(fault)) => Err(match failure_of(&fault) {
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -9,6 +9,7 @@
 use gate::exchange::ClientRequest;
 use http::Method;
 use http::StatusCode;
+use kernel::awake;
 use log::info;
 use slots::Class;
 use slots::SlotAsk;
@@ -171,7 +172,7 @@
         }
         let mut splitter = EventSplitter::default();
         loop {
-            match timeout(STALL, answer.connection.read_body()).await {
+            match awake::timeout(STALL, answer.connection.read_body()).await {
                 Ok(Ok(Some(bytes))) => splitter.push(&bytes),
                 Ok(Ok(None)) if splitter.has_partial() => {
                     return self.lost(lease, Failure::BrokenOff);
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -1,5 +1,6 @@
 //! The base that every process stands on: settings, plug-ins, life cycle, clock, counters, HTTP.
 
+pub mod awake;
 pub mod clock;
 pub mod counters;
 pub mod error;
--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -5,8 +5,8 @@
 
 use futures::future::LocalBoxFuture;
 use http::Method;
+use kernel::awake;
 use slots::client::Probe;
-use tokio::time::timeout;
 use upstream::Pool;
 use wire::ReplicaRecord;
 
@@ -30,7 +30,8 @@
             // Idle connections may lead to a life that has ended.
             pool.forget(address);
             let call = pool.call(address, &Method::GET, request, MAX_STATE_BYTES);
-            matches!(timeout(PATIENCE, call).await, Ok(Ok((status, _))) if status.is_success())
+            // Any answer says that the replica lives; its state is not what is asked for here.
+            matches!(awake::timeout(PATIENCE, call).await, Ok(Ok(_)))
         })
     }
 }
--- a/crates/slots/src/owner.rs
+++ b/crates/slots/src/owner.rs
@@ -26,6 +26,9 @@
 
 /// How often a suspect replica is asked whether it answers.
 const PROBE_EVERY_MS: Millis = 400;
+/// How long a replica that does not answer the question is left out; then requests try it again,
+/// since the question may fail where requests do not.
+const MAX_SUSPICION_MS: Millis = 4_000;
 
 impl Slots {
     /// Forgets what a lost daemon held.
@@ -134,7 +137,8 @@
                 let record = slots.replicas.borrow().get(&name).cloned();
                 let is_owned = slots.inner.borrow().tables.contains_key(&name);
                 let (Some(record), true) = (record, is_owned) else { return };
-                if probe.answers(&record).await {
+                let is_over = slots.clock.now_ms() >= since_ms + MAX_SUSPICION_MS;
+                if is_over || probe.answers(&record).await {
                     break;
                 }
                 sleep(Duration::from_millis(PROBE_EVERY_MS)).await;
