--- a/crates/soak/src/job_client.rs
+++ b/crates/soak/src/job_client.rs
@@ -182,5 +182,5 @@
         tokens: events * TOKENS_PER_EVENT,
     };
     let count = random.gen_range(2..10);
-    (0..count).map(|number| item(number, random.gen_range(5..80))).collect()
+    (0..count).map(|number| item(number, random.gen_range(20..300))).collect()
 }
