Read the configuration at once after a restart

New daemons waited 600 ms for peers before they counted who watches the store, which matters only when a whole fleet starts for the first time. Change: 80 ms at any other start; a watcher too many costs two calls.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -157,6 +157,28 @@
     });
 }
 
+#[test]
+fn a_fleet_that_was_lost_as_a_whole_is_ready_within_two_seconds() {
+    run_local("ready", |folder| async move {
+        let mut fleet = Fleet::start(folder, 3).await;
+        for daemon in &mut fleet.daemons {
+            daemon.kill().expect("it ends");
+        }
+        let started = Instant::now();
+        for daemon in &mut fleet.daemons {
+            daemon.restart().expect("it starts");
+        }
+        for daemon in &mut fleet.daemons {
+            assert!(daemon.ready(Duration::from_secs(2)).await, "{:?}", started.elapsed());
+        }
+        for daemon in 0..3 {
+            let id = format!("again-{daemon}");
+            let answer = Client.stream(fleet.ingress(daemon), STREAM, &id, 10).await;
+            assert!(is_whole_stream(&id, 10, &answer.expect("an answer").body));
+        }
+    });
+}
+
 #[test]
 fn an_ended_job_stops_and_stays_readable() {
     run_local("end", |folder| async move {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -235,8 +235,10 @@
     spawn_local(beats.clone().run());
     spawn_local(beats.clone().run_isolated());
     spawn_local(register(own, beats, store.clone()));
-    spawn_local(watch::watch(Watched::Configuration, knowledge.clone(), store.clone()));
-    spawn_local(watch::watch(Watched::Replicas, knowledge.clone(), store.clone()));
+    for what in [Watched::Configuration, Watched::Replicas] {
+        let (knowledge, store) = (knowledge.clone(), store.clone());
+        spawn_local(watch::watch(what, knowledge, store, settings.is_first_start));
+    }
     spawn_local(board.clone().run());
     spawn_local(board.clone().run_sweeps(transport));
     if !settings.is_first_start {
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -36,8 +36,12 @@
 const FAILED_PAUSE: Duration = Duration::from_millis(250);
 /// How often a daemon that does not watch looks whether it should.
 const TURN_PAUSE: Duration = Duration::from_millis(250);
-/// How long a new daemon waits for peers before it counts the watchers.
-const SETTLE: Duration = Duration::from_millis(600);
+/// How long a daemon waits for peers before it counts the watchers when the whole fleet starts for
+/// the first time and nobody knows anybody.
+const FIRST_SETTLE: Duration = Duration::from_millis(600);
+/// The same after any other start: clients wait, seeds are known, and peers answer within some tens
+/// of milliseconds; a watcher too many costs two calls.
+const SETTLE: Duration = Duration::from_millis(80);
 
 /// One kind of objects that is watched.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,8 +62,13 @@
 }
 
 /// Watches one kind for as long as this daemon is one of its watchers.
-pub async fn watch(what: Watched, knowledge: Rc<Knowledge>, store: Rc<ObjectClient>) {
-    sleep(SETTLE).await;
+pub async fn watch(
+    what: Watched,
+    knowledge: Rc<Knowledge>,
+    store: Rc<ObjectClient>,
+    is_first_start: bool,
+) {
+    sleep(if is_first_start { FIRST_SETTLE } else { SETTLE }).await;
     let mut cursor: Option<u64> = None;
     loop {
         if !is_watcher(what, &knowledge, &store) {
