Keep one splitter of server-sent events, with a bound

Cause: kernel::sse and upstream::events split the same format; the one on the platform's path had no bound, so a replica that sends an event without an end could fill a daemon's memory. Change: upstream's splitter takes at most 1 MB of an unfinished event; kernel::sse is gone. Test: four megabytes without an end are refused.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -15,11 +15,11 @@
 use http_body_util::BodyExt;
 use kernel::http_client::CallError;
 use kernel::http_client::HttpClient;
-use kernel::sse::EventSplitter;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
+use upstream::EventSplitter;
 use wire::Ran;
 use wire::Reason;
 use wire::Refusal;
@@ -216,7 +216,8 @@
         }
         let mut events = EventSplitter::default();
         loop {
-            while let Some(data) = events.next_event() {
+            while let Some(event) = events.next_event() {
+                let data = event.data();
                 if data == "[DONE]" {
                     return Ok(());
                 }
@@ -233,7 +234,7 @@
             };
             if let Ok(bytes) = frame.into_data() {
                 let pushed = events.push(&bytes);
-                pushed.map_err(|_| CliError::Answer("an event is too long".to_owned()))?;
+                pushed.map_err(|error| CliError::Answer(error.to_string()))?;
             }
         }
     }
--- a/crates/engine/src/http_backend.rs
+++ b/crates/engine/src/http_backend.rs
@@ -13,10 +13,10 @@
 use kernel::http_client::CallError;
 use kernel::http_client::HttpClient;
 use kernel::http_client::json_request;
-use kernel::sse::EventSplitter;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::time::timeout;
+use upstream::EventSplitter;
 use wire::Millis;
 use wire::RequestId;
 
@@ -233,8 +233,8 @@
     async fn next(&mut self, wait_ms: Millis) -> Result<StreamItem, BackendError> {
         use http_body_util::BodyExt;
         loop {
-            if let Some(data) = self.events.next_event() {
-                return parse_event(&data);
+            if let Some(event) = self.events.next_event() {
+                return parse_event(&event.data());
             }
             let frame = timeout(Duration::from_millis(wait_ms), self.body.frame()).await;
             let frame = match frame {
@@ -251,7 +251,7 @@
             };
             if let Ok(bytes) = frame.into_data() {
                 let pushed = self.events.push(&bytes);
-                pushed.map_err(|_| BackendError::Lost("an event is too long".to_owned()))?;
+                pushed.map_err(|error| BackendError::Lost(error.to_string()))?;
             }
         }
     }
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -116,10 +116,10 @@
                 .gap_objective_ms
                 .map_or(DEFAULT_STALL_MS, |gap_ms| gap_ms * STALL_PAUSES);
             let failure = match self.read(stall_ms.min(self.left_ms())).await {
-                Ok(Some(bytes)) => {
-                    self.splitter.push(&bytes);
-                    continue;
-                }
+                Ok(Some(bytes)) => match self.splitter.push(&bytes) {
+                    Ok(()) => continue,
+                    Err(_) => Failure::Garbled,
+                },
                 Ok(None) if self.splitter.has_partial() => Failure::BrokenOff,
                 Ok(None) => return Ok(None),
                 Err(failure) => failure,
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -173,7 +173,11 @@
         let mut splitter = EventSplitter::default();
         loop {
             match awake::timeout(STALL, answer.connection.read_body()).await {
-                Ok(Ok(Some(bytes))) => splitter.push(&bytes),
+                Ok(Ok(Some(bytes))) => {
+                    if splitter.push(&bytes).is_err() {
+                        return self.lost(lease, Failure::Garbled);
+                    }
+                }
                 Ok(Ok(None)) if splitter.has_partial() => {
                     return self.lost(lease, Failure::BrokenOff);
                 }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -13,7 +13,6 @@
 pub mod plugin;
 pub mod services;
 pub mod settings;
-pub mod sse;
 pub mod tls;
 
 pub use clock::BootClock;
--- a/crates/upstream/src/events.rs
+++ b/crates/upstream/src/events.rs
@@ -1,9 +1,14 @@
 //! Splits a stream of bytes into server-sent events.
 
+use std::fmt;
+
 use bytes::Bytes;
 use bytes::BytesMut;
 use memchr::memmem;
 
+/// The longest event that is accepted, in bytes; a replica must not fill this daemon's memory.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// One whole event with the empty line that ends it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
@@ -27,12 +32,31 @@
         }
     }
 
+    /// Returns the event's data, with a line feed between its lines.
+    pub fn data(&self) -> String {
+        let mut text = String::new();
+        self.append_data(&mut text);
+        text
+    }
+
     /// Returns whether the event carries data.
     pub fn has_data(&self) -> bool {
         self.raw.split(|byte| *byte == b'\n').any(|line| field(line, b"data").is_some())
     }
 }
 
+/// An event grew over the limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EventTooLong;
+
+impl fmt::Display for EventTooLong {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "an event is longer than {MAX_EVENT_BYTES} bytes")
+    }
+}
+
+impl std::error::Error for EventTooLong {}
+
 /// Collects bytes until they make up whole events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -41,8 +65,12 @@
 
 impl EventSplitter {
     /// Adds received bytes.
-    pub fn push(&mut self, bytes: &[u8]) {
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), EventTooLong> {
+        if self.pending.len() + bytes.len() > MAX_EVENT_BYTES {
+            return Err(EventTooLong);
+        }
         self.pending.extend_from_slice(bytes);
+        Ok(())
     }
 
     /// Takes the next whole event.
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -13,6 +13,7 @@
 pub use connection::Fault;
 pub use events::Event;
 pub use events::EventSplitter;
+pub use events::EventTooLong;
 pub use head::AnswerHead;
 pub use head::RequestWriter;
 pub use pool::Pool;
--- a/crates/upstream/tests/answers.rs
+++ b/crates/upstream/tests/answers.rs
@@ -169,7 +169,7 @@
         let mut splitter = EventSplitter::default();
         let mut seen = Vec::new();
         for part in [&wire[..cut], &wire[cut..]] {
-            splitter.push(part.as_bytes());
+            splitter.push(part.as_bytes()).expect("it is short");
             while let Some(event) = splitter.next_event() {
                 let mut text = String::new();
                 event.append_data(&mut text);
@@ -182,3 +182,11 @@
         prop_assert!(!splitter.has_partial());
     }
 }
+
+#[test]
+fn an_event_without_an_end_is_refused() {
+    let mut splitter = EventSplitter::default();
+    let part = [b'x'; 64 << 10];
+    let pushed: Result<(), _> = (0..64).try_for_each(|_| splitter.push(&part));
+    assert!(pushed.is_err(), "four megabytes without an end were taken");
+}
