Bind the TLS test's port outside the range of outgoing connections

The test takes 20,000 plus the process's id modulo 20,000, which reaches into the system's range for outgoing connections (from 32,768 on); a connection of another test held the port. Change: modulo 12,000. What the test checks is the same.

--- a/crates/bench/tests/callers.rs
+++ b/crates/bench/tests/callers.rs
@@ -164,7 +164,8 @@
     tls::install_crypto();
     let files = TlsFiles { cert_file: folder.join("cert.pem"), key_file: folder.join("key.pem") };
     let config = tls::server_config(&files).expect("the keys are good");
-    let address = ([127, 0, 0, 1], 20_000 + (std::process::id() % 20_000) as u16).into();
+    // Below the ports that the system gives to outgoing connections.
+    let address = ([127, 0, 0, 1], 20_000 + (std::process::id() % 12_000) as u16).into();
     let server = Server::bind(address, Some(config), Arc::new(Hello)).expect("a free port");
     let url = format!("https://{address}/");
     let wait = Duration::from_secs(5);
