Keep one estimate of a record's size and one way to make a job's status; drop dead code

Change: record::encoded_bytes, Board::status_of, one pass over the replicas in follow_ownership; the dead functions and the counter behind one of them are gone; a constant of the soak stands with the others.

--- a/crates/jobs/src/adoption.rs
+++ b/crates/jobs/src/adoption.rs
@@ -130,13 +130,8 @@
         status: Option<JobStatus>,
         patience: Duration,
     ) -> Result<Loaded, StoreError> {
-        let claimed = JobStatus {
-            home: self.own.clone(),
-            is_ended: job.is_ended,
-            result_parts: status.as_ref().map_or(0, |status| status.result_parts),
-            progress: job.saved_progress(record::progress_room(self.parts.max_object_bytes)),
-            results: status.map(|status| status.results).unwrap_or_default(),
-        };
+        let inline = status.map(|status| status.results).unwrap_or_default();
+        let claimed = self.status_of(&job, inline);
         let body = record::to_json(&claimed).map_err(|error| StoreError::Malformed {
             key: id.to_string(),
             message: error.message,
--- a/crates/jobs/src/handover.rs
+++ b/crates/jobs/src/handover.rs
@@ -177,13 +177,8 @@
         let inline = results[job.spilled.min(results.len())..].to_vec();
         let fits = record::overflow(&inline, job.value_bytes, self.parts.max_object_bytes) == 0;
         let listed = job.listed().len().saturating_sub(job.spilled);
-        let status = JobStatus {
-            home: self.own.clone(),
-            is_ended: job.is_ended,
-            result_parts: job.result_parts,
-            results: if fits { inline } else { inline[..listed].to_vec() },
-            progress: job.saved_progress(record::progress_room(self.parts.max_object_bytes)),
-        };
+        let inline = if fits { inline } else { inline[..listed].to_vec() };
+        let status = self.status_of(&job, inline);
         let count = job.spilled + status.results.len();
         let Ok(body) = record::to_json(&status) else { return StatusCode::BAD_REQUEST };
         let call = Call::SetStatus {
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -13,6 +13,7 @@
 use crate::pace::Pace;
 use crate::progress::Progress;
 use crate::progress::SavedProgress;
+use crate::record;
 
 /// How long a finished item may wait for others before its result is written. A write costs as
 /// much as a fraction of a percent of an item, a lost result costs the whole run.
@@ -26,6 +27,7 @@
 const RETRY_PAUSE_MS: Millis = 60;
 /// The pause before a failed item is tried again; it doubles with each failure.
 const FAILED_PAUSE_MS: Millis = 150;
+
 /// How one try of an item ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TryEnd {
@@ -283,7 +285,7 @@
         let open = self.entries.iter().filter(|entry| entry.phase != Phase::Done);
         open.filter(|entry| entry.progress.events > 0 || entry.failures > 0)
             .take_while(|entry| {
-                let size = entry.progress.text.len() + entry.progress.text.len() / 8 + 128;
+                let size = record::encoded_bytes(&entry.progress.text);
                 let fits = size <= left;
                 left = left.saturating_sub(size);
                 fits
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -143,7 +143,7 @@
 /// `value_bytes` of input; 0 if all of them fit.
 pub fn overflow(results: &[Listed], value_bytes: usize, max_object_bytes: usize) -> usize {
     let room = (max_object_bytes * PART_PERCENT / 100).saturating_sub(value_bytes);
-    let size = |listed: &Listed| listed.text.len() + listed.text.len() / 8 + 128;
+    let size = |listed: &Listed| encoded_bytes(&listed.text);
     let total: usize = results.iter().map(size).sum();
     if total <= room {
         return 0;
@@ -157,6 +157,11 @@
     fitting.count().max(1)
 }
 
+/// Returns the bytes that an item takes in a record with the output `text`, escapes and names included.
+pub fn encoded_bytes(text: &str) -> usize {
+    text.len() + text.len() / 8 + 128
+}
+
 /// Returns the bytes that the progress of unfinished items may take in a job's record.
 pub fn progress_room(max_object_bytes: usize) -> usize {
     max_object_bytes * PROGRESS_PERCENT / 100
--- a/crates/jobs/src/saver.rs
+++ b/crates/jobs/src/saver.rs
@@ -14,6 +14,7 @@
 use crate::board::Board;
 use crate::board::JobCell;
 use crate::item::Listed;
+use crate::job::Job;
 use crate::record;
 use crate::record::JOB_KIND;
 use crate::record::JobStatus;
@@ -56,6 +57,18 @@
         cell.is_saving.set(false);
     }
 
+    /// Returns a job's status with this daemon as its home and `inline` as the results beside the
+    /// parts.
+    pub(crate) fn status_of(&self, job: &Job, inline: Vec<Listed>) -> JobStatus {
+        JobStatus {
+            home: self.own.clone(),
+            is_ended: job.is_ended,
+            result_parts: job.result_parts,
+            results: inline,
+            progress: job.saved_progress(record::progress_room(self.parts.max_object_bytes)),
+        }
+    }
+
     async fn save_once(&self, id: &JobId, cell: &JobCell) -> Written {
         if let Err(error) = self.spill(id, cell).await {
             return Written::Failed(error);
@@ -63,13 +76,7 @@
         let (status, count, spilled, revision) = {
             let job = cell.job.borrow();
             let results = job.results();
-            let status = JobStatus {
-                home: self.own.clone(),
-                is_ended: job.is_ended,
-                result_parts: job.result_parts,
-                results: results[job.spilled.min(results.len())..].to_vec(),
-                progress: job.saved_progress(record::progress_room(self.parts.max_object_bytes)),
-            };
+            let status = self.status_of(&job, results[job.spilled.min(results.len())..].to_vec());
             (status, results.len(), job.spilled, job.revision)
         };
         let body = match record::to_json(&status) {
--- a/crates/slots/src/owner.rs
+++ b/crates/slots/src/owner.rs
@@ -16,7 +16,6 @@
 
 use crate::client::Inner;
 use crate::client::Slots;
-use crate::message::Load;
 use crate::message::LoadReport;
 use crate::message::ToHolder;
 use crate::message::ToOwner;
@@ -73,20 +72,6 @@
         }
     }
 
-    /// Returns the sums of grants and waiting wishes over the owned replicas.
-    pub fn owned_load(&self) -> Load {
-        let inner = self.inner.borrow();
-        inner.tables.values().fold(Load::default(), |mut sum, table| {
-            let load = table.load();
-            sum.slots += load.slots;
-            sum.online += load.online;
-            sum.batch += load.batch;
-            sum.online_waiting += load.online_waiting;
-            sum.batch_waiting += load.batch_waiting;
-            sum
-        })
-    }
-
     pub(crate) fn owner_received(&self, holder: &DaemonName, message: ToOwner) {
         let now_ms = self.clock.now_ms();
         let (replica, ticket) = match &message {
@@ -217,18 +202,20 @@
 
     fn follow_ownership(&self, now_ms: Millis) {
         let records: Vec<ReplicaRecord> = self.replicas.borrow().records().cloned().collect();
-        let own = |name: &ReplicaName| {
-            records.iter().any(|record| record.name == *name && self.is_own(record))
-        };
-        let tables: Vec<ReplicaName> = self.inner.borrow().tables.keys().cloned().collect();
-        for name in tables.iter().filter(|name| !own(name)) {
-            self.inner.borrow_mut().tables.remove(name);
-            info!("event=replica_disowned replica={name}");
-        }
-        for record in &records {
-            if self.is_own(record) {
-                self.ensure_table(now_ms, &record.name);
+        let own: Vec<&ReplicaName> = records
+            .iter()
+            .filter(|record| self.is_own(record))
+            .map(|record| &record.name)
+            .collect();
+        self.inner.borrow_mut().tables.retain(|name, _| {
+            let is_kept = own.contains(&name);
+            if !is_kept {
+                info!("event=replica_disowned replica={name}");
             }
+            is_kept
+        });
+        for name in own {
+            self.ensure_table(now_ms, name);
         }
     }
 }
--- a/crates/soak/src/job_client.rs
+++ b/crates/soak/src/job_client.rs
@@ -26,6 +26,8 @@
 const ENDERS: u32 = 5;
 /// The longest a client goes on to ask for the end of a job.
 const END_TRIES: usize = 20;
+/// The daemons at which each job is read from the start at the end.
+const MAX_READERS: usize = 4;
 
 /// Hands jobs in until told to stop; each is read and perhaps ended.
 pub async fn send_jobs(world: Rc<World>, client: usize, seed: u64) {
@@ -142,9 +144,6 @@
     }
 }
 
-/// The daemons at which each job is read from the start at the end.
-const MAX_READERS: usize = 4;
-
 /// Reads a job from the start at one daemon; what differs from earlier reads is noted.
 async fn read_whole(world: &World, daemon: usize, id: &str) {
     let expected = listed(world, id);
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -68,7 +68,6 @@
     framing: Framing,
     keeps_open: bool,
     keep_alive_ms: Option<u64>,
-    requests: u32,
     idle_since: Instant,
 }
 
@@ -96,7 +95,6 @@
             framing: Framing::Done,
             keeps_open: true,
             keep_alive_ms: None,
-            requests: 0,
             idle_since: Instant::now(),
         })
     }
@@ -106,11 +104,6 @@
         self.peer
     }
 
-    /// Returns whether this connection carried a request before the current one.
-    pub fn is_reused(&self) -> bool {
-        self.requests > 1
-    }
-
     /// Returns whether a byte of the current request was written.
     pub fn has_sent(&self) -> bool {
         self.has_sent
@@ -130,7 +123,6 @@
     pub fn begin(&mut self, request: Bytes) {
         self.unsent = request;
         self.has_sent = false;
-        self.requests += 1;
     }
 
     /// Writes what is left of the request and returns the head of the next final answer.
