Give each run of a soak a folder of its own

The run that ended first removed the folder under the other, whose restarted daemons then had no place for their logs. Ruled out: a fault of the daemon (no promise was broken in either run). Change: the queue of runs moves to schedule.rs, numbers each run, and the number is part of the folder's name.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod proxy;
 pub mod regressions;
 pub mod run;
+pub mod schedule;
 pub mod timeline;
 pub mod traffic;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -5,8 +5,6 @@
 use std::process::ExitCode;
 use std::sync::Mutex;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicU8;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -18,9 +16,11 @@
 use soak::options::Places;
 use soak::options::RunArgs;
 use soak::regressions;
-use soak::run;
 use soak::run::Plan;
 use soak::run::RunError;
+use soak::schedule::Fresh;
+use soak::schedule::Run;
+use soak::schedule::Schedule;
 use tokio_util::sync::CancellationToken;
 
 /// The exit code of a soak that could not run.
@@ -35,7 +35,7 @@
         Command::Run(args) => run_seeds(args),
         Command::Replay(args) => {
             let seeds = vec![(args.seed, args.daemons.into())];
-            Soak::new(&args.places).and_then(|soak| soak.run_all(seeds, 1, None))
+            Soak::new(&args.places).and_then(|soak| soak.run_all(Schedule::new(seeds, None), 1))
         }
         Command::List(args) => list(&args.places),
     };
@@ -63,44 +63,24 @@
         let known = regressions::read(&args.places.regressions)?;
         seeds.extend(known.iter().map(|known| (known.seed, known.daemons)));
     }
-    let more = args.minutes.map(|minutes| {
+    let fresh = args.minutes.map(|minutes| {
         let until = Instant::now() + Duration::from_secs(minutes * 60);
-        More { from: last, daemons, until }
+        Fresh { next_seed: last, daemons, until }
     });
-    Soak::new(&args.places)?.run_all(seeds, args.parallel.max(1), more)
+    Soak::new(&args.places)?.run_all(Schedule::new(seeds, fresh), args.parallel.max(1))
 }
 
-/// Seeds that go on until a time.
-struct More {
-    from: u64,
-    daemons: usize,
-    until: Instant,
-}
-
-/// The seeds that are left, and how the others ended.
-struct Queue {
-    seeds: std::collections::VecDeque<(u64, usize)>,
-    more: Option<More>,
+/// The runs that are left, and how the others ended.
+struct Progress {
+    schedule: Schedule,
     done: usize,
     failed: usize,
 }
 
-impl Queue {
-    fn next(&mut self) -> Option<(u64, usize)> {
-        if let Some(next) = self.seeds.pop_front() {
-            return Some(next);
-        }
-        let more = self.more.as_mut().filter(|more| Instant::now() < more.until)?;
-        more.from += 1;
-        Some((more.from - 1, more.daemons))
-    }
-}
-
 /// Where the seeds of this process run.
 struct Soak {
     binary: PathBuf,
     logs: PathBuf,
-    next_net: AtomicU8,
     interrupted: CancellationToken,
 }
 
@@ -117,50 +97,45 @@
         });
         let interrupted = CancellationToken::new();
         watch_for_interrupts(interrupted.clone())?;
-        Ok(Self { binary, logs, next_net: AtomicU8::new(0), interrupted })
+        Ok(Self { binary, logs, interrupted })
     }
 
-    fn run_all(
-        &self,
-        seeds: Vec<(u64, usize)>,
-        parallel: usize,
-        more: Option<More>,
-    ) -> io::Result<ExitCode> {
-        let queue = Mutex::new(Queue { seeds: seeds.into(), more, done: 0, failed: 0 });
+    fn run_all(&self, schedule: Schedule, parallel: usize) -> io::Result<ExitCode> {
+        let progress = Mutex::new(Progress { schedule, done: 0, failed: 0 });
         thread::scope(|scope| {
             for _ in 0..parallel {
-                scope.spawn(|| self.work(&queue));
+                scope.spawn(|| self.work(&progress));
             }
         });
-        let queue = queue.into_inner().unwrap_or_else(PoisonError::into_inner);
-        println!("soak: seeds={} failed={}", queue.done, queue.failed);
-        Ok(if queue.failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        let progress = progress.into_inner().unwrap_or_else(PoisonError::into_inner);
+        println!("soak: seeds={} failed={}", progress.done, progress.failed);
+        Ok(if progress.failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
     }
 
-    fn work(&self, queue: &Mutex<Queue>) {
-        let lock = || queue.lock().unwrap_or_else(PoisonError::into_inner);
+    fn work(&self, progress: &Mutex<Progress>) {
+        let lock = || progress.lock().unwrap_or_else(PoisonError::into_inner);
         loop {
-            let Some((seed, daemons)) = lock().next() else { return };
-            let is_good = self.run_one(seed, daemons);
-            let mut queue = lock();
-            queue.done += 1;
-            queue.failed += usize::from(!is_good);
+            let Some(run) = lock().schedule.next_run(Instant::now()) else { return };
+            let is_good = self.run_one(run);
+            let mut progress = lock();
+            progress.done += 1;
+            progress.failed += usize::from(!is_good);
             if self.interrupted.is_cancelled() {
                 return;
             }
         }
     }
 
-    fn run_one(&self, seed: u64, daemons: usize) -> bool {
-        let group = self.next_net.fetch_add(1, Ordering::Relaxed);
+    fn run_one(&self, run: Run) -> bool {
+        let Run { seed, daemons, number } = run;
         let plan = Plan {
             seed,
             daemons,
             binary: self.binary.clone(),
-            folder: self.logs.join(format!("seed-{seed}-{daemons}")),
-            net: [FIRST_NET + (std::process::id() % 100) as u8, group],
+            folder: self.logs.join(run.folder_name()),
+            net: [FIRST_NET + (std::process::id() % 100) as u8, (number % 256) as u8],
         };
-        match run::run(&plan, &self.interrupted) {
+        match soak::run::run(&plan, &self.interrupted) {
             Ok(outcome) => {
                 println!(
                     "seed={seed} daemons={daemons} faults={} requests={} served={} jobs={} broken={}",
