Let peers finish their calls before a stopping daemon closes its links

Cause: a daemon that had drained its lanes cancelled all links at once. Answers that stood in a link's queue, above all 'not run' for the items that waited on its lanes, and calls that peers had just sent were lost, so the peers took those tries for unknown. An item that must not run twice is then looked for on every replica and closed as interrupted. Change: the stopping daemon takes no new link and announces Closing on each that peers have dialled; a peer makes no further call there (not sent, so tried elsewhere) and closes the link after its last answer. The daemon waits for that for 4 s at most.

--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -68,6 +68,7 @@
     last_heard: Mutex<Instant>,
     next_call: AtomicU64,
     is_silent: AtomicBool,
+    is_closing: AtomicBool,
     closed: CancellationToken,
 }
 
@@ -86,6 +87,7 @@
             last_heard: Mutex::new(Instant::now()),
             next_call: AtomicU64::new(1),
             is_silent: AtomicBool::new(false),
+            is_closing: AtomicBool::new(false),
             closed,
         })
     }
@@ -95,6 +97,18 @@
         self.closed.is_cancelled()
     }
 
+    /// Returns whether the peer takes no further call on this link.
+    pub fn is_closing(&self) -> bool {
+        self.is_closing.load(Ordering::Acquire)
+    }
+
+    /// Asks the peer, which dialled, to close the link after its last call.
+    pub fn announce_closing(&self) {
+        if self.frames.try_send(Frame::Closing).is_err() {
+            self.close();
+        }
+    }
+
     /// Closes the link; calls in progress end without an answer.
     pub fn close(&self) {
         self.closed.cancel();
@@ -105,7 +119,9 @@
         let call = self.next_call.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
         self.on_busy();
-        self.waiting().insert(call, sender);
+        if !self.expect_answer(call, sender) {
+            return Err(LinkError::NotSent);
+        }
         let _remove = RemoveOnDrop { link: self, call };
         if self.is_closed() || self.frames.try_send(Frame::Call { call, request }).is_err() {
             return Err(LinkError::NotSent);
@@ -189,6 +205,7 @@
                     let _ = self.frames.try_send(Frame::KeepAliveAnswer);
                 }
                 Some(Frame::KeepAliveAnswer) => {}
+                Some(Frame::Closing) => self.on_closing(),
                 None => break,
             }
         }
@@ -218,11 +235,39 @@
         self.last_heard.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Registers a call, unless the peer takes no more.
+    fn expect_answer(&self, call: u64, answer: oneshot::Sender<Reply>) -> bool {
+        let mut waiting = self.waiting();
+        let is_open = !self.is_closing();
+        if is_open {
+            waiting.insert(call, answer);
+        }
+        is_open
+    }
+
     fn deliver(&self, call: u64, reply: Reply) -> bool {
         let waiting = self.waiting().remove(&call);
         waiting.is_some_and(|sender| sender.send(reply).is_ok())
     }
 
+    fn on_closing(&self) {
+        let waiting = self.waiting();
+        self.is_closing.store(true, Ordering::Release);
+        self.close_if_finished(&waiting);
+    }
+
+    fn on_call_over(&self, call: u64) {
+        let mut waiting = self.waiting();
+        waiting.remove(&call);
+        self.close_if_finished(&waiting);
+    }
+
+    fn close_if_finished(&self, waiting: &HashMap<u64, oneshot::Sender<Reply>>) {
+        if waiting.is_empty() && self.is_closing() {
+            self.close();
+        }
+    }
+
     fn waiting(&self) -> std::sync::MutexGuard<'_, HashMap<u64, oneshot::Sender<Reply>>> {
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -235,7 +280,7 @@
 
 impl Drop for RemoveOnDrop<'_> {
     fn drop(&mut self) {
-        self.link.waiting().remove(&self.call);
+        self.link.on_call_over(self.call);
     }
 }
 
--- a/crates/fleet/src/links.rs
+++ b/crates/fleet/src/links.rs
@@ -7,6 +7,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::RwLock;
+use std::sync::Weak;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -25,6 +26,7 @@
 use tokio_tungstenite::client_async;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use wire::DaemonName;
 use wire::link::Challenge;
 use wire::link::Hello;
@@ -42,6 +44,10 @@
 /// The longest time for dialling and the hello.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long peers may take to finish their calls to a daemon that stops; longer than the longest
+/// silence of a link with calls in progress.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// A plug-in's handler of calls and notices from peers.
 #[async_trait]
 pub trait LinkHandler: Send + Sync + 'static {
@@ -62,6 +68,9 @@
     counters: Counters,
     handlers: RwLock<Vec<Arc<dyn LinkHandler>>>,
     dialled: Mutex<HashMap<DaemonName, Slot>>,
+    accepted: Mutex<Vec<Weak<Link>>>,
+    serving: TaskTracker,
+    draining: CancellationToken,
     stopped: CancellationToken,
 }
 
@@ -83,6 +92,9 @@
             counters,
             handlers: RwLock::new(Vec::new()),
             dialled: Mutex::new(HashMap::new()),
+            accepted: Mutex::new(Vec::new()),
+            serving: TaskTracker::new(),
+            draining: stopped.child_token(),
             stopped,
         });
         tokio::spawn(accept_links(Arc::clone(&links), listener));
@@ -113,6 +125,16 @@
         link.notify(notice)
     }
 
+    /// Takes no further link, lets every peer finish its calls and waits until all links are closed.
+    pub async fn drain(&self) {
+        self.draining.cancel();
+        self.accepted().iter().filter_map(Weak::upgrade).for_each(|link| link.announce_closing());
+        self.serving.close();
+        if timeout(DRAIN_TIMEOUT, self.serving.wait()).await.is_err() {
+            warn!("event=links_not_drained daemon={} left={}", self.own, self.serving.len());
+        }
+    }
+
     /// Leaves the link to a peer behind, since nothing is heard on it; the next use dials anew.
     pub async fn abandon(&self, peer: &DaemonName) {
         let slot = self.slot(peer);
@@ -136,7 +158,7 @@
         let slot = self.slot(&peer.daemon);
         let mut slot = slot.lock().await;
         if let Some(link) = slot.as_ref().filter(|link| !link.is_closed()) {
-            return Some(Arc::clone(link));
+            return (!link.is_closing()).then(|| Arc::clone(link));
         }
         if slot.is_some() {
             self.counters.retried(RetryReason::LinkRedial);
@@ -182,12 +204,22 @@
         info!("event=link_open from={} to={}", hello.daemon, self.own);
         let (sink, stream) = socket.split();
         let link = Link::open(sink, self.counters.clone(), self.stopped.child_token());
+        self.keep_accepted(&link);
+        if self.draining.is_cancelled() {
+            link.announce_closing();
+        }
         let answerer = Arc::clone(&link);
         let from = hello.daemon;
         link.read(stream, |inbound| self.on_inbound(&answerer, &from, inbound)).await;
         Some(())
     }
 
+    fn keep_accepted(&self, link: &Arc<Link>) {
+        let mut accepted = self.accepted();
+        accepted.retain(|known| known.upgrade().is_some_and(|known| !known.is_closed()));
+        accepted.push(Arc::downgrade(link));
+    }
+
     fn on_inbound(self: &Arc<Self>, link: &Arc<Link>, from: &DaemonName, inbound: Inbound) {
         match inbound {
             Inbound::Notice(notice) => {
@@ -223,6 +255,10 @@
         Arc::clone(self.dialled().entry(peer.clone()).or_default())
     }
 
+    fn accepted(&self) -> MutexGuard<'_, Vec<Weak<Link>>> {
+        self.accepted.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn dialled(&self) -> MutexGuard<'_, HashMap<DaemonName, Slot>> {
         self.dialled.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -231,12 +267,12 @@
 async fn accept_links(links: Arc<Links>, listener: TcpListener) {
     loop {
         let accepted = tokio::select! {
-            () = links.stopped.cancelled() => return,
+            () = links.draining.cancelled() => return,
             accepted = listener.accept() => accepted,
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(Arc::clone(&links).serve(stream));
+                links.serving.spawn(Arc::clone(&links).serve(stream));
             }
             Err(error) => {
                 warn!("event=link_accept_failed error=\"{error}\"");
--- a/crates/fleet/src/plugin.rs
+++ b/crates/fleet/src/plugin.rs
@@ -61,6 +61,9 @@
 
 fn drain(services: Arc<Services>) -> BoxFuture<'static, ()> {
     Box::pin(async move {
+        if let Ok(links) = services.need::<Links>() {
+            links.drain().await;
+        }
         if let Ok(members) = services.need::<Members>() {
             members.remove_lease().await;
         }
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -54,6 +54,9 @@
     KeepAlive,
     /// Shows that the link still carries frames both ways.
     KeepAliveAnswer,
+    /// The listening daemon stops: the dialling one makes no further call on this link and closes
+    /// it once all its calls are answered.
+    Closing,
 }
 
 /// Calls between daemons.
