Count the runs of lost daemons until their replica has dropped them

Cause: a replica notices a daemon that lost power only seconds later and goes on with its runs (an item takes about 5 s). Its owner forgot the grants when the daemon counted as lost, a new owner never knew of them, and both granted the slots again: requests queued at the engine. Change: the owner keeps them as foreign runs, asks the replica for its count of requests every 250 ms, and frees the slots as the count falls; a new owner asks each replica at the first wish. Foreign runs only get fewer, and lapse after 6 s without news. The test what_a_lost_holder_had_is_free_again took the loss of a daemon for the end of its runs, which is wrong for a replica that goes on; it now also asserts that nothing is granted before the replica has said so, then the same grant.

--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -1,4 +1,4 @@
-//! Asks replicas whether they answer.
+//! Asks replicas for their state.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -6,9 +6,11 @@
 use futures::future::LocalBoxFuture;
 use http::Method;
 use kernel::awake;
+use log::warn;
 use slots::client::Probe;
 use upstream::Pool;
 use wire::ReplicaRecord;
+use wire::ReplicaState;
 
 /// How long a replica may take; the call needs no slot and takes a few milliseconds.
 const PATIENCE: Duration = Duration::from_millis(250);
@@ -22,16 +24,29 @@
 }
 
 impl Probe for StateProbe {
-    fn answers(&self, replica: &ReplicaRecord) -> LocalBoxFuture<'static, bool> {
+    fn state(
+        &self,
+        replica: &ReplicaRecord,
+        fresh: bool,
+    ) -> LocalBoxFuture<'static, Option<ReplicaState>> {
         let pool = self.pool.clone();
-        let address = replica.address;
-        let request = platform::replica::state_request(&replica.name);
+        let (name, address) = (replica.name.clone(), replica.address);
+        let request = platform::replica::state_request(&name);
         Box::pin(async move {
-            // Idle connections may lead to a life that has ended.
-            pool.forget(address);
+            if fresh {
+                pool.forget(address);
+            }
             let call = pool.call(address, &Method::GET, request, MAX_STATE_BYTES);
-            // Any answer says that the replica lives; its state is not what is asked for here.
-            matches!(awake::timeout(PATIENCE, call).await, Ok(Ok(_)))
+            let Ok(Ok((_, body))) = awake::timeout(PATIENCE, call).await else {
+                pool.forget(address);
+                return None;
+            };
+            // Any answer says that the replica lives, also one that holds no numbers.
+            let state = platform::replica::decode_state(&body).unwrap_or_else(|error| {
+                warn!("event=replica_state_unreadable replica={name} error=\"{error}\"");
+                ReplicaState::default()
+            });
+            Some(state)
         })
     }
 }
--- a/crates/slots/src/client.rs
+++ b/crates/slots/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::rc::Weak;
@@ -22,6 +23,7 @@
 use wire::Millis;
 use wire::ReplicaName;
 use wire::ReplicaRecord;
+use wire::ReplicaState;
 
 use crate::ask::NoSlot;
 use crate::ask::SlotAsk;
@@ -54,6 +56,7 @@
     held: HashMap<Ticket, HeldRun>,
     listed: HashMap<ReplicaName, Millis>,
     mute: HashMap<DaemonName, Millis>,
+    pub(crate) examined: HashSet<ReplicaName>,
 }
 
 /// The slots of all replicas, as this daemon sees them.
@@ -68,10 +71,15 @@
     pub(crate) inner: RefCell<Inner>,
 }
 
-/// Asks a replica whether it answers.
+/// Asks a replica for its state.
 pub trait Probe {
-    /// Returns whether the replica answered in time.
-    fn answers(&self, replica: &ReplicaRecord) -> LocalBoxFuture<'static, bool>;
+    /// Returns the replica's state, if it answered in time; on a `fresh` connection where idle ones
+    /// may lead nowhere.
+    fn state(
+        &self,
+        replica: &ReplicaRecord,
+        fresh: bool,
+    ) -> LocalBoxFuture<'static, Option<ReplicaState>>;
 }
 
 impl Slots {
@@ -145,7 +153,7 @@
         }
     }
 
-    /// Gives the slots a way to ask a replica whether it answers.
+    /// Gives the slots a way to ask replicas for their state.
     pub fn set_probe(&self, probe: Rc<dyn Probe>) {
         *self.probe.borrow_mut() = Some(probe);
     }
--- a/crates/slots/src/owner.rs
+++ b/crates/slots/src/owner.rs
@@ -12,9 +12,11 @@
 use wire::Millis;
 use wire::ReplicaName;
 use wire::ReplicaRecord;
+use wire::ReplicaState;
 use wire::rendezvous;
 
 use crate::client::Inner;
+use crate::client::Probe;
 use crate::client::Slots;
 use crate::message::LoadReport;
 use crate::message::ToHolder;
@@ -23,8 +25,8 @@
 use crate::table::TableAction;
 use crate::table::Wish;
 
-/// How often a suspect replica is asked whether it answers.
-const PROBE_EVERY_MS: Millis = 400;
+/// How often a replica that is suspect, or has runs of nobody, is asked for its state.
+const PROBE_EVERY_MS: Millis = 250;
 /// How long a replica that does not answer the question is left out; then requests try it again,
 /// since the question may fail where requests do not.
 const MAX_SUSPICION_MS: Millis = 4_000;
@@ -36,9 +38,12 @@
         let mut actions = Vec::new();
         for (replica, table) in &mut self.inner.borrow_mut().tables {
             let name = replica.clone();
-            actions.push((name, table.holder_lost(now_ms, holder)));
+            actions.push((name, table.holder_lost(now_ms, holder), table.foreign() > 0));
         }
-        for (replica, actions) in actions {
+        for (replica, actions, has_foreign) in actions {
+            if has_foreign {
+                self.examine(&replica);
+            }
             self.perform(&replica, actions);
         }
     }
@@ -86,54 +91,97 @@
             }
             return;
         }
-        let actions = {
+        let (actions, is_doubtful) = {
             let mut inner = self.inner.borrow_mut();
             let Some(table) = inner.tables.get_mut(&replica) else { return };
             match message {
                 ToOwner::Ask { ticket, class, urgency, give_up_left_ms, .. } => {
                     let holder = holder.clone();
                     let wish = Wish { ticket, holder, class, urgency, give_up_left_ms };
-                    table.ask(now_ms, wish)
+                    (table.ask(now_ms, wish), table.begin_examination())
                 }
-                ToOwner::Release { ticket, .. } => table.release(now_ms, ticket),
-                ToOwner::Held { runs, .. } => table.held(now_ms, holder, &runs),
+                ToOwner::Release { ticket, .. } => (table.release(now_ms, ticket), false),
+                ToOwner::Held { runs, .. } => (table.held(now_ms, holder, &runs), false),
                 ToOwner::Suspect { .. } => {
-                    if table.suspect() {
+                    let is_news = table.suspect();
+                    if is_news {
                         info!("event=replica_suspect replica={replica} said_by={holder}");
                         self.counters.count("replicas_suspected");
-                        self.probe_until_answered(&replica);
                     }
-                    Vec::new()
+                    (Vec::new(), is_news)
                 }
             }
         };
+        if is_doubtful {
+            self.examine(&replica);
+        }
         self.perform(&replica, actions);
     }
 
-    /// Asks a suspect replica until it answers, and grants its slots again then.
-    fn probe_until_answered(&self, replica: &ReplicaName) {
+    /// Asks a replica for its state until it is neither suspect nor busy with runs of nobody.
+    fn examine(&self, replica: &ReplicaName) {
         let (Some(slots), Some(probe)) = (self.own.upgrade(), self.probe.borrow().clone()) else {
             return;
         };
+        if !self.inner.borrow_mut().examined.insert(replica.clone()) {
+            return;
+        }
         let name = replica.clone();
         spawn_local(async move {
-            let since_ms = slots.clock.now_ms();
-            loop {
-                let record = slots.replicas.borrow().get(&name).cloned();
-                let is_owned = slots.inner.borrow().tables.contains_key(&name);
-                let (Some(record), true) = (record, is_owned) else { return };
-                let is_over = slots.clock.now_ms() >= since_ms + MAX_SUSPICION_MS;
-                if is_over || probe.answers(&record).await {
-                    break;
-                }
-                sleep(Duration::from_millis(PROBE_EVERY_MS)).await;
+            slots.examine_until_settled(&name, &*probe).await;
+            slots.inner.borrow_mut().examined.remove(&name);
+        });
+    }
+
+    async fn examine_until_settled(&self, name: &ReplicaName, probe: &dyn Probe) {
+        let mut since_ms = self.clock.now_ms();
+        loop {
+            let record = self.replicas.borrow().get(name).cloned();
+            let (Some(record), Some((is_suspect, _))) = (record, self.doubts(name)) else { return };
+            if !is_suspect {
+                since_ms = self.clock.now_ms();
+            }
+            let state = probe.state(&record, is_suspect).await;
+            let now_ms = self.clock.now_ms();
+            let is_over = now_ms >= since_ms + MAX_SUSPICION_MS;
+            if let Some(state) = state {
+                self.take_state(name, now_ms, state);
+            }
+            if is_suspect && (state.is_some() || is_over) {
+                self.trust(name, now_ms, since_ms);
             }
-            let now_ms = slots.clock.now_ms();
-            let for_ms = now_ms.saturating_sub(since_ms);
-            info!("event=replica_trusted replica={name} after_ms={for_ms}");
-            let trusted = slots.inner.borrow_mut().tables.get_mut(&name).map(|t| t.trust(now_ms));
-            slots.perform(&name, trusted.unwrap_or_default());
+            if self.doubts(name).is_none_or(|doubts| doubts == (false, 0)) {
+                return;
+            }
+            sleep(Duration::from_millis(PROBE_EVERY_MS)).await;
+        }
+    }
+
+    /// Returns whether an owned replica is suspect, and how many runs of nobody it has.
+    fn doubts(&self, replica: &ReplicaName) -> Option<(bool, u32)> {
+        let inner = self.inner.borrow();
+        inner.tables.get(replica).map(|table| (table.load().is_suspect, table.foreign()))
+    }
+
+    fn take_state(&self, name: &ReplicaName, now_ms: Millis, state: ReplicaState) {
+        let in_progress = state.in_progress();
+        let observed = self.inner.borrow_mut().tables.get_mut(name).map(|table| {
+            let before = table.foreign();
+            let actions = table.observed(now_ms, in_progress);
+            (before, table.foreign(), actions)
         });
+        let Some((before, foreign, actions)) = observed else { return };
+        if foreign != before {
+            info!("event=foreign_runs replica={name} in_progress={in_progress} foreign={foreign}");
+        }
+        self.perform(name, actions);
+    }
+
+    fn trust(&self, name: &ReplicaName, now_ms: Millis, since_ms: Millis) {
+        let for_ms = now_ms.saturating_sub(since_ms);
+        info!("event=replica_trusted replica={name} after_ms={for_ms}");
+        let trusted = self.inner.borrow_mut().tables.get_mut(name).map(|t| t.trust(now_ms));
+        self.perform(name, trusted.unwrap_or_default());
     }
 
     fn perform(&self, replica: &ReplicaName, actions: Vec<TableAction>) {
--- a/crates/slots/src/table.rs
+++ b/crates/slots/src/table.rs
@@ -23,6 +23,9 @@
 /// How old a grant must be before a holder's list without it means that it was given back.
 const LIST_LAG_MS: Millis = 250;
 
+/// How long runs of nobody are believed in without news of the replica; somewhat longer than an item
+/// runs.
+const FOREIGN_MS: Millis = 6_000;
 /// Longer than any run; keeps the order of grants above zero.
 const MAX_RUN_MS: Millis = 600_000;
 
@@ -98,8 +101,12 @@
     waiting: Vec<Waiting>,
     inherited: u32,
     inherited_until_ms: Millis,
+    foreign: u32,
+    foreign_until_ms: Millis,
     batch_from_ms: Millis,
     is_suspect: bool,
+    is_examined: bool,
+    is_observed: bool,
 }
 
 impl Table {
@@ -117,18 +124,28 @@
             waiting: Vec::new(),
             inherited: occupied,
             inherited_until_ms: until_ms,
+            foreign: 0,
+            foreign_until_ms: 0,
             batch_from_ms: 0,
             is_suspect: false,
+            is_examined: false,
+            is_observed: false,
         }
     }
 
+    /// Notes that the replica is asked for its state; returns whether it never was.
+    pub fn begin_examination(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_examined, true)
+    }
+
     /// Returns how full the replica is.
     pub fn load(&self) -> Load {
         let count = |class: Class| self.grants.iter().filter(|g| g.class == class).count() as u16;
         let queued = |class: Class| self.waiting.iter().filter(|w| w.class == class).count() as u16;
         Load {
             slots: self.slots as u16,
-            online: count(Class::Online),
+            // Runs of nobody cannot be revoked, as online requests cannot.
+            online: count(Class::Online) + self.foreign as u16,
             batch: count(Class::Batch),
             online_waiting: queued(Class::Online),
             batch_waiting: queued(Class::Batch),
@@ -187,6 +204,7 @@
             }
             self.waiting.retain(|waiting| waiting.ticket != run.ticket);
             self.inherited = self.inherited.saturating_sub(1);
+            self.foreign = self.foreign.saturating_sub(1);
             self.grants.push(Grant {
                 ticket: run.ticket,
                 holder: holder.clone(),
@@ -201,9 +219,13 @@
         self.settle(now_ms)
     }
 
-    /// Forgets everything of a holder that is gone.
+    /// Forgets everything of a holder that is gone; its runs count as foreign until the replica says
+    /// how many requests it has, since it goes on with them until it notices a dead connection.
     pub fn holder_lost(&mut self, now_ms: Millis, holder: &DaemonName) -> Vec<TableAction> {
+        let granted = self.grants.len();
         self.grants.retain(|grant| grant.holder != *holder);
+        self.foreign += (granted - self.grants.len()) as u32;
+        self.foreign_until_ms = now_ms + FOREIGN_MS;
         self.waiting.retain(|waiting| waiting.holder != *holder);
         self.settle(now_ms)
     }
@@ -219,9 +241,27 @@
         self.settle(now_ms)
     }
 
+    /// Takes the number of requests that the replica says it has. Those beyond the grants belong to
+    /// daemons that are gone, and take slots until the replica notices that; they only get fewer.
+    pub fn observed(&mut self, now_ms: Millis, in_progress: u32) -> Vec<TableAction> {
+        let unheld = in_progress.saturating_sub(self.grants.len() as u32).min(self.slots);
+        let is_first = !std::mem::replace(&mut self.is_observed, true);
+        self.foreign = if is_first { unheld } else { self.foreign.min(unheld) };
+        self.foreign_until_ms = now_ms + FOREIGN_MS;
+        self.settle(now_ms)
+    }
+
+    /// Returns how many slots are taken by runs that no daemon holds.
+    pub fn foreign(&self) -> u32 {
+        self.foreign
+    }
+
     /// Drops what is over and hands out what is free.
     pub fn tick(&mut self, now_ms: Millis) -> Vec<TableAction> {
         self.grants.retain(|grant| now_ms < grant.confirmed_ms + UNCONFIRMED_MS);
+        if now_ms >= self.foreign_until_ms {
+            self.foreign = 0;
+        }
         self.settle(now_ms)
     }
 
@@ -232,7 +272,8 @@
             return actions;
         }
         let inherited = if now_ms < self.inherited_until_ms { self.inherited } else { 0 };
-        while self.grants.len() as u32 + inherited < self.slots {
+        let unlisted = inherited.max(self.foreign);
+        while self.grants.len() as u32 + unlisted < self.slots {
             let Some(next) = self.most_urgent(now_ms) else { break };
             let waiting = self.waiting.swap_remove(next);
             actions.push(TableAction::Grant {
--- /dev/null
+++ b/crates/slots/tests/examination.rs
@@ -0,0 +1,146 @@
+//! What an owner does with what a replica says of itself.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::rc::Rc;
+use std::time::Duration;
+
+use catalog::ReplicaSet;
+use futures::future::LocalBoxFuture;
+use kernel::BootClock;
+use kernel::Counters;
+use peers::Membership;
+use peers::Transport;
+use peers::heartbeat::Identity;
+use peers::heartbeat::Readiness;
+use slots::Class;
+use slots::SlotAsk;
+use slots::Slots;
+use slots::client::Probe;
+use tokio::task::LocalSet;
+use tokio::time::timeout;
+use wire::ReplicaRecord;
+use wire::ReplicaState;
+
+const SLOTS: u32 = 2;
+const SOON: Duration = Duration::from_millis(300);
+
+/// A replica that says how many requests it runs, or nothing.
+#[derive(Clone, Default)]
+struct Saying(Rc<Cell<Option<u32>>>);
+
+impl Probe for Saying {
+    fn state(
+        &self,
+        _replica: &ReplicaRecord,
+        _fresh: bool,
+    ) -> LocalBoxFuture<'static, Option<ReplicaState>> {
+        let state = self.0.get().map(|running| ReplicaState { running, waiting: 0 });
+        Box::pin(std::future::ready(state))
+    }
+}
+
+fn replica() -> ReplicaRecord {
+    ReplicaRecord {
+        name: "engine".into(),
+        service: "engines".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 80)),
+        data_centre: "a".into(),
+        slots: SLOTS,
+        is_draining: false,
+        cold_left_ms: 0,
+        started_unix_ms: 1,
+    }
+}
+
+/// The slots of a daemon that is alone and so owns every replica.
+async fn alone(saying: &Saying) -> Rc<Slots> {
+    let ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
+    let free = UdpSocket::bind((ip, 0)).and_then(|socket| socket.local_addr());
+    let port = free.expect("a port is free").port();
+    let own = Identity {
+        name: "own".into(),
+        incarnation: 1,
+        ip,
+        data_centre: "a".into(),
+        ingress: None,
+        control: None,
+        cpu_millis: 250,
+    };
+    let counters = Counters::new(None).expect("counters need no address");
+    let transport = Transport::bind(ip, port, own.name.clone(), 1, counters.clone());
+    let transport = Rc::new(transport.await.expect("the port is free"));
+    let mut membership = Membership::new(own, Vec::new());
+    membership.set_own_readiness(Readiness::Ready);
+    let mut replicas = ReplicaSet::default();
+    replicas.replace(0, 1, vec![replica()]);
+    let slots = Slots::start(
+        BootClock::start(),
+        counters,
+        transport,
+        Rc::new(RefCell::new(membership)),
+        Rc::new(RefCell::new(replicas)),
+    );
+    slots.set_probe(Rc::new(saying.clone()));
+    slots
+}
+
+async fn has_slot(slots: &Rc<Slots>, wait: Duration) -> bool {
+    let service = "engines".into();
+    let ask = SlotAsk {
+        service: &service,
+        class: Class::Online,
+        on_time_at_ms: u64::MAX / 4,
+        order_at_ms: u64::MAX / 4,
+        give_up_at_ms: u64::MAX / 4,
+        excluded: &[],
+    };
+    timeout(wait, slots.acquire(&ask)).await.is_ok_and(|lease| lease.is_ok())
+}
+
+fn run(test: impl AsyncFnOnce()) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    LocalSet::new().block_on(&runtime.expect("a runtime starts"), test());
+}
+
+#[test]
+fn a_new_owner_leaves_slots_to_runs_that_the_replica_still_has() {
+    run(async || {
+        let saying = Saying::default();
+        saying.0.set(Some(SLOTS));
+        let slots = alone(&saying).await;
+        // The first request is granted before the replica has answered.
+        assert!(has_slot(&slots, SOON).await);
+        tokio::task::yield_now().await;
+        assert!(!has_slot(&slots, SOON).await, "the replica is full");
+        saying.0.set(Some(0));
+        assert!(has_slot(&slots, Duration::from_secs(2)).await, "it has become free");
+    });
+}
+
+#[test]
+fn a_suspect_replica_is_used_again_once_it_answers() {
+    run(async || {
+        let saying = Saying::default();
+        let slots = alone(&saying).await;
+        assert!(has_slot(&slots, SOON).await);
+        slots.suspect(&"engine".into());
+        assert!(!has_slot(&slots, SOON).await, "nothing is granted without an answer");
+        saying.0.set(Some(0));
+        assert!(has_slot(&slots, Duration::from_secs(2)).await);
+    });
+}
+
+#[test]
+fn a_suspect_replica_that_never_answers_is_tried_again_after_four_seconds() {
+    run(async || {
+        let slots = alone(&Saying::default()).await;
+        slots.suspect(&"engine".into());
+        assert!(!has_slot(&slots, Duration::from_secs(3)).await);
+        assert!(has_slot(&slots, Duration::from_secs(3)).await);
+    });
+}
--- a/crates/slots/tests/table.rs
+++ b/crates/slots/tests/table.rs
@@ -48,6 +48,41 @@
     assert_eq!(grants(&table.release(5, Ticket(1))), [3]);
 }
 
+#[test]
+fn runs_of_a_lost_daemon_keep_their_slots_until_the_replica_says_otherwise() {
+    let mut table = Table::new(2);
+    let other = DaemonName::from("other");
+    table.ask(0, Wish { holder: other.clone(), ..wish(1, Class::Batch, 100) });
+    table.ask(0, wish(2, Class::Online, 100));
+    table.ask(0, wish(3, Class::Online, 100));
+    assert!(grants(&table.holder_lost(10, &other)).is_empty(), "the replica still runs the item");
+    assert_eq!(table.load().online, 2, "other daemons see that the slot is taken");
+    assert!(grants(&table.observed(20, 2)).is_empty());
+    assert_eq!(grants(&table.observed(30, 1)), [3], "the replica has dropped the item");
+    assert_eq!(table.foreign(), 0);
+}
+
+#[test]
+fn runs_that_turn_out_to_have_a_holder_are_no_longer_foreign() {
+    let mut table = Table::new(3);
+    assert!(grants(&table.observed(0, 3)).is_empty());
+    assert!(grants(&table.ask(0, wish(1, Class::Online, 100))).is_empty());
+    let urgency = Urgency { on_time_left_ms: 100, order_left_ms: 100 };
+    let run = |ticket| Run { ticket: Ticket(ticket), class: Class::Batch, urgency };
+    table.held(5, &DaemonName::from("other"), &[run(7), run(8)]);
+    assert_eq!((table.foreign(), table.load().batch), (1, 2));
+    assert_eq!(grants(&table.observed(10, 2)), [1]);
+}
+
+#[test]
+fn a_replica_cannot_have_more_foreign_runs_than_slots() {
+    let mut table = Table::new(2);
+    table.observed(0, 1_000);
+    assert_eq!(table.foreign(), 2);
+    assert!(grants(&table.ask(1, wish(1, Class::Online, 100))).is_empty());
+    assert_eq!(grants(&table.observed(2, 0)), [1]);
+}
+
 #[test]
 fn a_repeated_wish_is_answered_again_and_counts_once() {
     let mut table = Table::new(1);
@@ -135,7 +170,19 @@
     table.ask(0, wish(1, Class::Online, 100));
     let other = Wish { holder: DaemonName::from("other"), ..wish(2, Class::Online, 100) };
     table.ask(0, other);
-    assert_eq!(grants(&table.holder_lost(10, &holder())), [2]);
+    assert!(grants(&table.holder_lost(10, &holder())).is_empty(), "the replica may still run it");
+    assert_eq!(grants(&table.observed(12, 0)), [2]);
+}
+
+#[test]
+fn foreign_runs_that_nobody_can_confirm_free_their_slots_in_time() {
+    let mut table = Table::new(1);
+    table.ask(0, wish(1, Class::Online, 100));
+    table.holder_lost(10, &holder());
+    let other = Wish { holder: DaemonName::from("other"), ..wish(2, Class::Online, 100) };
+    table.ask(4_000, Wish { give_up_left_ms: 9_000, ..other });
+    assert!(grants(&table.tick(6_000)).is_empty());
+    assert_eq!(grants(&table.tick(6_010)), [2]);
 }
 
 #[test]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -27,6 +27,7 @@
 pub use refusal::Reason;
 pub use refusal::Refusal;
 pub use replica::ReplicaRecord;
+pub use replica::ReplicaState;
 pub use route::Configuration;
 pub use route::Route;
 pub use route::RouteKind;
--- a/crates/wire/src/replica.rs
+++ b/crates/wire/src/replica.rs
@@ -30,3 +30,19 @@
     /// When it started, in Unix milliseconds; it may start again under its name.
     pub started_unix_ms: Millis,
 }
+
+/// How busy a replica says it is, some hundred milliseconds ago.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReplicaState {
+    /// The requests that it runs.
+    pub running: u32,
+    /// The requests that wait for one of its slots.
+    pub waiting: u32,
+}
+
+impl ReplicaState {
+    /// Returns the requests that it has and not ended.
+    pub fn in_progress(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
