Model the ledger of jobs on the platform's store, and mend what it showed

Cause, found while the saver's decisions were made pure for the checker: 1. Parts of a job's results were named by their place and replaced without a condition, so a home that had been replaced, or its late write, could overwrite the part of the new home. 2. At a conflict with the home's own late write, results in parts were counted with the parts that the home has now, not with those of the status that was found: a result could be shown, and taken for written, that the record did not hold. Both need a job whose results exceed 85% of an object together with a late write or two homes. Change: jobs::ledger decides what is written and what an answer means, for saver, adoption, inheritance and the checker; a status lists its parts by name and count; each life of a daemon names each part once and only creates it. Tests: jobs tests/ledger.rs; spec model 'jobs' with three seeded faults.

--- a/crates/jobs/src/adoption.rs
+++ b/crates/jobs/src/adoption.rs
@@ -119,7 +119,7 @@
                 Loaded::At(home, Rc::new(new_cell(job)))
             });
         }
-        self.claim(id, job, status, patience).await
+        self.claim(id, job, patience).await
     }
 
     /// Writes this daemon into a job's status; the condition lets one of several daemons win.
@@ -127,11 +127,9 @@
         &self,
         id: &JobId,
         mut job: Job,
-        status: Option<JobStatus>,
         patience: Duration,
     ) -> Result<Loaded, StoreError> {
-        let inline = status.map(|status| status.results).unwrap_or_default();
-        let claimed = self.status_of(&job, inline);
+        let claimed = job.status(&self.own, self.parts.max_object_bytes);
         let body = record::to_json(&claimed).map_err(|error| StoreError::Malformed {
             key: id.to_string(),
             message: error.message,
@@ -186,41 +184,33 @@
         };
         let mut input = value.input.clone();
         for part in 0..value.input_parts {
-            input
-                .push_str(&self.read_part::<String>(record::INPUT_KIND, id, part, patience).await?);
+            let name = record::input_part_name(id.as_str(), part);
+            input.push_str(&self.read_part::<String>(record::INPUT_KIND, name, patience).await?);
         }
         let submission: Submission = record::decode_input(&input).map_err(malformed)?;
         let mut listed = Vec::new();
-        let mut spilled = 0;
         if let Some(status) = status {
-            for part in 0..status.result_parts {
-                let kind = record::RESULTS_KIND;
-                listed.extend(self.read_part::<Vec<Listed>>(kind, id, part, patience).await?);
+            for part in &status.result_parts {
+                let (kind, name) = (record::RESULTS_KIND, part.name.clone());
+                listed.extend(self.read_part::<Vec<Listed>>(kind, name, patience).await?);
             }
-            spilled = listed.len();
             listed.extend(status.results.iter().cloned());
         }
         let age_ms = Clock::unix_ms() as i64 - value.submitted_unix_ms as i64;
         let (now_ms, items) = (self.now_ms(), submission.items);
         let mut job =
             Job::read(now_ms, age_ms, id.clone(), &value.host, &value.path, items, listed);
-        job.revision = object.revision;
         job.value_bytes = object.value.len();
-        job.result_parts = status.map_or(0, |status| status.result_parts);
-        job.spilled = spilled;
-        job.is_ended = status.is_some_and(|status| status.is_ended);
-        job.restore(status.map(|status| status.progress.clone()).unwrap_or_default());
+        job.take_record(object.revision, status);
         Ok(job)
     }
 
     async fn read_part<T: serde::de::DeserializeOwned>(
         &self,
         kind: &'static str,
-        id: &JobId,
-        part: usize,
+        name: String,
         patience: Duration,
     ) -> Result<T, StoreError> {
-        let name = record::part_name(id.as_str(), part);
         let call = Call::Get { kind, name: name.clone() };
         match self.parts.store.until(CallClass::Claim, &call, patience).await? {
             Reply::Object(object) => serde_json::from_slice(&object.value)
--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -100,6 +100,7 @@
     pub(crate) is_leaving: Cell<bool>,
     pub(crate) pace: Cell<Pace>,
     pub(crate) sweeps: RefCell<Vec<Millis>>,
+    pub(crate) next_part: Cell<u64>,
     known: RefCell<HashMap<JobId, Home>>,
     peer_waiting: RefCell<HashMap<DaemonName, Vec<WaitingTokens>>>,
 }
@@ -120,6 +121,7 @@
             is_leaving: Cell::new(false),
             pace: Cell::new(Pace::default()),
             sweeps: RefCell::new(Vec::new()),
+            next_part: Cell::new(0),
             known: RefCell::new(HashMap::new()),
             peer_waiting: RefCell::new(HashMap::new()),
         })
--- a/crates/jobs/src/handover.rs
+++ b/crates/jobs/src/handover.rs
@@ -25,11 +25,13 @@
 use crate::item::Item;
 use crate::item::Listed;
 use crate::job::Job;
+use crate::ledger::Met;
 use crate::progress::Progress;
 use crate::record;
 use crate::record::Home;
 use crate::record::JOB_KIND;
 use crate::record::JobStatus;
+use crate::record::ResultPart;
 
 /// How long one heir may take to write itself into the record.
 const HEIR_PATIENCE: Duration = Duration::from_millis(1_500);
@@ -56,9 +58,7 @@
     /// The size of its record's value, in bytes.
     pub value_bytes: usize,
     /// The parts that the first results lie in.
-    pub result_parts: usize,
-    /// The number of results in those parts.
-    pub spilled: usize,
+    pub result_parts: Vec<ResultPart>,
     /// Whether the client ended it.
     pub is_ended: bool,
     /// All results; the record holds the first `listed` of them.
@@ -173,13 +173,12 @@
         }
         let id = handed.id.clone();
         let mut job = Job::from_handed(handed, self.now_ms());
-        let results = job.results();
-        let inline = results[job.spilled.min(results.len())..].to_vec();
-        let fits = record::overflow(&inline, job.value_bytes, self.parts.max_object_bytes) == 0;
-        let listed = job.listed().len().saturating_sub(job.spilled);
-        let inline = if fits { inline } else { inline[..listed].to_vec() };
-        let status = self.status_of(&job, inline);
-        let count = job.spilled + status.results.len();
+        let max_bytes = self.parts.max_object_bytes;
+        let mut status = job.status(&self.own, max_bytes);
+        if record::overflow(&status.results, job.value_bytes, max_bytes) > 0 {
+            let in_parts = record::count_in_parts(&status.result_parts);
+            status.results.truncate(job.listed().len().saturating_sub(in_parts));
+        }
         let Ok(body) = record::to_json(&status) else { return StatusCode::BAD_REQUEST };
         let call = Call::SetStatus {
             kind: JOB_KIND,
@@ -201,7 +200,7 @@
                 return StatusCode::BAD_GATEWAY;
             }
         };
-        job.saved(self.now_ms(), revision, count, status.is_ended);
+        job.write_met(self.now_ms(), &self.own, &status, Met::Applied(revision));
         info!("event=job_inherited job={id} listed={} total={}", job.listed().len(), job.total());
         self.hold(job);
         StatusCode::OK
--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 
 /// One item of a job.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Item {
     /// The item's id, which is also the id of the request that runs it.
     pub id: Arc<str>,
@@ -36,7 +36,7 @@
 }
 
 /// How an item ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
     /// The text is the item's whole output.
@@ -46,7 +46,7 @@
 }
 
 /// One listed result.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Listed {
     /// The item.
     pub item: Arc<str>,
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -14,6 +14,7 @@
 use crate::progress::Progress;
 use crate::progress::SavedProgress;
 use crate::record;
+use crate::record::ResultPart;
 
 /// How long a finished item may wait for others before its result is written. A write costs as
 /// much as a fraction of a percent of an item, a lost result costs the whole run.
@@ -56,14 +57,14 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum Phase {
     Waiting { not_before_ms: Millis },
     Running,
     Done,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Entry {
     item: Item,
     phase: Phase,
@@ -103,7 +104,7 @@
 }
 
 /// A job at its home.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Job {
     /// The job's id.
     pub id: JobId,
@@ -120,9 +121,7 @@
     /// The size of its record's value, in bytes.
     pub value_bytes: usize,
     /// The parts that the first results lie in.
-    pub result_parts: usize,
-    /// The number of results in those parts.
-    pub spilled: usize,
+    pub result_parts: Vec<ResultPart>,
     /// Whether the client ended it.
     pub is_ended: bool,
     entries: Vec<Entry>,
@@ -164,8 +163,7 @@
             kept_since_ms: submitted_ms,
             revision: 0,
             value_bytes: 0,
-            result_parts: 0,
-            spilled: 0,
+            result_parts: Vec::new(),
             is_ended: false,
             entries,
             listed,
@@ -415,8 +413,7 @@
             kept_ms: (now_ms as i64 - self.kept_since_ms).max(0) as Millis,
             revision: self.revision,
             value_bytes: self.value_bytes,
-            result_parts: self.result_parts,
-            spilled: self.spilled,
+            result_parts: self.result_parts.clone(),
             is_ended: self.is_ended,
             results: self.results(),
             listed: self.listed.len(),
@@ -443,7 +440,6 @@
         job.revision = handed.revision;
         job.value_bytes = handed.value_bytes;
         job.result_parts = handed.result_parts;
-        job.spilled = handed.spilled;
         job.is_ended = handed.is_ended;
         job
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod handover;
 pub mod item;
 pub mod job;
+pub mod ledger;
 pub mod notes;
 pub mod pace;
 pub mod progress;
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -7,7 +7,7 @@
 use upstream::Event;
 
 /// The output of an item so far.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Progress {
     /// The data of the events so far.
     pub text: String,
@@ -37,7 +37,7 @@
 }
 
 /// The progress of one item as a job's record keeps it, for a home that takes the job over.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct SavedProgress {
     /// The item.
     pub item: Arc<str>,
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -31,7 +31,7 @@
 const PROGRESS_PERCENT: usize = 8;
 
 /// One life of a daemon.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Home {
     /// The daemon.
     pub daemon: DaemonName,
@@ -58,16 +58,16 @@
 }
 
 /// The status of a job's record, written by its home.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct JobStatus {
     /// The job's home.
     pub home: Home,
     /// Whether the client ended the job.
     #[serde(default)]
     pub is_ended: bool,
-    /// The number of parts that the first results lie in.
-    #[serde(default)]
-    pub result_parts: usize,
+    /// The parts that the first results lie in.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub result_parts: Vec<ResultPart>,
     /// The results after those.
     #[serde(default)]
     pub results: Vec<Listed>,
@@ -76,6 +76,15 @@
     pub progress: Vec<SavedProgress>,
 }
 
+/// An object of its own that holds some of a job's results.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ResultPart {
+    /// The object's name, which no other write has.
+    pub name: String,
+    /// The number of results in it.
+    pub count: usize,
+}
+
 /// Why a record cannot be read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BadRecord {
@@ -99,6 +108,11 @@
 }
 
 impl JobStatus {
+    /// Returns the number of results that it lists, those in parts included.
+    pub fn count(&self) -> usize {
+        count_in_parts(&self.result_parts) + self.results.len()
+    }
+
     /// Decodes a record's status.
     pub fn decode(json: &[u8]) -> Result<Self, BadRecord> {
         serde_json::from_slice(json).map_err(bad)
@@ -167,11 +181,21 @@
     max_object_bytes * PROGRESS_PERCENT / 100
 }
 
-/// Returns the name of one part of a job's input or results.
-pub fn part_name(job: &str, part: usize) -> String {
+/// Returns the number of results in parts.
+pub fn count_in_parts(parts: &[ResultPart]) -> usize {
+    parts.iter().map(|part| part.count).sum()
+}
+
+/// Returns the name of one part of a job's input; whoever accepts the job writes the same parts.
+pub fn input_part_name(job: &str, part: usize) -> String {
     format!("{job}.{part}")
 }
 
+/// Returns the name of a part of a job's results, of which a life of a daemon writes each only once.
+pub fn result_part_name(job: &str, home: &Home, number: u64) -> String {
+    format!("{job}.{}.{}.{number}", home.daemon, home.incarnation)
+}
+
 fn bad(error: impl fmt::Display) -> BadRecord {
     BadRecord { message: error.to_string() }
 }
--- a/crates/jobs/src/saver.rs
+++ b/crates/jobs/src/saver.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use log::info;
 use log::warn;
 use store::Call;
@@ -10,15 +11,19 @@
 use store::Reply;
 use store::StoreError;
 use wire::JobId;
+use wire::Millis;
 
 use crate::board::Board;
 use crate::board::JobCell;
 use crate::item::Listed;
 use crate::job::Job;
+use crate::ledger::Met;
+use crate::ledger::WriteEnd;
 use crate::record;
 use crate::record::JOB_KIND;
 use crate::record::JobStatus;
 use crate::record::RESULTS_KIND;
+use crate::record::ResultPart;
 
 /// How long one write is tried before its content is made anew.
 const WRITE_PATIENCE: Duration = Duration::from_secs(2);
@@ -57,27 +62,13 @@
         cell.is_saving.set(false);
     }
 
-    /// Returns a job's status with this daemon as its home and `inline` as the results beside the
-    /// parts.
-    pub(crate) fn status_of(&self, job: &Job, inline: Vec<Listed>) -> JobStatus {
-        JobStatus {
-            home: self.own.clone(),
-            is_ended: job.is_ended,
-            result_parts: job.result_parts,
-            results: inline,
-            progress: job.saved_progress(record::progress_room(self.parts.max_object_bytes)),
-        }
-    }
-
     async fn save_once(&self, id: &JobId, cell: &JobCell) -> Written {
         if let Err(error) = self.spill(id, cell).await {
             return Written::Failed(error);
         }
-        let (status, count, spilled, revision) = {
+        let (status, revision) = {
             let job = cell.job.borrow();
-            let results = job.results();
-            let status = self.status_of(&job, results[job.spilled.min(results.len())..].to_vec());
-            (status, results.len(), job.spilled, job.revision)
+            (job.status(&self.own, self.parts.max_object_bytes), job.revision)
         };
         let body = match record::to_json(&status) {
             Ok(body) => body,
@@ -89,83 +80,78 @@
             revision: Some(revision),
             status: body,
         };
-        match self.parts.store.until(CallClass::Ledger, &call, WRITE_PATIENCE).await {
-            Ok(Reply::Object(object)) => {
-                let now_ms = self.now_ms();
-                let mut job = cell.job.borrow_mut();
-                job.saved(now_ms, object.revision, count, status.is_ended);
-                if job.is_over() {
-                    let age_ms = (now_ms as i64 - job.submitted_ms).max(0);
-                    self.parts.counters.observe("job_ms", age_ms as u64);
+        let met = match self.parts.store.until(CallClass::Ledger, &call, WRITE_PATIENCE).await {
+            Ok(Reply::Object(object)) => Met::Applied(object.revision),
+            Ok(Reply::Conflict(Some(object))) => match JobStatus::decode(&object.status) {
+                Ok(found) => Met::Conflict(object.revision, Box::new(found)),
+                Err(error) => {
+                    warn!("event=job_record_malformed job={id} error=\"{error}\"");
+                    Met::Lost
                 }
-                info!(
-                    "event=results_written job={id} listed={} total={} revision={} ended={}",
-                    job.listed().len(),
-                    job.total(),
-                    job.revision,
-                    job.is_ended
-                );
+            },
+            Ok(Reply::Absent) => Met::Lost,
+            Ok(_) => return Written::Failed(StoreError::Conflict),
+            Err(error) => return Written::Failed(error),
+        };
+        let now_ms = self.now_ms();
+        let end = cell.job.borrow_mut().write_met(now_ms, &self.own, &status, met);
+        match end {
+            WriteEnd::Written => {
+                self.note_written(&cell.job.borrow(), now_ms);
                 Written::Yes
             }
-            Ok(Reply::Conflict(Some(object))) => {
-                let found = JobStatus::decode(&object.status).ok();
-                match found {
-                    // A write whose answer was lost took effect.
-                    Some(found) if found.home == self.own => {
-                        let now_ms = self.now_ms();
-                        let count = spilled + found.results.len();
-                        let mut job = cell.job.borrow_mut();
-                        job.saved(now_ms, object.revision, count, found.is_ended);
-                        Written::Yes
-                    }
-                    found => {
-                        self.drop_job(id, found.map(|found| found.home).as_ref());
-                        Written::Deposed
-                    }
-                }
-            }
-            Ok(Reply::Absent) => {
-                self.drop_job(id, None);
+            WriteEnd::Deposed(home) => {
+                self.drop_job(id, home.as_ref());
                 Written::Deposed
             }
-            Ok(_) => Written::Failed(StoreError::Conflict),
-            Err(error) => Written::Failed(error),
         }
     }
 
+    fn note_written(&self, job: &Job, now_ms: Millis) {
+        if job.is_over() {
+            let age_ms = (now_ms as i64 - job.submitted_ms).max(0);
+            self.parts.counters.observe("job_ms", age_ms as u64);
+        }
+        info!(
+            "event=results_written job={} listed={} total={} revision={} ended={}",
+            job.id,
+            job.listed().len(),
+            job.total(),
+            job.revision,
+            job.is_ended
+        );
+    }
+
     /// Moves the first results into a part of their own if the record has no room for all.
     async fn spill(&self, id: &JobId, cell: &JobCell) -> Result<(), StoreError> {
         loop {
-            let (part, moved): (usize, Vec<Listed>) = {
+            let moved: Vec<Listed> = {
                 let job = cell.job.borrow();
-                let results = job.results();
-                let inline = &results[job.spilled.min(results.len())..];
-                let count = record::overflow(inline, job.value_bytes, self.parts.max_object_bytes);
-                (job.result_parts, inline[..count].to_vec())
+                let mut inline = job.inline_results();
+                let max_bytes = self.parts.max_object_bytes;
+                inline.truncate(record::overflow(&inline, job.value_bytes, max_bytes));
+                inline
             };
             if moved.is_empty() {
                 return Ok(());
             }
             let value = record::to_json(&moved).map_err(|error| malformed(id, error.message))?;
-            let name = record::part_name(id.as_str(), part);
-            let call = Call::Replace { kind: RESULTS_KIND, name, revision: None, value };
-            self.write_part(call).await?;
-            let mut job = cell.job.borrow_mut();
-            job.result_parts = part + 1;
-            job.spilled += moved.len();
+            let number = self.next_part.replace(self.next_part.get() + 1);
+            let name = record::result_part_name(id.as_str(), &self.own, number);
+            self.write_part(RESULTS_KIND, name.clone(), value).await?;
+            cell.job.borrow_mut().spilled(ResultPart { name, count: moved.len() });
         }
     }
 
-    /// Writes a part; one that exists from an earlier try is replaced.
-    pub(crate) async fn write_part(&self, call: Call) -> Result<(), StoreError> {
-        let Call::Replace { kind, name, value, .. } = &call else { return Ok(()) };
-        let create = Call::Create { kind, name: name.clone(), value: value.clone() };
-        match self.parts.store.until(CallClass::Ledger, &create, WRITE_PATIENCE).await? {
-            Reply::Conflict(_) => {
-                self.parts.store.until(CallClass::Ledger, &call, WRITE_PATIENCE).await.map(|_| ())
-            }
-            _ => Ok(()),
-        }
+    /// Writes a part; one that exists has the same content, from an earlier try.
+    pub(crate) async fn write_part(
+        &self,
+        kind: &'static str,
+        name: String,
+        value: Bytes,
+    ) -> Result<(), StoreError> {
+        let call = Call::Create { kind, name, value };
+        self.parts.store.until(CallClass::Ledger, &call, WRITE_PATIENCE).await.map(|_| ())
     }
 }
 
--- a/crates/jobs/src/serve.rs
+++ b/crates/jobs/src/serve.rs
@@ -365,10 +365,9 @@
             let parts = record::split_input(&input, max_bytes);
             value.input_parts = parts.len();
             for (part, text) in parts.into_iter().enumerate() {
-                let name = record::part_name(id.as_str(), part);
+                let name = record::input_part_name(id.as_str(), part);
                 let value = record::to_json(&text).map_err(malformed)?;
-                self.write_part(Call::Replace { kind: INPUT_KIND, name, revision: None, value })
-                    .await?;
+                self.write_part(INPUT_KIND, name, value).await?;
             }
         }
         let value = record::to_json(&value).map_err(malformed)?;
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod checker;
 pub mod in_force_model;
+pub mod job_model;
 pub mod ledger_model;
 pub mod ledger_world;
 pub mod mutation;
--- a/crates/spec/src/mutation.rs
+++ b/crates/spec/src/mutation.rs
@@ -25,6 +25,12 @@
     CancelOverwrites,
     /// A new owner does not read the records of the old one, and does not name versions.
     IgnoreExistingRecords,
+    /// A home's writes of a job's status do not name the revision that must be there.
+    UnconditionalStatus,
+    /// Parts of a job's results are named by their place only, and are overwritten.
+    PartsByPlace,
+    /// Results are shown before they are written.
+    ShownBeforeWritten,
     /// A bundle is put in force whatever its number is.
     AnyNumberInForce,
     /// After a start, a peer's word counts before the object API was asked.
@@ -54,6 +60,9 @@
         Self::CancelOverwrites,
         Self::IgnoreExistingRecords,
     ];
+    /// The faults of the ledger of a job's results on the platform's store.
+    pub const JOBS: [Self; 3] =
+        [Self::UnconditionalStatus, Self::PartsByPlace, Self::ShownBeforeWritten];
     /// The faults of the order of bundles.
     pub const IN_FORCE: [Self; 3] =
         [Self::AnyNumberInForce, Self::PeerBeforeStore, Self::UnconditionalRoll];
--- a/crates/spec/src/suite.rs
+++ b/crates/spec/src/suite.rs
@@ -6,6 +6,8 @@
 use crate::checker::check;
 use crate::in_force_model;
 use crate::in_force_model::InForceModel;
+use crate::job_model;
+use crate::job_model::JobModel;
 use crate::ledger_model::Budget;
 use crate::ledger_model::LedgerModel;
 use crate::ledger_model::LedgerSetup;
@@ -94,6 +96,13 @@
         let setup = LedgerSetup { facts, budget, mutation: None };
         add(name, check(LedgerModel::new(setup), max_states));
     }
+    let budget = job_model::Budget { adoptions: 2, lost_answers: 2, late_writes: 2, ends: 1 };
+    add(
+        "jobs: homes that race, lost answers, late writes",
+        check(JobModel::new(2, budget, None), max_states),
+    );
+    let budget = job_model::Budget { adoptions: 1, lost_answers: 1, late_writes: 2, ends: 0 };
+    add("jobs: results in parts", check(JobModel::new(3, budget, None), max_states));
     add("in force: racing rolls and restarts", check(in_force(None), max_states));
     add("orders: an engine that checks", check(OrderModel::new(true, 2, None), max_states));
     add("orders: an engine that does not", check(OrderModel::new(false, 2, None), max_states));
@@ -102,7 +111,8 @@
 
 /// Runs the searches that must find a seeded fault.
 pub fn hunt(max_states: usize, mut report: impl FnMut(&Search)) -> Vec<Search> {
-    let mutations = Mutation::LEDGER.into_iter().chain(Mutation::IN_FORCE).chain(Mutation::ORDERS);
+    let mutations = Mutation::LEDGER.into_iter().chain(Mutation::JOBS);
+    let mutations = mutations.chain(Mutation::IN_FORCE).chain(Mutation::ORDERS);
     mutations
         .map(|mutation| {
             let verdict = hunt_one(mutation, max_states);
@@ -122,6 +132,10 @@
         let checks_fencing = mutation == Mutation::NumberNotRaised;
         return check(OrderModel::new(checks_fencing, 1, Some(mutation)), max_states);
     }
+    if Mutation::JOBS.contains(&mutation) {
+        let budget = job_model::Budget { adoptions: 1, lost_answers: 1, late_writes: 2, ends: 0 };
+        return check(JobModel::new(2, budget, Some(mutation)), max_states);
+    }
     let budget =
         Budget { starts: 2, crashes: 1, lost_answers: 1, lost_tries: 1, cancels: 1, ..CALM };
     let setups = [facts(1, 1, false), facts(2, 2, false), facts(2, 1, true)];
