Remove jobs that have been kept for long enough

Cause: nothing removed a job: its record, parts and items stayed in the store and in its home's memory for good, though the settings say for how long results must stay readable (read, unused). The record goes first, so that none ever lacks its parts. Test: a_job_that_was_kept_for_long_enough_leaves_nothing_behind (real daemons; fails without the removal: 4 s kept, objects left).

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -397,3 +397,29 @@
         assert!(results.iter().all(|result| result.text == whole_text(&result.id, events)));
     });
 }
+
+#[test]
+fn a_job_that_was_kept_for_long_enough_leaves_nothing_behind() {
+    run_local("kept", |folder| async move {
+        let fleet = Fleet::start_keeping(folder, 2, 4).await;
+        let job = items("k1", 40, 40_000 / 17);
+        let accepted = Client.submit(fleet.ingress(0), JOBS, "k1", &job).await.expect("an answer");
+        assert_eq!(accepted.status, StatusCode::ACCEPTED);
+        let results = read_whole_job(fleet.ingress(1), "k1", Duration::from_secs(60)).await;
+        assert_eq!(results.len(), 40);
+        let left = || {
+            let objects = fleet.deployment.store.objects.borrow();
+            let count = |kind| objects.page(kind, "", 100).0.len();
+            count("jobs") + count("job-inputs") + count("job-results")
+        };
+        let started = Instant::now();
+        while left() > 0 {
+            assert!(started.elapsed() < Duration::from_secs(15), "{} objects are left", left());
+            sleep(Duration::from_millis(200)).await;
+        }
+        for daemon in 0..2 {
+            let read = Client.results(fleet.ingress(daemon), "k1", 0).await.expect("an answer");
+            assert_eq!(read.0, StatusCode::NOT_FOUND);
+        }
+    });
+}
--- a/crates/daemon/tests/platform_fleet/mod.rs
+++ b/crates/daemon/tests/platform_fleet/mod.rs
@@ -39,6 +39,11 @@
 impl Fleet {
     /// Starts a deployment with three engines and two plain replicas, and `count` daemons.
     pub async fn start(folder: PathBuf, count: u8) -> Self {
+        Self::start_keeping(folder, count, 120).await
+    }
+
+    /// Starts a fleet that keeps the results of jobs for `status_s` seconds.
+    pub async fn start_keeping(folder: PathBuf, count: u8, status_s: u64) -> Self {
         let deployment = Deployment::start().expect("the deployment starts");
         deployment.configure(|_| {});
         for number in 0..3 {
@@ -61,6 +66,7 @@
                 seeds: vec![ip(0)],
                 store: deployment.store_address,
                 grace_s: 3,
+                status_s,
                 is_first_start: true,
             };
             daemons.push(DaemonProcess::start(binary, settings, &folder).expect("it starts"));
--- a/crates/jobs/src/adoption.rs
+++ b/crates/jobs/src/adoption.rs
@@ -201,6 +201,7 @@
         let mut job =
             Job::read(now_ms, age_ms, id.clone(), &value.host, &value.path, items, listed);
         job.value_bytes = object.value.len();
+        job.input_parts = value.input_parts;
         job.take_record(object.revision, status);
         Ok(job)
     }
--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -15,6 +15,7 @@
 use peers::ControlClient;
 use peers::Membership;
 use peers::Topic;
+use peers::Transport;
 use peers::heartbeat::Rider;
 use peers::transport::decode;
 use peers::transport::encode;
@@ -64,6 +65,10 @@
     pub control: Rc<ControlClient>,
     /// The largest object, in bytes.
     pub max_object_bytes: usize,
+    /// The way to send datagrams to other daemons.
+    pub transport: Rc<Transport>,
+    /// How long after it was handed in a job's results must stay readable.
+    pub keep_jobs_ms: Millis,
 }
 
 /// One job that this daemon holds.
--- a/crates/jobs/src/handover.rs
+++ b/crates/jobs/src/handover.rs
@@ -57,6 +57,8 @@
     pub revision: u64,
     /// The size of its record's value, in bytes.
     pub value_bytes: usize,
+    /// The number of parts that the input lies in, beside the record.
+    pub input_parts: usize,
     /// The parts that the first results lie in.
     pub result_parts: Vec<ResultPart>,
     /// Whether the client ended it.
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -120,6 +120,8 @@
     pub revision: u64,
     /// The size of its record's value, in bytes.
     pub value_bytes: usize,
+    /// The number of parts that the input lies in, beside the record.
+    pub input_parts: usize,
     /// The parts that the first results lie in.
     pub result_parts: Vec<ResultPart>,
     /// Whether the client ended it.
@@ -163,6 +165,7 @@
             kept_since_ms: submitted_ms,
             revision: 0,
             value_bytes: 0,
+            input_parts: 0,
             result_parts: Vec::new(),
             is_ended: false,
             entries,
@@ -413,6 +416,7 @@
             kept_ms: (now_ms as i64 - self.kept_since_ms).max(0) as Millis,
             revision: self.revision,
             value_bytes: self.value_bytes,
+            input_parts: self.input_parts,
             result_parts: self.result_parts.clone(),
             is_ended: self.is_ended,
             results: self.results(),
@@ -439,6 +443,7 @@
         job.kept_since_ms = now_ms as i64 - handed.kept_ms as i64;
         job.revision = handed.revision;
         job.value_bytes = handed.value_bytes;
+        job.input_parts = handed.input_parts;
         job.result_parts = handed.result_parts;
         job.is_ended = handed.is_ended;
         job
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod pace;
 pub mod progress;
 pub mod record;
+pub mod retention;
 pub mod runner;
 pub mod saver;
 pub mod serve;
--- a/crates/jobs/src/notes.rs
+++ b/crates/jobs/src/notes.rs
@@ -34,7 +34,7 @@
 /// A message about one job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobMessage {
-    /// The job's home is gone, and the receiver should take its place.
+    /// No daemon runs the job: its home is gone, or the receiver is its home and does not know.
     Adopt {
         /// The job.
         job: JobId,
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -69,6 +69,7 @@
             }
         }
         if !self.is_leaving.get() {
+            self.remove_old(&cells, now_ms);
             self.start_items(&cells, now_ms);
         }
     }
--- a/crates/jobs/src/serve.rs
+++ b/crates/jobs/src/serve.rs
@@ -23,7 +23,6 @@
 use store::CallClass;
 use store::Reply;
 use store::StoreError;
-use store::call::StoredObject;
 use tokio::time::timeout;
 use wire::JobId;
 use wire::Millis;
@@ -70,6 +69,13 @@
     Peer,
 }
 
+/// A job's record as it was written.
+struct NewRecord {
+    revision: u64,
+    value_bytes: usize,
+    input_parts: usize,
+}
+
 /// Status and body of an answer.
 pub type Answered = (StatusCode, Bytes);
 
@@ -124,10 +130,12 @@
                 Place::At(home) => Some(home),
                 Place::Unknown => None,
             };
-            if let Some(address) = home.and_then(|home| self.control_of(&home)) {
+            if let Some(address) = home.as_ref().and_then(|home| self.control_of(home)) {
                 match self.ask_peer(address, call).await {
                     Some(answered) if answered.0 != StatusCode::NOT_FOUND => return answered,
-                    Some(_) => self.unlearn(&job),
+                    Some(_) => {
+                        self.unlearn(&job);
+                    }
                     None => {}
                 }
             }
@@ -276,9 +284,9 @@
         let host = &*route.host;
         let path = parts.uri.path();
         let written = timeout(patience, self.write_record(id, host, path, &submission, patience));
-        let object =
+        let record =
             match written.await {
-                Ok(Ok(object)) => object,
+                Ok(Ok(record)) => record,
                 Ok(Err(StoreError::Unavailable(message))) => {
                     return Err(Refusal::not_run(Reason::StoreUnavailable, message)
                         .retry_after(RETRY_AFTER_MS));
@@ -296,14 +304,15 @@
                     return Err(Refusal::unknown(Reason::StoreUnavailable, message));
                 }
             };
-        let Some((object, value_bytes)) = object else {
+        let Some(record) = record else {
             info!("event=job_repeated job={id}");
             return Ok(());
         };
         let mut job =
             Job::new(id.clone(), host, path, submitted_ms as i64, submission.items, Vec::new());
-        job.revision = object.revision;
-        job.value_bytes = value_bytes;
+        job.revision = record.revision;
+        job.value_bytes = record.value_bytes;
+        job.input_parts = record.input_parts;
         self.parts.counters.count("jobs_accepted");
         info!(
             "event=job_accepted job={id} route={} items={} took_ms={} waiting_tokens={}",
@@ -338,13 +347,13 @@
 
     /// Writes a job's record; returns `None` if it exists already.
     async fn write_record(
-        &self,
+        self: &Rc<Self>,
         id: &JobId,
         host: &str,
         path: &str,
         submission: &Submission,
         patience: Duration,
-    ) -> Result<Option<(StoredObject, usize)>, StoreError> {
+    ) -> Result<Option<NewRecord>, StoreError> {
         let malformed = |error: record::BadRecord| StoreError::Malformed {
             key: id.to_string(),
             message: error.message,
@@ -370,16 +379,18 @@
                 self.write_part(INPUT_KIND, name, value).await?;
             }
         }
+        let input_parts = value.input_parts;
         let value = record::to_json(&value).map_err(malformed)?;
         let value_bytes = value.len();
+        let new_record = |revision| Some(NewRecord { revision, value_bytes, input_parts });
         let call = Call::Create { kind: JOB_KIND, name: id.to_string(), value };
         match self.parts.store.until(CallClass::Claim, &call, patience).await? {
-            Reply::Object(object) => Ok(Some((object, value_bytes))),
+            Reply::Object(object) => Ok(new_record(object.revision)),
             Reply::Conflict(Some(object)) => {
                 let record = JobRecord::decode(&object.value).map_err(malformed)?;
                 if record.home == self.own && object.status.is_empty() {
                     // The answer to an earlier try was lost after it took effect.
-                    return Ok(Some((object, value_bytes)));
+                    return Ok(new_record(object.revision));
                 }
                 self.learn(id, &record.home);
                 Ok(None)
--- a/crates/jobs/src/sweep.rs
+++ b/crates/jobs/src/sweep.rs
@@ -2,7 +2,8 @@
 //!
 //! Homes tell every daemon of their jobs, so such jobs are left behind only by a daemon that was
 //! lost right after it accepted one, or by a fleet that was lost as a whole. The records are
-//! therefore read only after a daemon was lost or started, each range of names by one daemon.
+//! therefore read after a daemon was lost or started, and now and then to remove old ones; each
+//! range of names by one daemon.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,7 +11,6 @@
 use log::info;
 use log::warn;
 use peers::Topic;
-use peers::Transport;
 use store::Call;
 use store::CallClass;
 use store::Reply;
@@ -37,6 +37,9 @@
 /// How long after a loss the records are read: by then the loss is known to all, and stale
 /// answers of the store show the jobs accepted before it.
 const SWEEP_AFTER_MS: [Millis; 2] = [2_500, 8_000];
+/// How often the records are read although nobody was lost, to remove what has been kept for long
+/// enough; a job is kept for some minutes.
+const CLEAN_EVERY_MS: Millis = 600_000;
 /// The pause between two pages, so that a sweep leaves the processor to requests.
 const PAGE_PAUSE: Duration = Duration::from_millis(100);
 /// How often the daemon looks whether a sweep is due.
@@ -55,10 +58,15 @@
     }
 
     /// Reads the records after losses until the task is dropped.
-    pub async fn run_sweeps(self: Rc<Self>, transport: Rc<Transport>) {
+    pub async fn run_sweeps(self: Rc<Self>) {
+        let mut clean_at_ms = CLEAN_EVERY_MS;
         loop {
             sleep(REVIEW).await;
             let now_ms = self.now_ms();
+            if now_ms >= clean_at_ms {
+                clean_at_ms = now_ms + CLEAN_EVERY_MS;
+                self.sweeps.borrow_mut().push(now_ms);
+            }
             let before = self.sweeps.borrow().len();
             self.sweeps.borrow_mut().retain(|due_ms| *due_ms > now_ms);
             if self.sweeps.borrow().len() == before || self.is_leaving() {
@@ -69,7 +77,7 @@
                     continue;
                 }
                 let end = RANGES.get(place + 1).copied();
-                if let Err(error) = self.sweep(first, end, &transport).await {
+                if let Err(error) = self.sweep(first, end).await {
                     warn!("event=sweep_failed range={first:?} error=\"{error}\"");
                     self.sweeps.borrow_mut().push(now_ms + SWEEP_AFTER_MS[0]);
                 }
@@ -84,12 +92,7 @@
         rendezvous::owner(&format!("sweep/{range}"), names) == Some(&self.own.daemon)
     }
 
-    async fn sweep(
-        self: &Rc<Self>,
-        first: &str,
-        end: Option<&str>,
-        transport: &Transport,
-    ) -> Result<(), StoreError> {
+    async fn sweep(self: &Rc<Self>, first: &str, end: Option<&str>) -> Result<(), StoreError> {
         let mut after = first.to_owned();
         let mut orphans = 0;
         loop {
@@ -100,7 +103,7 @@
                 if end.is_some_and(|end| object.name.as_str() > end) {
                     break;
                 }
-                orphans += usize::from(self.look_at(object, transport));
+                orphans += usize::from(self.look_at(object));
             }
             let last = page.objects.last().map(|object| object.name.clone());
             let is_past = |name: &String| end.is_some_and(|end| name.as_str() > end);
@@ -117,13 +120,16 @@
     }
 
     /// Has a job adopted if it needs a home; returns whether it does.
-    fn look_at(self: &Rc<Self>, object: &StoredObject, transport: &Transport) -> bool {
+    fn look_at(self: &Rc<Self>, object: &StoredObject) -> bool {
         let id = JobId::from(object.name.as_str());
         if let Place::Here(_) = self.place(&id) {
             return false;
         }
         let home = match (JobRecord::decode(&object.value), JobStatus::decode(&object.status)) {
-            (Ok(_), Ok(status)) if status.is_ended => return false,
+            (Ok(record), Ok(status)) if status.is_ended => {
+                self.remove_unheld(&id, &record, status);
+                return false;
+            }
             (Ok(_), Ok(status)) => status.home,
             (Ok(record), Err(_)) => record.home,
             (Err(error), _) => {
@@ -144,16 +150,20 @@
         let working: Vec<&DaemonName> =
             membership.working().into_iter().map(|identity| &identity.name).collect();
         let Some(heir) = rendezvous::owner(id.as_str(), working).cloned() else { return false };
-        let ip = membership.peer(&heir).map(|peer| peer.identity.ip);
         drop(membership);
+        self.call_home(&id, &heir);
+        true
+    }
+
+    /// Has a daemon look whether it must be a job's home.
+    pub(crate) fn call_home(self: &Rc<Self>, id: &JobId, daemon: &DaemonName) {
+        let ip = self.parts.membership.borrow().peer(daemon).map(|peer| peer.identity.ip);
+        let message = JobMessage::Adopt { job: id.clone() };
         match ip {
-            Some(ip) => transport.send(ip, Topic::Jobs, &JobMessage::Adopt { job: id }),
-            None => {
-                let board = self.clone();
-                spawn_local(async move { board.adopt(&id).await });
-            }
+            Some(ip) => self.parts.transport.send(ip, Topic::Jobs, &message),
+            None if *daemon == self.own.daemon => self.take_message(message),
+            None => warn!("event=home_not_called job={id} daemon={daemon} error=\"it is unknown\""),
         }
-        true
     }
 
     /// Takes a message of another daemon.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -203,6 +203,8 @@
         membership: membership.clone(),
         control: control.clone(),
         max_object_bytes: settings.store.max_object_bytes,
+        transport: transport.clone(),
+        keep_jobs_ms: settings.bounds.job_status_ms,
     });
     let gate = Rc::new(Gate::new(
         dialect,
@@ -240,7 +242,7 @@
         spawn_local(watch::watch(what, knowledge, store, settings.is_first_start));
     }
     spawn_local(board.clone().run());
-    spawn_local(board.clone().run_sweeps(transport));
+    spawn_local(board.clone().run_sweeps());
     if !settings.is_first_start {
         board.suspect_orphans();
     }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -33,6 +33,8 @@
 
 /// The first port of every daemon; each has an address of its own.
 const FIRST_PORT: u16 = 23_400;
+/// How long the results of jobs must stay readable, in seconds; longer than a run.
+const STATUS_S: u64 = 120;
 /// The time between SIGTERM and SIGKILL, in seconds.
 const GRACE_S: u64 = 3;
 /// How long a started daemon may take to be ready.
@@ -88,6 +90,7 @@
                 seeds: vec![ip(0)],
                 store: store_link.address,
                 grace_s: GRACE_S,
+                status_s: STATUS_S,
                 is_first_start: true,
             };
             let process = DaemonProcess::start(binary, settings, folder).map_err(|source| {
