Have a home that does not know of its job look it up

Cause: a daemon that gets no answer to the write of a job's record refuses the job as unknown and holds nothing, but the write may take effect and names it as home. A repeat of the job at another daemon is then accepted, and no daemon runs it: the home lives, so nobody adopts, and readers get the record's empty list. Only a read at that very home started the job. Seen as three failures of four runs of a_job_is_refused_or_kept_while_the_store_is_away (0 of 4 results in 20 s); the test had passed by luck before, as whether all tries lose their answers is drawn by the stand-in. Ruled out: the removal of old jobs, which had just been added (jobs were seconds old). Change: whoever meets such a record at an acceptance, or hears from a home that it does not know the job that the record gives it, calls that home, which reads the record and claims it. Test: a_job_whose_home_never_heard_that_it_was_stored_is_run, 0 of 4 results before, 4 after, each item run once; the red test passed 4 of 4 after.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -324,6 +324,25 @@
     });
 }
 
+#[test]
+fn a_job_whose_home_never_heard_that_it_was_stored_is_run() {
+    run_local("unheard", |folder| async move {
+        let fleet = Fleet::start(folder, 2).await;
+        let lost = StoreFault::LostAnswers { share: 1.0, late_ms: 300 };
+        fleet.deployment.store.fault.set(lost);
+        let job = items("u1", 4, 5);
+        let unknown = Client.submit(fleet.ingress(0), JOBS, "u1", &job).await;
+        assert!(unknown.is_ok_and(|answer| answer.status.is_server_error()));
+        fleet.deployment.store.fault.set(StoreFault::None);
+        sleep(Duration::from_secs(1)).await;
+        let accepted = Client.submit(fleet.ingress(1), JOBS, "u1", &job).await.expect("an answer");
+        assert_eq!(accepted.status, StatusCode::ACCEPTED);
+        let results = read_whole_job(fleet.ingress(1), "u1", Duration::from_secs(20)).await;
+        assert_eq!(results.len(), 4);
+        assert!(job.iter().all(|item| fleet.runs(&item.id) == 1), "each item ran once");
+    });
+}
+
 #[test]
 fn a_daemon_that_stood_still_blames_no_replica_for_it() {
     run_local("pause", |folder| async move {
--- a/crates/jobs/src/serve.rs
+++ b/crates/jobs/src/serve.rs
@@ -123,6 +123,7 @@
             }
             JobCall::Unknown => return (StatusCode::NOT_FOUND, Bytes::new()),
         };
+        let mut denied_by = None;
         for _ in 0..LOOKUPS {
             let home = match self.place(&job) {
                 Place::Here(cell) => return self.answer_here(call, &cell).await,
@@ -135,6 +136,7 @@
                     Some(answered) if answered.0 != StatusCode::NOT_FOUND => return answered,
                     Some(_) => {
                         self.unlearn(&job);
+                        denied_by = home;
                     }
                     None => {}
                 }
@@ -143,6 +145,10 @@
                 Ok(Loaded::Here(_)) => {}
                 Ok(Loaded::Absent) => return (StatusCode::NOT_FOUND, Bytes::new()),
                 Ok(Loaded::At(home, cell)) => {
+                    if denied_by.as_ref() == Some(&home) {
+                        // It wrote the record, or a claim, and was never told so.
+                        self.call_home(&job, &home.daemon);
+                    }
                     self.learn(&job, &home);
                     if !matches!(call, JobCall::End { .. }) {
                         return self.answer_here(call, &cell).await;
@@ -392,6 +398,8 @@
                     // The answer to an earlier try was lost after it took effect.
                     return Ok(new_record(object.revision));
                 }
+                // The home may have given up before it heard that the record was made.
+                self.call_home(id, &record.home.daemon);
                 self.learn(id, &record.home);
                 Ok(None)
             }
