Let a contested home show nothing until the store has told

By the code, three ways lead to an old list: a home that was taken for lost and replaced goes on showing its own list until its next write meets a conflict, and writes nothing while no item of it runs; a daemon that lost the race for an adoption answered from what it had read before; and a reader that waits on a record that was read once answers up to a second later from it. Change: a daemon that hears another one name itself the home of an open job that it holds asks the store, and answers 503 until it knows; the loser of an adoption answers from the record that it met at the conflict; answers from a record are given at once; a reader that waits at a home which is replaced meanwhile is answered by the new one. Test: a_home_that_was_replaced_while_it_stood_still_shows_no_old_results: '48 of 72 results are shown' before, passes after.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -2,6 +2,7 @@
 
 mod platform_fleet;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use http::StatusCode;
@@ -134,6 +135,56 @@
     });
 }
 
+#[test]
+fn a_home_that_was_replaced_while_it_stood_still_shows_no_old_results() {
+    run_local("stale", |folder| async move {
+        let mut fleet = Fleet::start(folder, 2).await;
+        let job = items("s1", 150, 200);
+        let accepted = Client.submit(fleet.ingress(0), JOBS, "s1", &job).await.expect("an answer");
+        assert_eq!(accepted.status, StatusCode::ACCEPTED);
+        wait_for_results(fleet.ingress(0), "s1", 1).await;
+        // Nothing runs, so the old home has nothing to write and cannot meet a conflict.
+        set_faults(&fleet, ReplicaFault::Full);
+        sleep(Duration::from_secs(3)).await;
+        let at_old = wait_for_results(fleet.ingress(0), "s1", 1).await;
+        fleet.daemons[0].signal(Signal::STOP).expect("it is sent");
+        sleep(Duration::from_secs(3)).await;
+        set_faults(&fleet, ReplicaFault::None);
+        let at_new = wait_for_results(fleet.ingress(1), "s1", at_old + 10).await;
+        set_faults(&fleet, ReplicaFault::Full);
+        fleet.daemons[0].signal(Signal::CONT).expect("it is sent");
+        sleep(Duration::from_millis(1_200)).await;
+        let (status, page) = Client.results(fleet.ingress(0), "s1", 0).await.expect("an answer");
+        let shown = page.map_or(0, |page| page.results.len());
+        assert!(!status.is_success() || shown >= at_new, "{shown} of {at_new} results are shown");
+        set_faults(&fleet, ReplicaFault::None);
+        let results = read_whole_job(fleet.ingress(0), "s1", Duration::from_secs(20)).await;
+        assert_eq!(results.len(), 150);
+    });
+}
+
+fn set_faults(fleet: &Fleet, fault: ReplicaFault) {
+    for name in fleet.deployment.replicas() {
+        fleet.deployment.replica(&name).expect("it runs").fault.set(fault);
+    }
+}
+
+/// Waits until a daemon shows at least `count` results and returns their number.
+async fn wait_for_results(daemon: SocketAddr, job: &str, count: usize) -> usize {
+    let started = Instant::now();
+    loop {
+        let shown = match Client.results(daemon, job, 0).await {
+            Ok((_, Some(page))) => page.results.len(),
+            _ => 0,
+        };
+        if shown >= count {
+            return shown;
+        }
+        assert!(started.elapsed() < Duration::from_secs(20), "{shown} of {count} results");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
 #[test]
 fn items_of_a_lost_home_go_on_from_their_last_written_output() {
     run_local("checkpoint", |folder| async move {
--- a/crates/jobs/src/adoption.rs
+++ b/crates/jobs/src/adoption.rs
@@ -11,6 +11,8 @@
 use store::Reply;
 use store::StoreError;
 use store::call::StoredObject;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
 use wire::JobId;
 
 use crate::board::Board;
@@ -28,6 +30,8 @@
 
 /// How long the store is tried for an adoption before another daemon may try.
 const ADOPT_PATIENCE: Duration = Duration::from_secs(3);
+/// The pause before the store is asked again who is a job's home.
+const CONFIRM_PAUSE: Duration = Duration::from_secs(1);
 
 /// What the store says of a job.
 pub enum Loaded {
@@ -67,24 +71,48 @@
     pub async fn confirm_homes(&self) {
         let open: Vec<Rc<JobCell>> = self.jobs.borrow().values().cloned().collect();
         for cell in open.iter().filter(|cell| !cell.job.borrow().is_over()) {
-            if cell.is_saving.get() {
-                continue;
+            if !cell.is_saving.get() && self.confirm_home(cell).await.is_err() {
+                return;
             }
-            let id = cell.job.borrow().id.clone();
-            let call = Call::Get { kind: JOB_KIND, name: id.to_string() };
-            let object = match self.parts.store.once(CallClass::Claim, &call).await {
-                Ok(Reply::Object(object)) => object,
-                Ok(_) => continue,
-                Err(error) => {
-                    info!("event=home_not_confirmed job={id} error=\"{error}\"");
-                    return;
-                }
-            };
-            let home = JobStatus::decode(&object.status).ok().map(|status| status.home);
-            if home.as_ref().is_some_and(|home| *home != self.own) {
-                self.drop_job(&id, home.as_ref());
+        }
+    }
+
+    /// Takes the word of another daemon that it is the home of a job that is open here.
+    ///
+    /// This daemon may have been replaced while it stood still; until the store has told, it shows
+    /// nothing of the job.
+    pub(crate) fn contest(self: &Rc<Self>, id: &JobId, other: &Home) {
+        let Place::Here(cell) = self.place(id) else { return };
+        if cell.job.borrow().is_over() || cell.is_contested.replace(true) {
+            return;
+        }
+        info!("event=home_contested job={id} by={}", other.daemon);
+        let board = self.clone();
+        spawn_local(async move {
+            while !cell.is_deposed.get() && board.confirm_home(&cell).await.is_err() {
+                sleep(CONFIRM_PAUSE).await;
             }
+            cell.is_contested.set(false);
+        });
+    }
+
+    /// Drops a job whose record names another home.
+    async fn confirm_home(&self, cell: &JobCell) -> Result<(), StoreError> {
+        let id = cell.job.borrow().id.clone();
+        let call = Call::Get { kind: JOB_KIND, name: id.to_string() };
+        let object = match self.parts.store.once(CallClass::Claim, &call).await {
+            Ok(Reply::Object(object)) => object,
+            Ok(_) => return Ok(()),
+            Err(error) => {
+                info!("event=home_not_confirmed job={id} error=\"{error}\"");
+                return Err(error);
+            }
+        };
+        let home = JobStatus::decode(&object.status).ok().map(|status| status.home);
+        if home.as_ref().is_some_and(|home| *home != self.own) {
+            self.drop_job(&id, home.as_ref());
         }
+        Ok(())
     }
 
     /// Takes a job's record as it was read.
@@ -94,15 +122,7 @@
         object: &StoredObject,
         patience: Duration,
     ) -> Result<Loaded, StoreError> {
-        let malformed = |error: record::BadRecord| StoreError::Malformed {
-            key: id.to_string(),
-            message: error.message,
-        };
-        let value = JobRecord::decode(&object.value).map_err(malformed)?;
-        let status = match object.status.is_empty() {
-            true => None,
-            false => Some(JobStatus::decode(&object.status).map_err(malformed)?),
-        };
+        let (value, status) = decode_record(id, object)?;
         let home = status.as_ref().map_or(&value.home, |status| &status.home).clone();
         let job = self.read_job(id, object, &value, status.as_ref(), patience).await?;
         if let Place::Here(cell) = self.place(id) {
@@ -147,8 +167,10 @@
                 match winner {
                     // The answer to an earlier try was lost after it took effect.
                     Some(home) if home == self.own => job.revision = object.revision,
+                    // The winner may have listed more than was read here before.
                     Some(home) => {
                         self.learn(id, &home);
+                        let job = self.decode_job(id, &object, patience).await?;
                         return Ok(Loaded::At(home, Rc::new(new_cell(job))));
                     }
                     None => return Err(StoreError::Conflict),
@@ -170,6 +192,16 @@
         Ok(Loaded::Here(self.hold(job)))
     }
 
+    async fn decode_job(
+        &self,
+        id: &JobId,
+        object: &StoredObject,
+        patience: Duration,
+    ) -> Result<Job, StoreError> {
+        let (value, status) = decode_record(id, object)?;
+        self.read_job(id, object, &value, status.as_ref(), patience).await
+    }
+
     async fn read_job(
         &self,
         id: &JobId,
@@ -220,3 +252,19 @@
         }
     }
 }
+
+fn decode_record(
+    id: &JobId,
+    object: &StoredObject,
+) -> Result<(JobRecord, Option<JobStatus>), StoreError> {
+    let malformed = |error: record::BadRecord| StoreError::Malformed {
+        key: id.to_string(),
+        message: error.message,
+    };
+    let value = JobRecord::decode(&object.value).map_err(malformed)?;
+    let status = match object.status.is_empty() {
+        true => None,
+        false => Some(JobStatus::decode(&object.status).map_err(malformed)?),
+    };
+    Ok((value, status))
+}
--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -81,6 +81,8 @@
     pub stop: CancellationToken,
     /// Whether another daemon is the job's home now.
     pub is_deposed: Cell<bool>,
+    /// Whether another daemon says that it is the home, and the store has not been asked yet.
+    pub is_contested: Cell<bool>,
     /// Whether a write of its status is in progress.
     pub is_saving: Cell<bool>,
 }
@@ -160,12 +162,14 @@
     }
 
     /// Takes the jobs of a peer's heartbeat.
-    pub fn take_rider(&self, daemon: &DaemonName, incarnation: u64, payload: &[u8]) {
+    pub fn take_rider(self: &Rc<Self>, daemon: &DaemonName, incarnation: u64, payload: &[u8]) {
         let Some(notes) = decode::<HomeNotes>(Topic::Jobs, payload) else { return };
         let home = Home { daemon: daemon.clone(), incarnation };
-        let mut known = self.known.borrow_mut();
         for note in notes.jobs {
-            known.insert(note.job, home.clone());
+            if note.is_open {
+                self.contest(&note.job, &home);
+            }
+            self.known.borrow_mut().insert(note.job, home.clone());
         }
         self.peer_waiting.borrow_mut().insert(daemon.clone(), notes.waiting);
     }
@@ -294,6 +298,7 @@
         changed: Notify::new(),
         stop: CancellationToken::new(),
         is_deposed: Cell::new(false),
+        is_contested: Cell::new(false),
         is_saving: Cell::new(false),
     }
 }
--- a/crates/jobs/src/serve.rs
+++ b/crates/jobs/src/serve.rs
@@ -126,7 +126,11 @@
         let mut denied_by = None;
         for _ in 0..LOOKUPS {
             let home = match self.place(&job) {
-                Place::Here(cell) => return self.answer_here(call, &cell).await,
+                Place::Here(cell) => match self.answer_here(call, &cell).await {
+                    Some(answered) => return answered,
+                    None if asker == Asker::Peer => break,
+                    None => continue,
+                },
                 _ if asker == Asker::Peer => return (StatusCode::NOT_FOUND, Bytes::new()),
                 Place::At(home) => Some(home),
                 Place::Unknown => None,
@@ -150,8 +154,8 @@
                         self.call_home(&job, &home.daemon);
                     }
                     self.learn(&job, &home);
-                    if !matches!(call, JobCall::End { .. }) {
-                        return self.answer_here(call, &cell).await;
+                    if let Some(answered) = self.answer_from_record(call, &cell) {
+                        return answered;
                     }
                 }
                 Err(error) => {
@@ -163,18 +167,30 @@
         (StatusCode::SERVICE_UNAVAILABLE, Bytes::new())
     }
 
-    async fn answer_here(self: &Rc<Self>, call: &JobCall, cell: &Rc<JobCell>) -> Answered {
+    /// Answers as the job's home; `None` if this daemon turns out not to be it, or is not sure.
+    async fn answer_here(self: &Rc<Self>, call: &JobCall, cell: &Rc<JobCell>) -> Option<Answered> {
+        if let JobCall::End { .. } = call {
+            return Some(self.end(cell).await);
+        }
+        if let JobCall::Results { after, wait_ms, .. } = call {
+            self.wait_for_result(cell, *after, *wait_ms).await;
+        }
+        if cell.is_deposed.get() || cell.is_contested.get() {
+            return None;
+        }
+        self.answer_from_record(call, cell)
+    }
+
+    /// Answers from what the job's record held when it was read; an end needs the home.
+    fn answer_from_record(&self, call: &JobCall, cell: &JobCell) -> Option<Answered> {
         match call {
-            JobCall::Results { after, wait_ms, .. } => {
-                self.wait_for_result(cell, *after, *wait_ms).await;
-                self.results(cell, *after)
-            }
+            JobCall::Results { after, .. } => Some(self.results(cell, *after)),
             JobCall::ItemBody { item, .. } => match cell.job.borrow().item_body(item) {
-                Some(body) => (StatusCode::OK, body),
-                None => (StatusCode::NOT_FOUND, Bytes::new()),
+                Some(body) => Some((StatusCode::OK, body)),
+                None => Some((StatusCode::NOT_FOUND, Bytes::new())),
             },
-            JobCall::End { .. } => self.end(cell).await,
-            JobCall::Unknown => (StatusCode::NOT_FOUND, Bytes::new()),
+            JobCall::End { .. } => None,
+            JobCall::Unknown => Some((StatusCode::NOT_FOUND, Bytes::new())),
         }
     }
 
@@ -183,7 +199,8 @@
             loop {
                 let changed = cell.changed.notified();
                 let is_there = cell.job.borrow().listed().len() > after;
-                if is_there || cell.is_deposed.get() || cell.job.borrow().is_over() {
+                let is_home = !cell.is_deposed.get() && !cell.is_contested.get();
+                if is_there || !is_home || cell.job.borrow().is_over() {
                     return;
                 }
                 changed.await;
