Measure what a request and an event cost one daemon

Change: crocus-bench path runs the real daemon as a process before stand-in replicas, sends plain requests and streams on kept connections and reads the process's time and memory by its id.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod matrix_online;
 pub mod online_load;
 pub mod options;
+pub mod path_cost;
 pub mod process;
 pub mod report;
 pub mod rolls;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -9,6 +9,7 @@
 use bench::matrix;
 use bench::options::Command;
 use bench::options::Options;
+use bench::path_cost;
 use bench::report;
 use bench::rolls;
 use bench::slopes;
@@ -53,6 +54,7 @@
         Command::Matrix(args) => return matrix::run(args).await,
         Command::Slopes(args) => slopes::run(args).await?,
         Command::Job(args) => print(&job_run::run(args).await?),
+        Command::Path(args) => print(&path_cost::run(args).await?),
         Command::Rolls(args) => print(&rolls::run(args).await?),
     }
     Ok(ExitCode::SUCCESS)
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -39,6 +39,27 @@
     Job(JobArgs),
     /// Roll bundles with racing operators and lost answers and measure how fast they spread.
     Rolls(RollsArgs),
+    /// Measure one daemon's processor time and memory on the platform's path.
+    ///
+    /// With RUST_LOG=off the daemon writes no log, which gives the log's cost.
+    Path(PathArgs),
+}
+
+/// The cost of the platform's path.
+#[derive(Clone, Debug, Args)]
+pub struct PathArgs {
+    /// The number of plain requests.
+    #[arg(long, default_value_t = 12_000)]
+    pub requests: u64,
+    /// The number of streams.
+    #[arg(long, default_value_t = 480)]
+    pub streams: u64,
+    /// The events of each stream.
+    #[arg(long, default_value_t = 100)]
+    pub events: u64,
+    /// The daemon's program; beside this program unless given.
+    #[arg(long, value_name = "FILE")]
+    pub daemon: Option<PathBuf>,
 }
 
 /// What all experiments need.
