Log how long a request waited that found no slot

Change: the wait counts whether a slot came or not. Test: a_request_that_found_no_slot_is_logged_with_the_time_that_it_waited: slot_wait_ms=0 of 582 ms before, passes after.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use platform::names::DEADLINE_MS;
 use platform_stub::Client;
+use platform_stub::client::Call;
 use platform_stub::client::NewItem;
 use platform_stub::client::is_whole_stream;
 use platform_stub::client::whole_text;
@@ -20,6 +22,7 @@
 use platform_stub::replica::plain_body;
 use platform_stub::store_server::StoreFault;
 use rustix::process::Signal;
+use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -277,7 +280,7 @@
         let daemon = fleet.ingress(0);
         let streams: Vec<_> = (0..10)
             .map(|number| {
-                tokio::task::spawn_local(async move {
+                spawn_local(async move {
                     let id = format!("t{number}");
                     let answer = Client.stream(daemon, STREAM, &id, 60).await;
                     answer.is_ok_and(|answer| is_whole_stream(&id, 60, &answer.body))
@@ -401,7 +404,7 @@
         let daemon = fleet.ingress(0);
         let streams: Vec<_> = (0..20)
             .map(|number| {
-                tokio::task::spawn_local(async move {
+                spawn_local(async move {
                     // Their replicas work on while the daemon stands still.
                     Client.stream(daemon, RESUMABLE, &format!("p{number}"), 300).await.ok()
                 })
@@ -434,9 +437,9 @@
         set(ReplicaFault::Silent);
         for number in 0..6 {
             let daemon = fleet.ingress(number % 2);
-            tokio::task::spawn_local(async move {
-                Client.stream(daemon, STREAM, &format!("q{number}"), 10).await
-            });
+            spawn_local(
+                async move { Client.stream(daemon, STREAM, &format!("q{number}"), 10).await },
+            );
         }
         sleep(Duration::from_millis(1_500)).await;
         set(ReplicaFault::None);
@@ -493,3 +496,35 @@
         }
     });
 }
+
+#[test]
+fn a_request_that_found_no_slot_is_logged_with_the_time_that_it_waited() {
+    run_local("full", |folder| async move {
+        let fleet = Fleet::start(folder, 1).await;
+        let daemon = fleet.ingress(0);
+        let busy: Vec<_> = (0..24)
+            .map(|number| {
+                let id = format!("busy{number}");
+                spawn_local(async move { Client.stream(daemon, STREAM, &id, 900).await })
+            })
+            .collect();
+        sleep(Duration::from_secs(1)).await;
+        let mut call = Call::stream(STREAM, "late", 5);
+        for (name, value) in &mut call.headers {
+            if name == DEADLINE_MS {
+                *value = "600".to_owned();
+            }
+        }
+        let refused = Client.call(daemon, &call).await.expect("an answer");
+        assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+        // The log is written by a thread of its own.
+        sleep(Duration::from_millis(500)).await;
+        let log = std::fs::read_to_string(&fleet.daemons[0].log).expect("the log");
+        let line = log.lines().find(|line| line.contains("event=request id=late "));
+        let line = line.expect("the refusal is logged");
+        let waited = line.split("slot_wait_ms=").nth(1).and_then(|rest| rest.split(' ').next());
+        let waited: u64 = waited.and_then(|ms| ms.parse().ok()).expect("a number");
+        assert!(line.contains("outcome=overload") && waited >= 400, "{line}");
+        busy.iter().for_each(tokio::task::JoinHandle::abort);
+    });
+}
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -158,9 +158,10 @@
             excluded: &report.tried,
         };
         let asked_ms = self.now_ms();
-        let lease = self.lease(&ask).await.map_err(SendEnd::NoSlot)?;
+        let lease = self.lease(&ask).await;
         let now_ms = self.now_ms();
         report.slot_wait_ms += now_ms.saturating_sub(asked_ms);
+        let lease = lease.map_err(SendEnd::NoSlot)?;
         report.replica = Some(lease.replica.name.clone());
         note_send(request, &lease, attempt, now_ms);
         let left_ms = policy.give_up_at_ms.saturating_sub(now_ms).max(1);
