--- a/crates/daemon/tests/platform_fleet/mod.rs
+++ b/crates/daemon/tests/platform_fleet/mod.rs
@@ -89,12 +89,6 @@
         self.deployment.log.borrow().of(id).len()
     }
 
-    /// Returns whether every item of a job ran to its end.
-    pub fn ran_whole(&self, items: &[NewItem]) -> bool {
-        let log = self.deployment.log.borrow();
-        items.iter().all(|item| log.of(&item.id).iter().any(|run| run.is_whole))
-    }
-
     /// Waits until every daemon knows all daemons.
     async fn settle(&self, count: usize) {
         let until = Instant::now() + Duration::from_secs(10);
