Explain a request that a stopping daemon refused

Cause: crocus explain had no sentence for the outcome 'leaving' and said 'Its answer ended as leaving after 0 events from -'. Test: a_request_that_was_refused_by_a_stopping_daemon_says_so (the old sentence before).

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -236,6 +236,10 @@
         "overload" => {
             format!("It was refused unrun: no slot came free within {} ms.", field("slot_wait_ms"))
         }
+        "leaving" => {
+            "It was refused unrun: its daemon was about to stop and might not have outlasted it."
+                .to_owned()
+        }
         "no_backend" => "It was refused unrun: no replica of the service took it.".to_owned(),
         "deadline" => format!(
             "Its time was over after {} ms while {}{state} worked on it.",
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -52,6 +52,18 @@
     assert_eq!(cause, "It was refused unrun: no slot came free within 1200 ms.");
 }
 
+#[test]
+fn a_request_that_was_refused_by_a_stopping_daemon_says_so() {
+    let line = "ts=2026-12-04T10:00:04.000Z level=info at=gate::report event=request id=r3 route=r \
+                version=1 outcome=leaving status=503 replica=- tried=0 slot_wait_ms=0 first_ms=-1 \
+                events=0 total_ms=0";
+    let lines = Line::parse(line, "daemon-1").into_iter().collect();
+    assert_eq!(
+        tell("r3", lines).cause(),
+        "It was refused unrun: its daemon was about to stop and might not have outlasted it."
+    );
+}
+
 #[test]
 fn an_item_is_followed_over_its_tries_and_its_job() {
     let story = tell("i1", lines());
