Take an owner for lost only on a list that can show it

Cause: a home deposed the owner of a job when its own view did not hold that owner's start. A daemon that started a moment ago is in no earlier list, so a peer that also took itself for the job's home (its view was as old) deposed it at once; the group of marks it had just written had then no run to resume and was closed as interrupted. The test kept no logs before (daemons log to stdout); it does now. Ruled out: an owner handing back that is taken for dead (the first owner had left), a mark read wrongly by the next home, lost answers of links.

Change: Membership::owner_state tells lost from unknown: only a list asked for after the owner was read can show that it has no lease, only a list can show that a lease was not renewed. A home takes over nothing before its own lease is stored and the others' were listed. A hand-back before the claim leaves the job at once.

--- a/crates/batch/src/home.rs
+++ b/crates/batch/src/home.rs
@@ -105,6 +105,11 @@
     }
 
     async fn follow_shards(self: Arc<Self>) {
+        tokio::select! {
+            () = self.context.services.stopped.cancelled() => return,
+            () = self.context.services.leaving.cancelled() => return,
+            () = self.members.joined() => {}
+        }
         let mut changes = self.members.changes();
         let mut ticks = tokio::time::interval(TICK);
         self.update_shards();
@@ -188,7 +193,7 @@
             .running()
             .get(&job)
             .is_some_and(|running| marker.is_some_and(|version| version == running.marker));
-        if is_unchanged || !self.is_home_of(&job) {
+        if is_unchanged || !self.members.has_joined() || !self.is_home_of(&job) {
             return;
         }
         let stored = self.store.get_json::<Manifest>(CallClass::Claim, &keys::manifest(&job)).await;
--- a/crates/batch/src/ledger.rs
+++ b/crates/batch/src/ledger.rs
@@ -384,6 +384,10 @@
             return;
         }
         self.is_leaving = true;
+        if self.phase == Phase::Reading {
+            self.phase = Phase::Over;
+            return actions.push(Action::HandedBack);
+        }
         // Idempotent items run again at the next owner; the others end here.
         let is_stopped = self.facts.idempotent;
         self.stop_running(actions, |_| is_stopped);
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -8,6 +8,7 @@
 use engine::Lanes;
 use engine::Replicas;
 use fleet::Members;
+use fleet::membership::OwnerState;
 use kernel::Services;
 use log::info;
 use log::warn;
@@ -18,7 +19,9 @@
 use store::store::new_write_id;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
+use wire::DaemonName;
 use wire::JobId;
+use wire::Millis;
 use wire::Version;
 use wire::job::ChunkRecord;
 use wire::job::Head;
@@ -211,13 +214,17 @@
         let job = self.manifest.job.clone();
         self.spawn(async move {
             let mut waits = 0;
+            let mut seen = OwnerSeen::default();
             loop {
                 match read_head(&context.store, &job).await {
-                    // A live owner hands the job back by itself; only a stuck one is deposed.
-                    Ok(read) if waits < MAX_OWNER_WAITS && read.is_owned(&context.members) => {
+                    Ok(read) => {
+                        let seen_at_ms = seen.at_ms(&read.head, context.services.clock.now_ms());
+                        // A live owner hands the job back by itself; only a stuck one is deposed.
+                        if waits >= MAX_OWNER_WAITS || read.is_free(&context.members, seen_at_ms) {
+                            return read.into_event();
+                        }
                         waits += 1;
                     }
-                    Ok(read) => return read.into_event(),
                     Err(error) => warn!("event=head_not_read job={job} error=\"{error}\""),
                 }
                 tokio::time::sleep(READ_RETRY).await;
@@ -304,6 +311,23 @@
     }
 }
 
+/// The owner that a job's head names, and when it was first read there.
+#[derive(Debug, Default)]
+struct OwnerSeen {
+    owner: Option<DaemonName>,
+    at_ms: Millis,
+}
+
+impl OwnerSeen {
+    /// Takes a head that was read by `now_ms` and returns when its owner was first read.
+    fn at_ms(&mut self, head: &Head, now_ms: Millis) -> Millis {
+        if self.owner != head.owner {
+            *self = Self { owner: head.owner.clone(), at_ms: now_ms };
+        }
+        self.at_ms
+    }
+}
+
 /// The durable state of a job when its runner starts.
 struct HeadRead {
     head: Head,
@@ -312,10 +336,16 @@
 }
 
 impl HeadRead {
-    /// Returns whether another daemon that runs still owns the job.
-    fn is_owned(&self, members: &Members) -> bool {
-        !self.head.finished
-            && self.head.owner.as_ref().is_some_and(|owner| members.is_owner_alive(owner.as_str()))
+    /// Returns whether no daemon that may still run owns the job.
+    fn is_free(&self, members: &Members, owner_seen_at_ms: Millis) -> bool {
+        let Some(owner) = self.head.owner.as_ref().filter(|_| !self.head.finished) else {
+            return true;
+        };
+        let state = members.owner_state(owner.as_str(), owner_seen_at_ms);
+        if state == OwnerState::Lost {
+            info!("event=job_owner_lost daemon={} owner={owner}", members.own().daemon);
+        }
+        state == OwnerState::Lost
     }
 
     fn into_event(self) -> Event {
--- a/crates/batch/tests/ledger.rs
+++ b/crates/batch/tests/ledger.rs
@@ -153,3 +153,13 @@
     let twice = "{\"custom_id\":\"a\",\"prompt\":\"p\",\"max_tokens\":1}\n".repeat(2);
     assert!(codec::parse_lot(twice.as_bytes()).is_err());
 }
+
+#[test]
+fn a_job_that_was_not_claimed_yet_is_left_at_once() {
+    let facts = JobFacts { items: 4, chunk_items: 8, idempotent: false };
+    let mut ledger = Ledger::new(DaemonName::from("d@1"), facts, LIMITS, false);
+    assert_eq!(ledger.step(0, Event::HandBack), [Action::HandedBack]);
+    let head = Head { owner: Some(DaemonName::from("e@1")), epoch: 3, ..Head::default() };
+    let read = Event::HeadRead { head, version: Version(7), existing: BTreeSet::new() };
+    assert_eq!(ledger.step(10, read), [], "the live owner is not deposed for nothing");
+}
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -52,7 +52,8 @@
         let child = Command::new(env!("CARGO_BIN_EXE_crocusd"))
             .arg("--settings")
             .arg(self.settings_path(index))
-            .env("RUST_LOG", "warn")
+            .env("RUST_LOG", "info")
+            .stdout(self.log_file(&format!("daemon-{index}.log")))
             .stderr(self.log_file(&format!("daemon-{index}.log")))
             .spawn()
             .expect("crocusd starts");
@@ -176,6 +177,7 @@
             .arg("--settings")
             .arg(path)
             .env("RUST_LOG", "warn")
+            .stdout(self.log_file("stub.log"))
             .stderr(self.log_file("stub.log"))
             .spawn()
             .expect("crocus-stub starts");
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -39,6 +39,7 @@
 use crate::membership::LeaseSeen;
 use crate::membership::MemberStatus;
 use crate::membership::Membership;
+use crate::membership::OwnerState;
 
 /// The prefix of the leases' keys: `daemons/NAME/INCARNATION`.
 const LEASES: &str = "daemons/";
@@ -59,6 +60,20 @@
     in_force: AtomicU64,
     owners: ArcSwap<Owners>,
     changes: watch::Sender<u64>,
+    joined: watch::Sender<Joined>,
+}
+
+/// What a daemon needs before it may take over anything.
+#[derive(Clone, Copy, Debug, Default)]
+struct Joined {
+    has_lease: bool,
+    has_listed: bool,
+}
+
+impl Joined {
+    fn is_whole(&self) -> bool {
+        self.has_lease && self.has_listed
+    }
 }
 
 /// The daemons among which ownership is decided, as of a moment ago.
@@ -87,6 +102,7 @@
             in_force: AtomicU64::new(0),
             owners: ArcSwap::default(),
             changes: watch::channel(0).0,
+            joined: watch::channel(Joined::default()).0,
         })
     }
 
@@ -188,12 +204,26 @@
         }
     }
 
-    /// Returns whether a start of a daemon, named as `own_owner` does, still runs.
-    pub fn is_owner_alive(&self, owner: &str) -> bool {
+    /// Returns whether a start of a daemon, named as `own_owner` does and first seen as an owner
+    /// at `seen_at_ms`, still runs.
+    pub fn owner_state(&self, owner: &str, seen_at_ms: wire::Millis) -> OwnerState {
         let Some((daemon, incarnation)) = owner.split_once('@') else {
-            return false;
+            return OwnerState::Lost;
         };
-        self.core().is_alive(self.now_ms(), &DaemonName::from(daemon), incarnation)
+        let daemon = DaemonName::from(daemon);
+        self.core().owner_state(self.now_ms(), seen_at_ms, &daemon, incarnation)
+    }
+
+    /// Waits until this daemon's own lease is there and the others' were listed once.
+    pub async fn joined(&self) {
+        let mut joined = self.joined.subscribe();
+        // The sender lives as long as `self`.
+        let _ = joined.wait_for(Joined::is_whole).await;
+    }
+
+    /// Returns whether `joined` would return at once.
+    pub fn has_joined(&self) -> bool {
+        self.joined.borrow().is_whole()
     }
 
     /// Returns this start of the daemon as an owner of jobs: `NAME@INCARNATION`.
@@ -240,7 +270,10 @@
         let write_id = new_write_id();
         let put = self.store.put(CallClass::Lease, &key, value, lease.version, &write_id);
         match put.await {
-            Ok(PutEnd::Applied(applied)) => lease.version = applied,
+            Ok(PutEnd::Applied(applied)) => {
+                lease.version = applied;
+                self.joined.send_modify(|joined| joined.has_lease = true);
+            }
             // A peer has removed the lapsed lease; the next turn creates it anew.
             Ok(PutEnd::Conflict) => lease.version = self.lease_version(&key).await,
             Err(error) => {
@@ -265,8 +298,13 @@
     async fn list_leases(self: Arc<Self>) {
         let every_ms = self.services.settings.membership.list_every_ms;
         loop {
+            let began_at_ms = self.now_ms();
             match self.store.list(CallClass::Lease, LEASES).await {
-                Ok(listed) => self.apply(Event::Listed(leases(&listed))).await,
+                Ok(listed) => {
+                    let leases = leases(&listed);
+                    self.apply(Event::Listed { began_at_ms, leases }).await;
+                    self.joined.send_modify(|joined| joined.has_listed = true);
+                }
                 Err(_) => self.services.counters.count("lease_lists_failed"),
             }
             let live = self.owners().len();
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -3,6 +3,7 @@
 //! A lease has lapsed when its version has not changed for the lease time on the reader's own
 //! clock, so no two clocks are ever compared.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -58,7 +59,12 @@
 #[derive(Clone, Debug)]
 pub enum Event {
     /// A whole list of the leases was read.
-    Listed(Vec<LeaseSeen>),
+    Listed {
+        /// When the list was asked for.
+        began_at_ms: Millis,
+        /// The leases.
+        leases: Vec<LeaseSeen>,
+    },
     /// A lease's content was read.
     InfoRead(DaemonInfo),
     /// A probed neighbour answered, or a peer probed this daemon.
@@ -132,6 +138,17 @@
     pub heard_ago_ms: Option<Millis>,
 }
 
+/// What is known of the start of a daemon that owns a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OwnerState {
+    /// It holds its lease and answers.
+    Alive,
+    /// It has no lease, a lapsed one, or does not answer.
+    Lost,
+    /// No list of the leases is late enough to tell.
+    Unknown,
+}
+
 /// After how many lease times a dead daemon's lease is removed.
 const REMOVE_AFTER_LEASES: u64 = 4;
 
@@ -140,18 +157,22 @@
     own: DaemonInfo,
     timing: Timing,
     members: BTreeMap<DaemonName, Member>,
+    list_began_at_ms: Option<Millis>,
 }
 
 impl Membership {
     /// Creates a core that knows only its own daemon.
     pub fn new(own: DaemonInfo, timing: Timing) -> Self {
-        Self { own, timing, members: BTreeMap::new() }
+        Self { own, timing, members: BTreeMap::new(), list_began_at_ms: None }
     }
 
     /// Takes one event and returns what to do.
     pub fn step(&mut self, now_ms: Millis, event: Event) -> Vec<Action> {
         let mut actions = match event {
-            Event::Listed(leases) => self.on_listed(now_ms, leases),
+            Event::Listed { began_at_ms, leases } => {
+                self.list_began_at_ms = Some(began_at_ms);
+                self.on_listed(now_ms, leases)
+            }
             Event::InfoRead(info) => self.on_info(info),
             Event::Heard { peer, heartbeat } => self.on_heard(now_ms, &peer, &heartbeat),
             Event::Missed { peer } => self.on_missed(now_ms, &peer),
@@ -190,13 +211,39 @@
         peers.chain(own).collect()
     }
 
-    /// Returns whether this start of a daemon still runs, as far as is known here.
-    pub fn is_alive(&self, now_ms: Millis, daemon: &DaemonName, incarnation: &str) -> bool {
-        self.members.get(daemon).is_some_and(|member| {
-            member.incarnation == incarnation
-                && self.is_live(member, now_ms)
-                && !is_suspect(member, now_ms, self.timing)
-        })
+    /// Returns whether a start of a daemon, first seen as an owner at `seen_at_ms`, still runs.
+    ///
+    /// Only a list that was asked for after the owner was seen can show that it has no lease, and
+    /// only a list can show that a lease was not renewed.
+    pub fn owner_state(
+        &self,
+        now_ms: Millis,
+        seen_at_ms: Millis,
+        daemon: &DaemonName,
+        incarnation: &str,
+    ) -> OwnerState {
+        if *daemon == self.own.daemon {
+            return OwnerState::Lost;
+        }
+        let is_listed_since = self.list_began_at_ms.is_some_and(|began_ms| began_ms > seen_at_ms);
+        let absent = if is_listed_since { OwnerState::Lost } else { OwnerState::Unknown };
+        let Some(member) = self.members.get(daemon) else {
+            return absent;
+        };
+        // Incarnations of later starts sort after earlier ones.
+        match member.incarnation.as_str().cmp(incarnation) {
+            Ordering::Greater => return OwnerState::Lost,
+            Ordering::Less => return absent,
+            Ordering::Equal => {}
+        }
+        let has_lapsed = self
+            .list_began_at_ms
+            .is_some_and(|began_ms| began_ms >= member.renewed_at_ms + self.timing.lease_ms);
+        if has_lapsed || is_suspect(member, now_ms, self.timing) {
+            OwnerState::Lost
+        } else {
+            OwnerState::Alive
+        }
     }
 
     /// Returns the neighbours that this daemon probes: the next ones on a ring of hashed names.
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -7,6 +7,7 @@
 use fleet::membership::Action;
 use fleet::membership::Event;
 use fleet::membership::LeaseSeen;
+use fleet::membership::OwnerState;
 use fleet::membership::Timing;
 use wire::DaemonName;
 use wire::DataCentre;
@@ -35,9 +36,17 @@
     }
 }
 
+fn listed(began_at_ms: u64, leases: Vec<LeaseSeen>) -> Event {
+    Event::Listed { began_at_ms, leases }
+}
+
+fn owner_state(core: &Membership, now_ms: u64, seen_at_ms: u64, incarnation: &str) -> OwnerState {
+    core.owner_state(now_ms, seen_at_ms, &DaemonName::from("peer"), incarnation)
+}
+
 fn with_peer() -> Membership {
     let mut core = Membership::new(info("own", "a"), TIMING);
-    let actions = core.step(0, Event::Listed(vec![lease("peer", 1, false)]));
+    let actions = core.step(0, listed(0, vec![lease("peer", 1, false)]));
     assert!(matches!(actions[0], Action::ReadInfo { .. }));
     core.step(0, Event::InfoRead(info("peer", "a")));
     core
@@ -52,7 +61,7 @@
     let mut core = with_peer();
     assert_eq!(owners(&core, 999), 2);
     assert_eq!(owners(&core, 1_000), 1);
-    core.step(1_000, Event::Listed(vec![lease("peer", 2, false)]));
+    core.step(1_000, listed(1_000, vec![lease("peer", 2, false)]));
     assert_eq!(owners(&core, 1_500), 2);
 }
 
@@ -71,9 +80,44 @@
 #[test]
 fn a_leaving_daemon_owns_nothing_and_lives_on() {
     let mut core = with_peer();
-    core.step(100, Event::Listed(vec![lease("peer", 2, true)]));
+    core.step(100, listed(100, vec![lease("peer", 2, true)]));
     assert_eq!(owners(&core, 100), 1);
-    assert!(core.is_alive(100, &DaemonName::from("peer"), "1"));
+    assert_eq!(owner_state(&core, 100, 100, "1"), OwnerState::Alive);
+}
+
+#[test]
+fn an_owner_that_was_never_listed_is_not_taken_for_lost() {
+    let mut core = Membership::new(info("own", "a"), TIMING);
+    assert_eq!(owner_state(&core, 50, 40, "1"), OwnerState::Unknown);
+    // Asked for before the owner was seen: its first lease may have come in between.
+    core.step(60, listed(30, Vec::new()));
+    assert_eq!(owner_state(&core, 60, 40, "1"), OwnerState::Unknown);
+    core.step(80, listed(70, Vec::new()));
+    assert_eq!(owner_state(&core, 80, 40, "1"), OwnerState::Lost);
+}
+
+#[test]
+fn an_owner_started_after_the_last_list_is_not_taken_for_lost() {
+    let mut core = with_peer();
+    assert_eq!(owner_state(&core, 100, 90, "2"), OwnerState::Unknown);
+    assert_eq!(owner_state(&core, 100, 90, "0"), OwnerState::Lost);
+    core.step(
+        200,
+        listed(150, vec![LeaseSeen { incarnation: "2".to_owned(), ..lease("peer", 2, false) }]),
+    );
+    // Its lease is enough: its content need not be read yet.
+    assert_eq!(owner_state(&core, 200, 90, "2"), OwnerState::Alive);
+    assert_eq!(owner_state(&core, 200, 90, "1"), OwnerState::Lost);
+}
+
+#[test]
+fn an_owner_is_not_lost_because_lists_fail_here() {
+    let mut core = with_peer();
+    assert_eq!(owner_state(&core, 5_000, 100, "1"), OwnerState::Alive);
+    core.step(5_000, listed(4_990, vec![lease("peer", 9, false)]));
+    assert_eq!(owner_state(&core, 5_000, 100, "1"), OwnerState::Alive);
+    core.step(6_100, listed(6_050, vec![lease("peer", 9, false)]));
+    assert_eq!(owner_state(&core, 6_100, 100, "1"), OwnerState::Lost);
 }
 
 #[test]
