Let the time of day of daemons jump in the soak

Change: Clock::unix_ms adds the milliseconds of the file that CROCUS_CLOCK_SHIFT_FILE names, if it is set; the stand-in's DaemonProcess sets it, and the soak draws up to three jumps a run (2 s, 1 min, 1 h, either way, back at the end) from a generator of their own, so that earlier seeds keep their other faults. A jump excuses nothing in the checks. Figures: crates/soak/tests: fifty seeds meet 20 kinds of faults (19 before).

--- a/crates/kernel/src/clock.rs
+++ b/crates/kernel/src/clock.rs
@@ -1,14 +1,23 @@
 //! Time for the adapters; the pure cores get it as an argument.
 
+use std::io::ErrorKind;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::OnceLock;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use log::warn;
 use rustix::time::ClockId;
 use rustix::time::clock_gettime;
 use wire::Millis;
 
+/// The variable with the path of a file that holds the milliseconds, with a sign, by which the time
+/// of day is to be wrong; fault tests let it jump so.
+pub const SHIFT_FILE_VARIABLE: &str = "CROCUS_CLOCK_SHIFT_FILE";
+
 /// A monotonic clock that starts near zero, beside the wall clock.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -28,10 +37,35 @@
 
     /// Returns the milliseconds since the Unix epoch.
     pub fn unix_ms() -> Millis {
-        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as Millis)
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        let now_ms = now.map_or(0, |since| since.as_millis() as Millis);
+        now_ms.saturating_add_signed(shift_ms())
     }
 }
 
+/// Returns by how much the time of day is to be wrong, in milliseconds; 0 outside of tests.
+fn shift_ms() -> i64 {
+    static FILE: OnceLock<Option<PathBuf>> = OnceLock::new();
+    let file = FILE.get_or_init(|| std::env::var_os(SHIFT_FILE_VARIABLE).map(PathBuf::from));
+    file.as_deref().map_or(0, read_shift_ms)
+}
+
+/// Reads the shift from its file; a file that is not there shifts nothing.
+fn read_shift_ms(file: &Path) -> i64 {
+    let text = match std::fs::read_to_string(file) {
+        Ok(text) => text,
+        Err(error) if error.kind() == ErrorKind::NotFound => return 0,
+        Err(error) => {
+            warn!("event=clock_shift_not_read file=\"{}\" error=\"{error}\"", file.display());
+            return 0;
+        }
+    };
+    text.trim().parse().unwrap_or_else(|error| {
+        warn!("event=clock_shift_not_read file=\"{}\" error=\"{error}\"", file.display());
+        0
+    })
+}
+
 /// A clock that goes on while the host is suspended; deadlines and leases are counted on it.
 #[derive(Clone, Copy, Debug)]
 pub struct BootClock {
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -53,6 +53,7 @@
     process: RefCell<DaemonProcess>,
     downs: Cell<u32>,
     pauses: Cell<u32>,
+    clock_shift_ms: Cell<i64>,
     store_link: Rc<Proxy>,
 }
 
@@ -100,6 +101,7 @@
                 process: RefCell::new(process),
                 downs: Cell::new(0),
                 pauses: Cell::new(0),
+                clock_shift_ms: Cell::new(0),
                 store_link,
             });
         }
@@ -254,6 +256,11 @@
                 self.deployment.drain_replica(&name);
                 self.add_replica(service_of(&name)).map_err(io::Error::other)
             }
+            Fault::ClockStep { daemon, by_ms } => {
+                self.daemons[daemon].step_clock(by_ms)?;
+                sleep(lasts).await;
+                self.daemons[daemon].step_clock(-by_ms)
+            }
             Fault::Configure => {
                 let number = self.route_times_ms.borrow().len();
                 self.deployment.add_route(&route_prefix(number));
@@ -346,6 +353,11 @@
         process.restart()
     }
 
+    fn step_clock(&self, by_ms: i64) -> io::Result<()> {
+        self.clock_shift_ms.set(self.clock_shift_ms.get() + by_ms);
+        self.process.borrow().shift_clock(self.clock_shift_ms.get())
+    }
+
     async fn pause(&self, lasts: Duration) -> io::Result<()> {
         self.pauses.set(self.pauses.get() + 1);
         self.process.borrow_mut().signal(Signal::STOP)?;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -19,6 +19,15 @@
 /// The daemons for which a run has one fault more.
 const DAEMONS_PER_FAULT: usize = 4;
 
+/// The most jumps of clocks of a run of the usual size; larger fleets have more.
+const MAX_CLOCK_STEPS: usize = 3;
+/// The daemons for which a run has one jump more.
+const DAEMONS_PER_CLOCK_STEP: usize = 20;
+/// How far a clock jumps, in milliseconds: below and above contact times, and a time zone.
+const CLOCK_STEPS_MS: [i64; 3] = [2_000, 60_000, 3_600_000];
+/// Makes the numbers of the jumps others than those of the other faults.
+const CLOCK_SEED: u64 = 0x636c_6f63_6b73;
+
 /// What is wrong with a connection through a proxy.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LinkFault {
@@ -118,6 +127,13 @@
     },
     /// The operator adds a route.
     Configure,
+    /// A daemon's time of day jumps, and back at the end.
+    ClockStep {
+        /// The daemon.
+        daemon: usize,
+        /// By how much, in milliseconds.
+        by_ms: i64,
+    },
 }
 
 impl Fault {
@@ -129,6 +145,11 @@
         )
     }
 
+    /// Returns whether nobody may notice it: changed configurations, draining replicas, clocks.
+    pub fn is_harmless(self) -> bool {
+        matches!(self, Self::Configure | Self::ReplicaDrain { .. } | Self::ClockStep { .. })
+    }
+
     fn draw(random: &mut StdRng, daemons: usize) -> Self {
         let daemon = random.gen_range(0..daemons);
         let replica = random.gen_range(0..64);
@@ -188,10 +209,28 @@
             fault: Fault::draw(&mut random, daemons),
         })
         .collect();
+    faults.extend(clock_steps(seed, daemons));
     faults.sort_by_key(|planned| planned.at_ms);
     faults
 }
 
+/// Returns the jumps of clocks; drawn apart, so that seeds from before them keep their other faults.
+fn clock_steps(seed: u64, daemons: usize) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed ^ CLOCK_SEED);
+    let count = random.gen_range(0..=MAX_CLOCK_STEPS) + daemons / DAEMONS_PER_CLOCK_STEP;
+    (0..count)
+        .map(|_| {
+            let step_ms = CLOCK_STEPS_MS[random.gen_range(0..CLOCK_STEPS_MS.len())];
+            let by_ms = if random.r#gen() { step_ms } else { -step_ms };
+            PlannedFault {
+                at_ms: LEAD_MS + random.gen_range(0..FAULTS_MS),
+                lasts_ms: random.gen_range(MIN_LASTS_MS..MAX_LASTS_MS),
+                fault: Fault::ClockStep { daemon: random.gen_range(0..daemons), by_ms },
+            }
+        })
+        .collect()
+}
+
 fn draw_link(random: &mut StdRng) -> LinkFault {
     match random.gen_range(0..5) {
         0 => LinkFault::Delay(random.gen_range(5..200)),
--- a/crates/soak/src/timeline.rs
+++ b/crates/soak/src/timeline.rs
@@ -54,15 +54,15 @@
     /// Returns whether nothing was disturbed in a time and for the contact time before it.
     pub fn is_calm(&self, from_ms: u64, until_ms: u64) -> bool {
         let from_ms = from_ms.saturating_sub(CONTACT_MS);
-        !self.spans.iter().any(|span| is_disturbing(span) && span.overlaps(from_ms, until_ms))
+        !self.spans.iter().any(|span| !span.fault.is_harmless() && span.overlaps(from_ms, until_ms))
     }
 
     /// Returns whether nothing but planned work was done in a time and for the contact time before
     /// it.
     pub fn is_only_planned(&self, from_ms: u64, until_ms: u64) -> bool {
         let from_ms = from_ms.saturating_sub(CONTACT_MS);
-        let mut spans = self.spans.iter();
-        !spans.any(|span| !span.fault.is_planned() && span.overlaps(from_ms, until_ms))
+        let is_excuse = |fault: Fault| !fault.is_planned() && !fault.is_harmless();
+        !self.spans.iter().any(|span| is_excuse(span.fault) && span.overlaps(from_ms, until_ms))
     }
 
     /// Returns when the last disturbance was over.
@@ -70,8 +70,3 @@
         self.spans.iter().filter_map(|span| span.until_ms).max().unwrap_or(0)
     }
 }
-
-/// Changes of the configuration and draining replicas disturb nobody.
-fn is_disturbing(span: &Span) -> bool {
-    !matches!(span.fault, Fault::Configure | Fault::ReplicaDrain { .. })
-}
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -32,5 +32,5 @@
         .flat_map(|seed| faults(seed, 4))
         .map(|planned| kind(planned.fault.to_string()))
         .collect();
-    assert_eq!(kinds.len(), 19, "{kinds:?}");
+    assert_eq!(kinds.len(), 20, "{kinds:?}");
 }
