Hear a daemon that was started again on a clock that went back

Cause: a start's incarnation is its time of day, and peers dropped every heartbeat with a lower one. After a jump back and a restart the daemon was left out by its peers until they forgot it, 60 s later: not named to callers, its jobs taken for orphans. Change: a heartbeat with a lower number counts once the known start has gone silent; the numbers of starts that are over are remembered, so that late words of them change nothing. Ruled out: the store's record of daemons (members told from it do not replace a higher number either, and still do not).

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -143,6 +143,22 @@
     });
 }
 
+#[test]
+fn a_daemon_that_was_started_again_on_a_clock_that_went_back_is_named_to_callers() {
+    run_local("clock", |folder| async move {
+        let mut fleet = Fleet::start(folder, 3).await;
+        fleet.daemons[1].shift_clock(-3_600_000).expect("the shift is written");
+        fleet.daemons[1].kill().expect("it ends");
+        fleet.daemons[1].restart().expect("it starts");
+        assert!(fleet.daemons[1].ready(Duration::from_secs(10)).await);
+        // By now its peers have missed the heartbeats of the life before.
+        sleep(Duration::from_millis(2_500)).await;
+        fleet.settle(3).await;
+        let answer = Client.stream(fleet.ingress(1), STREAM, "after", 10).await.expect("an answer");
+        assert!(is_whole_stream("after", 10, &answer.body));
+    });
+}
+
 #[test]
 fn a_planned_stop_cuts_no_request() {
     run_local("stop", |folder| async move {
--- a/crates/daemon/tests/platform_fleet/mod.rs
+++ b/crates/daemon/tests/platform_fleet/mod.rs
@@ -90,7 +90,7 @@
     }
 
     /// Waits until every daemon knows all daemons.
-    async fn settle(&self, count: usize) {
+    pub async fn settle(&self, count: usize) {
         let until = Instant::now() + Duration::from_secs(10);
         for daemon in &self.daemons {
             let directory = daemon.settings.directory();
--- a/crates/peers/src/membership.rs
+++ b/crates/peers/src/membership.rs
@@ -1,6 +1,7 @@
 //! Who lives, as a pure state machine over heartbeats.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 
 use wire::DaemonName;
@@ -27,6 +28,9 @@
 const SETTLE_MS: Millis = 1_500;
 /// The time between two ticks from which on this daemon counts as paused: it ticks every 50 ms.
 const OWN_PAUSE_MS: Millis = 400;
+/// The incarnations of one daemon that are remembered as over; more starts within a minute, after
+/// which a silent daemon is forgotten, are not expected.
+const MAX_OVER: usize = 8;
 /// How often a lost daemon is tried again.
 const RETRY_LOST_MS: Millis = 1_000;
 
@@ -47,6 +51,32 @@
     introduced_ms: Millis,
     tried_ms: Millis,
     state: PeerState,
+    /// Incarnations that are over; one may be higher than the current one, since a start's number
+    /// is its time of day and clocks go back.
+    over: BTreeSet<u64>,
+}
+
+impl Peer {
+    /// Returns the incarnations that are over once `next` has taken the place of this one.
+    fn over_after(&self, next: u64) -> BTreeSet<u64> {
+        let mut over = self.over.clone();
+        over.insert(self.identity.incarnation);
+        over.remove(&next);
+        while over.len() > MAX_OVER {
+            over.pop_first();
+        }
+        over
+    }
+
+    /// Returns whether a heartbeat of an incarnation is of the peer's present start.
+    ///
+    /// One that is over or has a lower number may be a late datagram of an earlier start; it counts
+    /// once the known start has gone silent.
+    fn is_present(&self, incarnation: u64) -> bool {
+        let is_later =
+            incarnation >= self.identity.incarnation && !self.over.contains(&incarnation);
+        is_later || self.state != PeerState::Alive
+    }
 }
 
 /// How sure it is that a peer lives.
@@ -161,16 +191,22 @@
         }
         let mut actions = Vec::new();
         let known = self.peers.get(&identity.name);
-        if known.is_some_and(|peer| peer.identity.incarnation > identity.incarnation) {
+        if known.is_some_and(|peer| !peer.is_present(identity.incarnation)) {
             return actions;
         }
         let is_new = known.is_none_or(|peer| peer.heard_ms.is_none());
-        let is_restart = known.is_some_and(|peer| peer.identity.incarnation < identity.incarnation);
+        let is_restart =
+            known.is_some_and(|peer| peer.identity.incarnation != identity.incarnation);
         if is_restart {
             actions.push(MemberAction::Restarted(identity.name.clone()));
         }
         let old_state = known.map_or(PeerState::Unheard, |peer| peer.state);
         let introduced_ms = known.map_or(now_ms, |peer| peer.introduced_ms);
+        let over = match known {
+            Some(peer) if is_restart => peer.over_after(identity.incarnation),
+            Some(peer) => peer.over.clone(),
+            None => BTreeSet::new(),
+        };
         self.peers.insert(
             identity.name.clone(),
             Peer {
@@ -183,6 +219,7 @@
                 introduced_ms,
                 tried_ms: now_ms,
                 state: PeerState::Alive,
+                over,
             },
         );
         if is_new || is_restart {
@@ -199,12 +236,12 @@
     pub fn told(&mut self, now_ms: Millis, members: Vec<Identity>) -> Vec<MemberAction> {
         let mut actions = Vec::new();
         for identity in members {
-            let is_news = identity.name != self.own.name
-                && self
-                    .peers
-                    .get(&identity.name)
-                    .is_none_or(|peer| peer.identity.incarnation < identity.incarnation);
-            if !is_news {
+            let known = self.peers.get(&identity.name);
+            let is_newer = |peer: &Peer| {
+                peer.identity.incarnation < identity.incarnation
+                    && !peer.over.contains(&identity.incarnation)
+            };
+            if identity.name == self.own.name || !known.is_none_or(is_newer) {
                 continue;
             }
             actions.push(MemberAction::SendHeartbeat(identity.ip));
@@ -217,6 +254,7 @@
                 introduced_ms: now_ms,
                 tried_ms: now_ms,
                 state: PeerState::Unheard,
+                over: known.map(|peer| peer.over_after(identity.incarnation)).unwrap_or_default(),
                 identity,
             };
             self.peers.insert(peer.identity.name.clone(), peer);
@@ -294,7 +332,11 @@
             return incarnation != self.own.incarnation;
         }
         match self.peers.get(name) {
-            Some(peer) => peer.identity.incarnation > incarnation || peer.state == PeerState::Lost,
+            Some(peer) => {
+                peer.identity.incarnation > incarnation
+                    || peer.over.contains(&incarnation)
+                    || peer.state == PeerState::Lost
+            }
             None => self.is_settled(),
         }
     }
--- a/crates/peers/tests/membership.rs
+++ b/crates/peers/tests/membership.rs
@@ -95,6 +95,36 @@
     assert!(!membership.is_gone(&identity(2, 1).name, 5), "a late heartbeat changes nothing");
 }
 
+#[test]
+fn a_restart_on_a_clock_that_went_back_is_heard_once_the_life_before_is_silent() {
+    let mut membership = Membership::new(identity(1, 1), Vec::new());
+    membership.tick(0);
+    membership.heard(0, &beat(2, 5_000));
+    assert!(membership.heard(50, &beat(2, 1_000)).is_empty(), "it may be a late datagram");
+    ticks(&mut membership, 0, 900);
+    let actions = membership.heard(900, &beat(2, 1_000));
+    assert!(actions.contains(&MemberAction::Restarted(identity(2, 1_000).name)));
+    assert!(membership.is_alive(&identity(2, 1_000).name));
+    assert!(!membership.is_gone(&identity(2, 1_000).name, 1_000));
+    assert!(membership.is_gone(&identity(2, 1_000).name, 5_000));
+}
+
+#[test]
+fn words_of_a_life_that_is_over_change_nothing_even_if_its_number_is_higher() {
+    let mut membership = Membership::new(identity(1, 1), Vec::new());
+    membership.tick(0);
+    membership.heard(0, &beat(2, 5_000));
+    ticks(&mut membership, 0, 900);
+    membership.heard(900, &beat(2, 1_000));
+    assert!(membership.told(910, vec![identity(2, 5_000)]).is_empty());
+    assert!(membership.heard(920, &beat(2, 5_000)).is_empty());
+    assert!(!membership.is_gone(&identity(2, 1_000).name, 1_000));
+    assert!(membership.is_alive(&identity(2, 1_000).name));
+    let actions = membership.heard(2_000, &beat(2, 6_000));
+    assert!(actions.contains(&MemberAction::Restarted(identity(2, 6_000).name)));
+    assert!(membership.is_gone(&identity(2, 1_000).name, 1_000));
+}
+
 #[test]
 fn a_new_daemon_takes_nothing_over_before_it_has_heard_who_lives() {
     let mut membership = Membership::new(identity(1, 1), Vec::new());
