Keep jobs by the clocks of their homes, not by the time of day

Cause: how long a job is kept was its age by the time of day, submitted_unix_ms against the reader's clock. A daemon whose clock was an hour slow wrote times an hour back; when it was lost, the next home took its jobs for old and removed their results at once. Change: a held job is kept from its submission or, if it was read, from the reading, by the home's clock; an ended job that nobody holds from when the sweeper first read it (retention::Unheld). Jobs are kept longer than before after a change of home, never shorter.

--- a/crates/daemon/tests/platform_jobs.rs
+++ b/crates/daemon/tests/platform_jobs.rs
@@ -228,6 +228,31 @@
     });
 }
 
+#[test]
+fn a_job_of_a_daemon_whose_clock_was_an_hour_slow_stays_readable_when_its_home_is_lost() {
+    run_local("slow-clock", |folder| async move {
+        let mut fleet = Fleet::start(folder, 3).await;
+        fleet.daemons[0].shift_clock(-3_600_000).expect("the shift is written");
+        let job = items("h1", 6, 20);
+        let accepted = Client.submit(fleet.ingress(0), JOBS, "h1", &job).await.expect("an answer");
+        assert_eq!(accepted.status, StatusCode::ACCEPTED);
+        let results = read_whole_job(fleet.ingress(1), "h1", Duration::from_secs(15)).await;
+        assert_eq!(results.len(), 6);
+        fleet.daemons[0].kill().expect("it ends");
+        let until = Instant::now() + Duration::from_secs(11);
+        while Instant::now() < until {
+            for daemon in [1, 2] {
+                let (status, _) =
+                    Client.results(fleet.ingress(daemon), "h1", 0).await.expect("an answer");
+                assert_ne!(status, StatusCode::NOT_FOUND, "the results were removed");
+            }
+            sleep(Duration::from_millis(250)).await;
+        }
+        let results = read_whole_job(fleet.ingress(2), "h1", Duration::from_secs(15)).await;
+        assert_eq!(results.len(), 6);
+    });
+}
+
 #[test]
 fn a_job_that_was_kept_for_long_enough_leaves_nothing_behind() {
     run_local("kept", |folder| async move {
--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -38,6 +38,7 @@
 use crate::notes::WaitingTokens;
 use crate::pace::Pace;
 use crate::record::Home;
+use crate::retention::Unheld;
 
 /// The due time of a job whose route names none.
 const DEFAULT_DUE_MS: Millis = 60_000;
@@ -107,6 +108,7 @@
     pub(crate) is_leaving: Cell<bool>,
     pub(crate) pace: Cell<Pace>,
     pub(crate) sweeps: RefCell<Vec<Millis>>,
+    pub(crate) unheld: RefCell<Unheld>,
     pub(crate) next_part: Cell<u64>,
     known: RefCell<HashMap<JobId, Home>>,
     peer_waiting: RefCell<HashMap<DaemonName, Vec<WaitingTokens>>>,
@@ -128,6 +130,7 @@
             is_leaving: Cell::new(false),
             pace: Cell::new(Pace::default()),
             sweeps: RefCell::new(Vec::new()),
+            unheld: RefCell::default(),
             next_part: Cell::new(0),
             known: RefCell::new(HashMap::new()),
             peer_waiting: RefCell::new(HashMap::new()),
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -211,6 +211,13 @@
         self.listed.iter().chain(&self.unsaved).cloned().collect()
     }
 
+    /// Returns whether it is over and was kept for `kept_ms` by the clocks of its homes.
+    ///
+    /// The time of day has no part in it: a jump would remove results that clients still read.
+    pub fn is_kept_long_enough(&self, now_ms: Millis, kept_ms: Millis) -> bool {
+        self.is_over() && now_ms as i64 >= self.kept_since_ms + kept_ms as i64
+    }
+
     /// Returns whether nothing is left to run or to write.
     pub fn is_over(&self) -> bool {
         let is_run = self.is_ended || self.entries.iter().all(|e| e.phase == Phase::Done);
--- a/crates/jobs/src/retention.rs
+++ b/crates/jobs/src/retention.rs
@@ -1,9 +1,9 @@
 //! Removes jobs whose results need not be kept any longer.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use kernel::Clock;
 use log::info;
 use log::warn;
 use store::Call;
@@ -23,39 +23,83 @@
 use crate::record::JobStatus;
 use crate::record::RESULTS_KIND;
 use crate::record::ResultPart;
+use crate::sweep::CLEAN_EVERY_MS;
 
-/// How much longer than asked jobs are kept, as a part of the time asked: the time of day may jump
-/// by seconds, and a client may be in the middle of its last read.
+/// How much longer than asked jobs are kept, as a part of the time asked: a client may be in the
+/// middle of its last read.
 const MARGIN_PARTS: Millis = 2;
+/// After how many times the time that jobs are kept, and one turn of the records, an ended job is
+/// forgotten that was not removed here.
+const FORGET_PARTS: Millis = 2;
 /// How long one removal is tried.
 const PATIENCE: Duration = Duration::from_secs(5);
 /// The pause after a removal that failed.
 const FAILED_PAUSE: Duration = Duration::from_secs(10);
 
+/// The ended jobs that no daemon holds, and since when this one knows them.
+///
+/// Their records tell the time of day at which they were handed in; clocks jump, so it decides
+/// nothing. A daemon that begins to read a range of records keeps them for the whole time anew.
+#[derive(Debug, Default)]
+pub struct Unheld {
+    since_ms: HashMap<JobId, Millis>,
+}
+
+impl Unheld {
+    /// Notes that a job was read, and returns whether it was kept for `kept_ms` since the first
+    /// time; it is forgotten then.
+    pub fn is_kept_long_enough(&mut self, now_ms: Millis, kept_ms: Millis, id: &JobId) -> bool {
+        let since_ms = *self.since_ms.entry(id.clone()).or_insert(now_ms);
+        let is_old = now_ms >= since_ms + kept_ms;
+        if is_old {
+            self.since_ms.remove(id);
+        }
+        is_old
+    }
+
+    /// Forgets jobs that were first read too long ago: other daemons have removed them.
+    pub fn forget(&mut self, now_ms: Millis, after_ms: Millis) {
+        self.since_ms.retain(|_, since_ms| now_ms < *since_ms + after_ms);
+    }
+
+    /// Returns the number of jobs that are remembered.
+    pub fn len(&self) -> usize {
+        self.since_ms.len()
+    }
+
+    /// Returns whether no job is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.since_ms.is_empty()
+    }
+}
+
 impl Board {
+    /// Forgets ended jobs that other daemons must have removed by now.
+    pub(crate) fn forget_unheld(&self) {
+        let after_ms = self.kept_ms() * FORGET_PARTS + CLEAN_EVERY_MS;
+        self.unheld.borrow_mut().forget(self.now_ms(), after_ms);
+    }
+
     /// Starts the removal of jobs that are over and have been kept for long enough.
     pub(crate) fn remove_old(self: &Rc<Self>, cells: &[Rc<JobCell>], now_ms: Millis) {
         for cell in cells {
-            let is_old = {
-                let job = cell.job.borrow();
-                let age_ms = now_ms as i64 - job.submitted_ms;
-                job.is_over() && age_ms >= self.kept_ms() as i64
-            };
+            let is_old = cell.job.borrow().is_kept_long_enough(now_ms, self.kept_ms());
             if is_old && !cell.is_saving.replace(true) {
                 spawn_local(self.clone().remove(cell.clone()));
             }
         }
     }
 
-    /// Removes the record of an ended job that no daemon holds, if it is old.
+    /// Removes the record of an ended job that no daemon holds, if this one has known it for long
+    /// enough.
     pub(crate) fn remove_unheld(
         self: &Rc<Self>,
         id: &JobId,
         record: &JobRecord,
         status: JobStatus,
     ) {
-        let age_ms = Clock::unix_ms().saturating_sub(record.submitted_unix_ms);
-        if age_ms < self.kept_ms() {
+        let (now_ms, kept_ms) = (self.now_ms(), self.kept_ms());
+        if !self.unheld.borrow_mut().is_kept_long_enough(now_ms, kept_ms, id) {
             return;
         }
         let (board, id, input_parts) = (self.clone(), id.clone(), record.input_parts);
--- a/crates/jobs/src/sweep.rs
+++ b/crates/jobs/src/sweep.rs
@@ -39,7 +39,7 @@
 const SWEEP_AFTER_MS: [Millis; 2] = [2_500, 8_000];
 /// How often the records are read although nobody was lost, to remove what has been kept for long
 /// enough; a job is kept for some minutes.
-const CLEAN_EVERY_MS: Millis = 600_000;
+pub(crate) const CLEAN_EVERY_MS: Millis = 600_000;
 /// The pause between two pages, so that a sweep leaves the processor to requests.
 const PAGE_PAUSE: Duration = Duration::from_millis(100);
 /// How often the daemon looks whether a sweep is due.
@@ -65,6 +65,7 @@
             let now_ms = self.now_ms();
             if now_ms >= clean_at_ms {
                 clean_at_ms = now_ms + CLEAN_EVERY_MS;
+                self.forget_unheld();
                 self.sweeps.borrow_mut().push(now_ms);
             }
             let before = self.sweeps.borrow().len();
--- a/crates/jobs/tests/job.rs
+++ b/crates/jobs/tests/job.rs
@@ -11,6 +11,7 @@
 use jobs::pace::Pace;
 use jobs::progress::Progress;
 use jobs::record;
+use jobs::retention::Unheld;
 
 const LIMITS: JobLimits = JobLimits { due_ms: 18_000, retention_ms: 60_000, max_attempts: 3 };
 
@@ -229,3 +230,32 @@
     assert_eq!(job.saved_progress(2_000).len(), 1);
     assert_eq!(job.saved_progress(0).len(), 0);
 }
+
+#[test]
+fn a_job_of_a_daemon_whose_clock_went_wrong_is_kept_as_long_as_others() {
+    const KEPT_MS: u64 = 180_000;
+    const HOUR_MS: i64 = 3_600_000;
+    let listed = Listed { item: "i0".into(), outcome: Outcome::Completed, text: "t".into() };
+    let mut job = Job::read(10_000, HOUR_MS, "j".into(), "h", "/j", vec![item("i0")], vec![listed]);
+    assert!(job.is_over());
+    assert!(!job.is_kept_long_enough(10_000, KEPT_MS));
+    assert!(!job.is_kept_long_enough(10_000 + KEPT_MS - 1, KEPT_MS));
+    assert!(job.is_kept_long_enough(10_000 + KEPT_MS, KEPT_MS));
+    job.is_ended = true;
+    assert!(!job.is_kept_long_enough(10_000, KEPT_MS));
+}
+
+#[test]
+fn an_ended_job_that_nobody_holds_is_kept_from_when_it_was_first_read() {
+    let mut unheld = Unheld::default();
+    let (a, b) = ("a".into(), "b".into());
+    assert!(!unheld.is_kept_long_enough(1_000, 500, &a));
+    assert!(!unheld.is_kept_long_enough(1_499, 500, &a));
+    assert!(!unheld.is_kept_long_enough(1_499, 500, &b));
+    assert!(unheld.is_kept_long_enough(1_500, 500, &a));
+    assert_eq!(unheld.len(), 1, "a removed job is forgotten");
+    unheld.forget(2_498, 1_000);
+    assert_eq!(unheld.len(), 1);
+    unheld.forget(2_499, 1_000);
+    assert!(unheld.is_empty());
+}
