Read and write a job's record in one place each

Cause: confirm_home decoded a status by itself and took an empty one for no answer, take_object and decode_job did the same steps, and the call that writes a status was built in three places. Change: read_job gives the job and its home, decode_record serves confirm_home, status_call builds the call. An empty status names the record's first home for confirm_home too.

--- a/crates/jobs/src/adoption.rs
+++ b/crates/jobs/src/adoption.rs
@@ -27,6 +27,8 @@
 use crate::record::JOB_KIND;
 use crate::record::JobRecord;
 use crate::record::JobStatus;
+use crate::saver::malformed;
+use crate::saver::status_call;
 
 /// How long the store is tried for an adoption before another daemon may try.
 const ADOPT_PATIENCE: Duration = Duration::from_secs(3);
@@ -43,6 +45,12 @@
     Absent,
 }
 
+/// A job as its record holds it.
+struct ReadJob {
+    job: Job,
+    home: Home,
+}
+
 impl Board {
     /// Reads a job's record, and becomes its home if it has none that lives.
     pub async fn load(&self, id: &JobId, patience: Duration) -> Result<Loaded, StoreError> {
@@ -108,9 +116,16 @@
                 return Err(error);
             }
         };
-        let home = JobStatus::decode(&object.status).ok().map(|status| status.home);
-        if home.as_ref().is_some_and(|home| *home != self.own) {
-            self.drop_job(&id, home.as_ref());
+        let (record, status) = match decode_record(&id, &object) {
+            Ok(decoded) => decoded,
+            Err(error) => {
+                warn!("event=job_record_malformed job={id} error=\"{error}\"");
+                return Ok(());
+            }
+        };
+        let home = status.map_or(record.home, |status| status.home);
+        if home != self.own {
+            self.drop_job(&id, Some(&home));
         }
         Ok(())
     }
@@ -122,9 +137,7 @@
         object: &StoredObject,
         patience: Duration,
     ) -> Result<Loaded, StoreError> {
-        let (value, status) = decode_record(id, object)?;
-        let home = status.as_ref().map_or(&value.home, |status| &status.home).clone();
-        let job = self.read_job(id, object, &value, status.as_ref(), patience).await?;
+        let ReadJob { job, home } = self.read_job(id, object, patience).await?;
         if let Place::Here(cell) = self.place(id) {
             return Ok(Loaded::Here(cell));
         }
@@ -150,16 +163,7 @@
         patience: Duration,
     ) -> Result<Loaded, StoreError> {
         let claimed = job.status(&self.own, self.parts.max_object_bytes);
-        let body = record::to_json(&claimed).map_err(|error| StoreError::Malformed {
-            key: id.to_string(),
-            message: error.message,
-        })?;
-        let call = Call::SetStatus {
-            kind: JOB_KIND,
-            name: id.to_string(),
-            revision: Some(job.revision),
-            status: body,
-        };
+        let call = status_call(id, job.revision, &claimed)?;
         match self.parts.store.until(CallClass::Claim, &call, patience).await? {
             Reply::Object(object) => job.revision = object.revision,
             Reply::Conflict(Some(object)) => {
@@ -170,7 +174,7 @@
                     // The winner may have listed more than was read here before.
                     Some(home) => {
                         self.learn(id, &home);
-                        let job = self.decode_job(id, &object, patience).await?;
+                        let ReadJob { job, .. } = self.read_job(id, &object, patience).await?;
                         return Ok(Loaded::At(home, Rc::new(new_cell(job))));
                     }
                     None => return Err(StoreError::Conflict),
@@ -192,28 +196,14 @@
         Ok(Loaded::Here(self.hold(job)))
     }
 
-    async fn decode_job(
-        &self,
-        id: &JobId,
-        object: &StoredObject,
-        patience: Duration,
-    ) -> Result<Job, StoreError> {
-        let (value, status) = decode_record(id, object)?;
-        self.read_job(id, object, &value, status.as_ref(), patience).await
-    }
-
     async fn read_job(
         &self,
         id: &JobId,
         object: &StoredObject,
-        value: &JobRecord,
-        status: Option<&JobStatus>,
         patience: Duration,
-    ) -> Result<Job, StoreError> {
-        let malformed = |error: record::BadRecord| StoreError::Malformed {
-            key: id.to_string(),
-            message: error.message,
-        };
+    ) -> Result<ReadJob, StoreError> {
+        let (value, status) = decode_record(id, object)?;
+        let malformed = |error: record::BadRecord| malformed(id, error.message);
         let mut input = value.input.clone();
         for part in 0..value.input_parts {
             let name = record::input_part_name(id.as_str(), part);
@@ -221,7 +211,7 @@
         }
         let submission: Submission = record::decode_input(&input).map_err(malformed)?;
         let mut listed = Vec::new();
-        if let Some(status) = status {
+        if let Some(status) = &status {
             for part in &status.result_parts {
                 let (kind, name) = (record::RESULTS_KIND, part.name.clone());
                 listed.extend(self.read_part::<Vec<Listed>>(kind, name, patience).await?);
@@ -234,8 +224,8 @@
             Job::read(now_ms, age_ms, id.clone(), &value.host, &value.path, items, listed);
         job.value_bytes = object.value.len();
         job.input_parts = value.input_parts;
-        job.take_record(object.revision, status);
-        Ok(job)
+        job.take_record(object.revision, status.as_ref());
+        Ok(ReadJob { job, home: status.map_or(value.home, |status| status.home) })
     }
 
     async fn read_part<T: serde::de::DeserializeOwned>(
@@ -257,10 +247,7 @@
     id: &JobId,
     object: &StoredObject,
 ) -> Result<(JobRecord, Option<JobStatus>), StoreError> {
-    let malformed = |error: record::BadRecord| StoreError::Malformed {
-        key: id.to_string(),
-        message: error.message,
-    };
+    let malformed = |error: record::BadRecord| malformed(id, error.message);
     let value = JobRecord::decode(&object.value).map_err(malformed)?;
     let status = match object.status.is_empty() {
         true => None,
--- a/crates/jobs/src/handover.rs
+++ b/crates/jobs/src/handover.rs
@@ -10,7 +10,6 @@
 use log::warn;
 use serde::Deserialize;
 use serde::Serialize;
-use store::Call;
 use store::CallClass;
 use store::Reply;
 use tokio::task::spawn_local;
@@ -29,9 +28,9 @@
 use crate::progress::Progress;
 use crate::record;
 use crate::record::Home;
-use crate::record::JOB_KIND;
 use crate::record::JobStatus;
 use crate::record::ResultPart;
+use crate::saver::status_call;
 
 /// How long one heir may take to write itself into the record.
 const HEIR_PATIENCE: Duration = Duration::from_millis(1_500);
@@ -181,12 +180,12 @@
             let in_parts = record::count_in_parts(&status.result_parts);
             status.results.truncate(job.listed().len().saturating_sub(in_parts));
         }
-        let Ok(body) = record::to_json(&status) else { return StatusCode::BAD_REQUEST };
-        let call = Call::SetStatus {
-            kind: JOB_KIND,
-            name: id.to_string(),
-            revision: Some(job.revision),
-            status: body,
+        let call = match status_call(&id, job.revision, &status) {
+            Ok(call) => call,
+            Err(error) => {
+                warn!("event=handed_job_malformed job={id} error=\"{error}\"");
+                return StatusCode::BAD_REQUEST;
+            }
         };
         let written = self.parts.store.until(CallClass::Claim, &call, HEIR_PATIENCE).await;
         let revision = match written {
--- a/crates/jobs/src/saver.rs
+++ b/crates/jobs/src/saver.rs
@@ -70,15 +70,9 @@
             let job = cell.job.borrow();
             (job.status(&self.own, self.parts.max_object_bytes), job.revision)
         };
-        let body = match record::to_json(&status) {
-            Ok(body) => body,
-            Err(error) => return Written::Failed(malformed(id, error.message)),
-        };
-        let call = Call::SetStatus {
-            kind: JOB_KIND,
-            name: id.to_string(),
-            revision: Some(revision),
-            status: body,
+        let call = match status_call(id, revision, &status) {
+            Ok(call) => call,
+            Err(error) => return Written::Failed(error),
         };
         let met = match self.parts.store.until(CallClass::Ledger, &call, WRITE_PATIENCE).await {
             Ok(Reply::Object(object)) => Met::Applied(object.revision),
@@ -155,6 +149,16 @@
     }
 }
 
-fn malformed(id: &JobId, message: String) -> StoreError {
+/// Returns the call that writes a job's status under the condition of a revision.
+pub(crate) fn status_call(
+    id: &JobId,
+    revision: u64,
+    status: &JobStatus,
+) -> Result<Call, StoreError> {
+    let status = record::to_json(status).map_err(|error| malformed(id, error.message))?;
+    Ok(Call::SetStatus { kind: JOB_KIND, name: id.to_string(), revision: Some(revision), status })
+}
+
+pub(crate) fn malformed(id: &JobId, message: String) -> StoreError {
     StoreError::Malformed { key: id.to_string(), message }
 }
