Refuse a request that finds no slot while its client can still come back

Cause: an online request waited for a slot until 20 ms before its deadline. Change: Policy::slot_by_ms, a third of the time that is left; then 503 with Retry-After. The test of the logged wait has a deadline of 1.5 s now instead of 0.6 s, so that its bound of 400 ms stays, and a new bound of half the deadline. Most refused requests have still waited for longer than a quarter of their objective: a request that has no chance should be refused at once.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -295,11 +295,13 @@
         let mut call = Call::stream(STREAM, "late", 5);
         for (name, value) in &mut call.headers {
             if name == DEADLINE_MS {
-                *value = "600".to_owned();
+                *value = "1500".to_owned();
             }
         }
+        let asked = Instant::now();
         let refused = Client.call(daemon, &call).await.expect("an answer");
         assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(asked.elapsed() < Duration::from_millis(750), "it is held for over half its time");
         // The log is written by a thread of its own.
         sleep(Duration::from_millis(500)).await;
         let log = std::fs::read_to_string(&fleet.daemons[0].log).expect("the log");
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -8,6 +8,10 @@
 /// Replicas that may turn one request away unrun before the client is told; each costs a round trip.
 const MAX_UNRUN_SENDS: u32 = 6;
 
+/// The part of the time that is left for which a request waits for a slot: clients honour a
+/// `Retry-After` of up to a third of their time, and leave a silent attempt soon after that.
+const SLOT_WAIT_PARTS: Millis = 3;
+
 /// What one attempt of a client may cost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Policy {
@@ -42,6 +46,13 @@
             give_up_at_ms: now_ms + wait_ms,
         }
     }
+
+    /// Returns until when a request that asks for a slot at `now_ms` waits for it.
+    ///
+    /// A client that is told in time that nothing was run can come back within its deadline.
+    pub fn slot_by_ms(&self, now_ms: Millis) -> Millis {
+        now_ms + self.give_up_at_ms.saturating_sub(now_ms) / SLOT_WAIT_PARTS
+    }
 }
 
 /// Why a send to a replica brought no whole answer.
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -149,15 +149,16 @@
         let on_time_at_ms = route.objective_ms.map_or(policy.give_up_at_ms, |objective_ms| {
             (report.arrived_ms + objective_ms).saturating_sub(FIRST_EVENT_MS)
         });
+        let asked_ms = self.now_ms();
+        let latest_ms = policy.give_up_at_ms.saturating_sub(MIN_SEND_MS);
         let ask = SlotAsk {
             service: route.service_for(request.id.as_str()),
             class: Class::Online,
             on_time_at_ms,
             order_at_ms: on_time_at_ms,
-            give_up_at_ms: policy.give_up_at_ms.saturating_sub(MIN_SEND_MS),
+            give_up_at_ms: policy.slot_by_ms(asked_ms).min(latest_ms),
             excluded: &report.tried,
         };
-        let asked_ms = self.now_ms();
         let lease = self.lease(&ask).await;
         let now_ms = self.now_ms();
         report.slot_wait_ms += now_ms.saturating_sub(asked_ms);
--- a/crates/gate/tests/attempt.rs
+++ b/crates/gate/tests/attempt.rs
@@ -76,3 +76,10 @@
     let (reason, ran) = refusal(attempt.failed(1_000, Failure::TimedOut));
     assert_eq!((reason, ran), (Reason::Deadline, Ran::Unknown));
 }
+
+#[test]
+fn a_request_waits_for_a_slot_only_while_its_client_can_still_come_back() {
+    assert_eq!(policy().slot_by_ms(100), 400);
+    assert_eq!(policy().slot_by_ms(700), 800, "a later try waits a part of what is left then");
+    assert_eq!(policy().slot_by_ms(1_200), 1_200);
+}
