Hand peers what changed of the replicas instead of the whole list

Cause: at every change of the list each daemon that does not watch the store asked a watcher for the whole view. With 1,000 replicas that is some 200 KB for each of 97 daemons, over zones, and taking it compared every name with every entry. Change: ReplicaSet remembers the last 512 changes; a peer asks for those after its own revision. A view carries a digest of the sender's list, since two daemons can count one revision for different lists where a hold ended at one of them; if it differs the whole list is asked for. Names are compared through sets. Three new tests; the one of the digest shows the lists that differ.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -4,8 +4,9 @@
 
 pub mod configuration;
 pub mod replicas;
+pub mod view;
 
 pub use configuration::InForce;
 pub use replicas::ReplicaChange;
 pub use replicas::ReplicaSet;
-pub use replicas::ReplicaView;
+pub use view::ReplicaView;
--- a/crates/catalog/src/replicas.rs
+++ b/crates/catalog/src/replicas.rs
@@ -1,16 +1,22 @@
 //! The live replicas, from the platform's list or from a peer's view of it.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
 
-use serde::Deserialize;
-use serde::Serialize;
 use wire::Millis;
 use wire::ReplicaName;
 use wire::ReplicaRecord;
 
+use crate::view::ReplicaView;
+use crate::view::ViewEntry;
+use crate::view::digest;
+
 /// How long after the store's return a missing record may still come back: records that lapsed
 /// during an outage are renewed within two seconds, and the renewal takes a moment to be seen.
 pub const LAPSE_HOLD_MS: Millis = 2_300;
+/// The changes that are remembered for peers; one that lags further behind gets the whole list.
+const MAX_CHANGES: usize = 512;
 
 /// A record and, if it is missing from the list, when it counts as gone.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -19,24 +25,6 @@
     gone_at_ms: Option<Millis>,
 }
 
-/// One entry of a view that is handed to a peer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ViewEntry {
-    /// The record.
-    pub record: ReplicaRecord,
-    /// For a missing record, how long it may still come back.
-    pub hold_left_ms: Option<Millis>,
-}
-
-/// The whole list as one daemon sees it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ReplicaView {
-    /// The store's revision that the view shows.
-    pub revision: u64,
-    /// The records.
-    pub entries: Vec<ViewEntry>,
-}
-
 /// What changed for one replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReplicaChange {
@@ -52,6 +40,10 @@
     revision: u64,
     seen_revision: u64,
     entries: BTreeMap<ReplicaName, Entry>,
+    /// The revisions at which replicas changed, the oldest first.
+    changed: VecDeque<(u64, ReplicaName)>,
+    /// Every change after this revision is in `changed`.
+    complete_after: u64,
     is_store_lost: bool,
     hold_until_ms: Millis,
 }
@@ -97,13 +89,15 @@
         }
         self.seen_revision = revision;
         let mut changes = Vec::new();
-        let mut missing: Vec<ReplicaName> = self.entries.keys().cloned().collect();
-        missing.retain(|name| !records.iter().any(|record| record.name == *name));
+        let listed: BTreeSet<&ReplicaName> = records.iter().map(|record| &record.name).collect();
+        let missing: Vec<ReplicaName> =
+            self.entries.keys().filter(|name| !listed.contains(name)).cloned().collect();
         changes.extend(records.into_iter().filter_map(|record| self.set(record)));
         changes.extend(missing.into_iter().filter_map(|name| self.remove(now_ms, &name)));
         if !changes.is_empty() {
             self.revision = revision;
         }
+        self.note(&changes);
         changes
     }
 
@@ -122,24 +116,35 @@
         if change.is_some() {
             self.revision = self.revision.max(revision);
         }
+        self.note(change.as_slice());
         change
     }
 
-    /// Takes a peer's view if it is newer.
+    /// Takes a peer's view if it is newer and goes on from what is known here, or if it is another
+    /// whole list of the same revision.
     pub fn adopt(&mut self, now_ms: Millis, view: ReplicaView) -> Vec<ReplicaChange> {
-        if view.revision <= self.revision {
+        let is_news = match view.since {
+            Some(since) => view.revision > self.revision && since <= self.revision,
+            None => view.revision >= self.revision && view.digest != self.digest(),
+        };
+        if !is_news {
             return Vec::new();
         }
         self.revision = view.revision;
         self.seen_revision = self.seen_revision.max(view.revision);
-        let names: Vec<ReplicaName> = self.entries.keys().cloned().collect();
-        let is_absent =
-            |name: &ReplicaName| !view.entries.iter().any(|entry| entry.record.name == *name);
-        let absent: Vec<ReplicaName> = names.into_iter().filter(is_absent).collect();
+        let gone = match view.since {
+            Some(_) => view.gone,
+            None => {
+                let listed: BTreeSet<&ReplicaName> =
+                    view.entries.iter().map(|entry| &entry.record.name).collect();
+                self.entries.keys().filter(|name| !listed.contains(name)).cloned().collect()
+            }
+        };
         let mut changes = Vec::new();
-        for name in absent {
-            self.entries.remove(&name);
-            changes.push(ReplicaChange::Gone(name));
+        for name in gone {
+            if self.entries.remove(&name).is_some() {
+                changes.push(ReplicaChange::Gone(name));
+            }
         }
         for entry in view.entries {
             let name = entry.record.name.clone();
@@ -148,16 +153,63 @@
                 own.gone_at_ms = Some(now_ms + left_ms);
             }
         }
+        self.note(&changes);
         changes
     }
 
-    /// Returns the set as a view for peers.
+    /// Returns the whole set as a view for peers.
     pub fn view(&self, now_ms: Millis) -> ReplicaView {
-        let entries = self.entries.values().map(|entry| ViewEntry {
-            record: entry.record.clone(),
-            hold_left_ms: entry.gone_at_ms.map(|at_ms| at_ms.saturating_sub(now_ms)),
-        });
-        ReplicaView { revision: self.revision, entries: entries.collect() }
+        ReplicaView {
+            revision: self.revision,
+            since: None,
+            entries: self.entries.values().map(|entry| view_entry(entry, now_ms)).collect(),
+            gone: Vec::new(),
+            digest: self.digest(),
+        }
+    }
+
+    /// Returns what changed after a revision, or the whole set if too much did.
+    pub fn view_since(&self, now_ms: Millis, since: u64) -> ReplicaView {
+        if since == 0 || since < self.complete_after {
+            return self.view(now_ms);
+        }
+        let names: BTreeSet<&ReplicaName> = self
+            .changed
+            .iter()
+            .filter(|(revision, _)| *revision > since)
+            .map(|(_, name)| name)
+            .collect();
+        let (present, gone): (Vec<&ReplicaName>, Vec<&ReplicaName>) =
+            names.into_iter().partition(|name| self.entries.contains_key(*name));
+        let entries = present.into_iter().filter_map(|name| self.entries.get(name));
+        ReplicaView {
+            revision: self.revision,
+            since: Some(since),
+            entries: entries.map(|entry| view_entry(entry, now_ms)).collect(),
+            gone: gone.into_iter().cloned().collect(),
+            digest: self.digest(),
+        }
+    }
+
+    /// Returns a number that differs between sets with different records.
+    pub fn digest(&self) -> u64 {
+        digest(self.records())
+    }
+
+    /// Remembers for peers that replicas changed at the present revision.
+    fn note(&mut self, changes: &[ReplicaChange]) {
+        for change in changes {
+            let name = match change {
+                ReplicaChange::Set(record) => record.name.clone(),
+                ReplicaChange::Gone(name) => name.clone(),
+            };
+            self.changed.push_back((self.revision, name));
+        }
+        while self.changed.len() > MAX_CHANGES {
+            if let Some((revision, _)) = self.changed.pop_front() {
+                self.complete_after = self.complete_after.max(revision);
+            }
+        }
     }
 
     /// Removes the records whose hold has ended.
@@ -178,7 +230,9 @@
         if !over.is_empty() {
             self.revision = (self.revision + 1).max(self.seen_revision);
         }
-        over.into_iter().map(ReplicaChange::Gone).collect()
+        let changes: Vec<ReplicaChange> = over.into_iter().map(ReplicaChange::Gone).collect();
+        self.note(&changes);
+        changes
     }
 
     fn set(&mut self, record: ReplicaRecord) -> Option<ReplicaChange> {
@@ -199,3 +253,10 @@
         self.entries.remove(name).map(|_| ReplicaChange::Gone(name.clone()))
     }
 }
+
+fn view_entry(entry: &Entry, now_ms: Millis) -> ViewEntry {
+    ViewEntry {
+        record: entry.record.clone(),
+        hold_left_ms: entry.gone_at_ms.map(|at_ms| at_ms.saturating_sub(now_ms)),
+    }
+}
--- a/crates/catalog/tests/beliefs.rs
+++ b/crates/catalog/tests/beliefs.rs
@@ -113,3 +113,53 @@
     other.adopt(LAPSE_HOLD_MS, watcher.view(LAPSE_HOLD_MS));
     assert!(names(&other).is_empty());
 }
+
+#[test]
+fn a_peer_that_lags_little_gets_only_what_changed() {
+    let mut watcher = ReplicaSet::default();
+    watcher.replace(0, 10, (0..600).map(|number| replica(&format!("r{number}"))).collect());
+    let mut other = ReplicaSet::default();
+    other.adopt(0, watcher.view_since(0, 0));
+    watcher.apply(1, 11, ReplicaChange::Set(replica("b")));
+    watcher.apply(2, 12, ReplicaChange::Gone("r7".into()));
+    watcher.apply(3, 13, ReplicaChange::Set(ReplicaRecord { is_draining: true, ..replica("r8") }));
+    let view = watcher.view_since(3, other.revision());
+    assert_eq!((view.entries.len(), view.gone.len()), (2, 1));
+    assert_eq!(other.adopt(3, view).len(), 3);
+    assert_eq!((other.revision(), other.digest()), (13, watcher.digest()));
+    assert_eq!(other.view_since(4, 13).entries, []);
+    assert_eq!(other.view_since(4, 9).entries.len(), 600, "what is not remembered comes whole");
+}
+
+#[test]
+fn a_list_that_differs_under_the_same_revision_is_told_by_its_digest() {
+    let mut watcher = ReplicaSet::default();
+    watcher.replace(0, 10, vec![replica("a"), replica("b")]);
+    let mut other = ReplicaSet::default();
+    other.adopt(0, watcher.view(0));
+    // Only here "a" was missing for a moment, and its hold ended under the revision 11.
+    other.store_lost();
+    other.apply(1, 10, ReplicaChange::Gone("a".into()));
+    other.store_returned(1);
+    other.tick(1 + LAPSE_HOLD_MS);
+    assert_eq!((names(&other).join(" "), other.revision()), ("b".to_owned(), 11));
+    watcher.apply(2, 11, ReplicaChange::Set(ReplicaRecord { is_draining: true, ..replica("a") }));
+    watcher.apply(3, 12, ReplicaChange::Set(replica("c")));
+    let view = watcher.view_since(3, other.revision());
+    let digest = view.digest;
+    other.adopt(3, view);
+    assert_ne!(other.digest(), digest);
+    other.adopt(3, watcher.view_since(3, 0));
+    assert_eq!(other.digest(), watcher.digest());
+    assert_eq!(names(&other), ["a", "b", "c"]);
+}
+
+#[test]
+fn a_view_that_goes_on_from_what_is_not_known_here_changes_nothing() {
+    let mut watcher = ReplicaSet::default();
+    watcher.replace(0, 10, vec![replica("a")]);
+    watcher.apply(1, 11, ReplicaChange::Set(replica("b")));
+    let mut other = ReplicaSet::default();
+    assert!(other.adopt(2, watcher.view_since(2, 10)).is_empty());
+    assert_eq!(other.revision(), 0);
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -75,7 +75,7 @@
         let path = parts.uri.path();
         match (&parts.method, path) {
             (&Method::GET, "/configuration") => self.configuration(),
-            (&Method::GET, "/replicas") => self.replicas(),
+            (&Method::GET, "/replicas") => self.replicas(parts.uri.query()),
             (&Method::POST | &Method::PUT, _) => {
                 match Limited::new(body, MAX_BODY_BYTES).collect().await {
                     Ok(whole) => self.take(path, &whole.to_bytes()).await,
@@ -105,9 +105,11 @@
         if raw.is_empty() { (StatusCode::NOT_FOUND, raw) } else { (StatusCode::OK, raw) }
     }
 
-    fn replicas(&self) -> (StatusCode, Bytes) {
+    /// Answers with what changed after the revision that the query names, or the whole list.
+    fn replicas(&self, query: Option<&str>) -> (StatusCode, Bytes) {
+        let since = query.and_then(|query| query.strip_prefix("since=")?.parse().ok());
         let now_ms = self.knowledge.clock.now_ms();
-        let view = self.knowledge.replicas.borrow().view(now_ms);
+        let view = self.knowledge.replicas.borrow().view_since(now_ms, since.unwrap_or(0));
         match serde_json::to_vec(&view) {
             Ok(json) => (StatusCode::OK, Bytes::from(json)),
             Err(error) => {
--- a/crates/node/src/knowledge.rs
+++ b/crates/node/src/knowledge.rs
@@ -135,24 +135,41 @@
         self.is_pulling_configuration.set(false);
     }
 
-    /// Asks a peer for its view of the replicas, which is newer.
+    /// Asks a peer for what changed in its view of the replicas, which is newer.
+    ///
+    /// Two daemons can count the same revision for different lists where a hold ended at one of
+    /// them; the digest tells, and the whole list is asked for.
     pub async fn pull_replicas(&self, peer: SocketAddr) {
         if self.is_pulling_replicas.replace(true) {
             return;
         }
-        if let Some(body) = self.pull(peer, "/replicas").await {
-            match serde_json::from_slice::<ReplicaView>(&body) {
-                Ok(view) => {
-                    let now_ms = self.clock.now_ms();
-                    let changes = self.replicas.borrow_mut().adopt(now_ms, view);
-                    self.replicas_changed(&changes, "peer");
-                }
-                Err(error) => warn!("event=replica_view_malformed peer={peer} error=\"{error}\""),
-            }
+        let since = self.replicas.borrow().revision();
+        let digest = self.pull_view(peer, &format!("/replicas?since={since}")).await;
+        if digest.is_some_and(|digest| digest != self.replicas.borrow().digest()) {
+            info!("event=replica_list_differs peer={peer} since={since}");
+            self.pull_view(peer, "/replicas").await;
         }
         self.is_pulling_replicas.set(false);
     }
 
+    /// Takes a peer's view and returns the digest of its list.
+    async fn pull_view(&self, peer: SocketAddr, path: &str) -> Option<u64> {
+        let body = self.pull(peer, path).await?;
+        match serde_json::from_slice::<ReplicaView>(&body) {
+            Ok(view) => {
+                let digest = view.digest;
+                let now_ms = self.clock.now_ms();
+                let changes = self.replicas.borrow_mut().adopt(now_ms, view);
+                self.replicas_changed(&changes, "peer");
+                Some(digest)
+            }
+            Err(error) => {
+                warn!("event=replica_view_malformed peer={peer} error=\"{error}\"");
+                None
+            }
+        }
+    }
+
     async fn pull(&self, peer: SocketAddr, path: &str) -> Option<Bytes> {
         let answered = self.control.call(peer, Method::GET, path, &[], PULL_PATIENCE).await;
         match answered {
