Tell changes of the replicas at once, with the change itself, by those that heard it first

Cause: a daemon that had heard of a change from a peer hurried to tell all others, too: a change cost a heartbeat from every daemon to every other, 90,000 at 300 hosts. Each receiver then asked the teller for the change over a connection of its own, so that three small hosts answered some hundred calls each. Change: only those that heard of changed replicas first-hand hurry (knowledge::Source); for a second they send the change itself before the heartbeat, up to six replicas (node::news), so that nobody has to ask.

--- a/crates/node/src/beats.rs
+++ b/crates/node/src/beats.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use catalog::ReplicaView;
 use jobs::Board;
 use jobs::notes::JobMessage;
 use log::info;
@@ -23,6 +24,7 @@
 use wire::Millis;
 
 use crate::knowledge::Knowledge;
+use crate::knowledge::Source;
 
 /// How often the daemon looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
@@ -58,6 +60,9 @@
         let beats = self.clone();
         let receiver = move |datagram: &Datagram, _from: IpAddr| beats.take_job_message(datagram);
         self.transport.on(Topic::Jobs, Rc::new(receiver));
+        let beats = self.clone();
+        let receiver = move |datagram: &Datagram, _from: IpAddr| beats.take_replica_news(datagram);
+        self.transport.on(Topic::Replicas, Rc::new(receiver));
     }
 
     /// Takes daemons that the store names.
@@ -77,7 +82,7 @@
             let now_ms = self.knowledge.clock.now_ms();
             self.update_readiness();
             let gone = self.knowledge.replicas.borrow_mut().tick(now_ms);
-            self.knowledge.replicas_changed(&gone, "hold");
+            self.knowledge.replicas_changed(&gone, Source::Hold);
             self.slots.tick();
             let actions = self.knowledge.membership.borrow_mut().tick(now_ms);
             self.perform(actions);
@@ -134,12 +139,17 @@
         let is_sending =
             actions.iter().any(|action| matches!(action, MemberAction::SendHeartbeat(_)));
         let beat = is_sending.then(|| self.heartbeat());
+        let news = is_sending.then(|| self.knowledge.replica_news()).flatten();
         if is_sending {
             self.slots.list_runs();
         }
         for action in actions {
             match action {
                 MemberAction::SendHeartbeat(ip) => {
+                    // First, so that the heartbeat's revision makes nobody ask for them.
+                    if let Some(news) = &news {
+                        self.transport.send(ip, Topic::Replicas, news);
+                    }
                     if let Some(beat) = &beat {
                         self.transport.send(ip, Topic::Heartbeat, beat);
                     }
@@ -175,6 +185,19 @@
         }
     }
 
+    fn take_replica_news(&self, datagram: &Datagram) {
+        let Some(view) = decode::<ReplicaView>(Topic::Replicas, &datagram.payload) else { return };
+        if self.knowledge.take_view(view) {
+            return;
+        }
+        let membership = self.knowledge.membership.borrow();
+        let control = membership.peer(&datagram.from).and_then(|peer| peer.identity.control);
+        if let Some(control) = control {
+            let knowledge = self.knowledge.clone();
+            spawn_local(async move { knowledge.pull_all_replicas(control).await });
+        }
+    }
+
     fn take_beat(&self, datagram: &Datagram) {
         let Some(beat) = decode::<Heartbeat>(Topic::Heartbeat, &datagram.payload) else { return };
         let now_ms = self.knowledge.clock.now_ms();
@@ -187,7 +210,7 @@
                     let identity = &beat.identity;
                     self.board.take_rider(&identity.name, identity.incarnation, &rider.payload);
                 }
-                Topic::Heartbeat | Topic::Members => {}
+                Topic::Heartbeat | Topic::Members | Topic::Replicas => {}
             }
         }
         let Some(control) = beat.identity.control else { return };
--- a/crates/node/src/knowledge.rs
+++ b/crates/node/src/knowledge.rs
@@ -24,9 +24,43 @@
 use slots::Slots;
 use wire::Configuration;
 
+use crate::news::News;
+
 /// How long a peer may take to hand over what it knows.
 const PULL_PATIENCE: Duration = Duration::from_millis(800);
 
+/// The most changed replicas that are told at once: some 200 bytes each, in one datagram.
+const MAX_NEWS: usize = 6;
+
+/// Where news of the platform come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The platform's store.
+    Store,
+    /// Another daemon.
+    Peer,
+    /// A record that was missing for too long.
+    Hold,
+}
+
+impl Source {
+    /// Returns the source as it appears in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+            Self::Hold => "hold",
+        }
+    }
+
+    /// Returns whether peers are told of changed replicas at once: only by those that did not hear
+    /// it from a peer, who has told all. Otherwise each change, and there are many, would cost a
+    /// heartbeat from every daemon to every other.
+    pub fn is_told_at_once(self) -> bool {
+        self != Self::Peer
+    }
+}
+
 /// The configuration in force and the replicas, with what must be told when they change.
 pub struct Knowledge {
     /// The daemon's clock.
@@ -46,6 +80,8 @@
     raw_configuration: RefCell<Bytes>,
     is_pulling_configuration: Cell<bool>,
     is_pulling_replicas: Cell<bool>,
+    known_revision: Cell<u64>,
+    news: RefCell<News>,
 }
 
 impl Knowledge {
@@ -70,6 +106,8 @@
             raw_configuration: RefCell::new(Bytes::new()),
             is_pulling_configuration: Cell::new(false),
             is_pulling_replicas: Cell::new(false),
+            known_revision: Cell::new(0),
+            news: RefCell::default(),
         }
     }
 
@@ -79,11 +117,12 @@
     }
 
     /// Takes a configuration as it was written; one that cannot be read changes nothing.
-    pub fn offer_configuration(&self, json: &Bytes, source: &str) {
+    pub fn offer_configuration(&self, json: &Bytes, source: Source) {
+        let source_name = source.as_str();
         let configuration = match platform::configuration::decode(json) {
             Ok(configuration) => configuration,
             Err(error) => {
-                warn!("event=configuration_malformed source={source} error=\"{error}\"");
+                warn!("event=configuration_malformed source={source_name} error=\"{error}\"");
                 return;
             }
         };
@@ -94,34 +133,43 @@
             return;
         }
         info!(
-            "event=configuration_in_force version={version} source={source} routes={}",
+            "event=configuration_in_force version={version} source={source_name} routes={}",
             offered.routes().len()
         );
         *self.raw_configuration.borrow_mut() = json.clone();
         self.ingress_life.limits.set(connection_limits(&offered));
+        // Rare, and the bound for the last daemon is close: everybody tells everybody.
         self.membership.borrow_mut().hurry();
     }
 
     /// Acts on changes of the replicas.
-    pub fn replicas_changed(&self, changes: &[ReplicaChange], source: &str) {
+    pub fn replicas_changed(&self, changes: &[ReplicaChange], source: Source) {
+        let known = self.known_revision.replace(self.replicas.borrow().revision());
         if changes.is_empty() {
             return;
         }
-        let revision = self.replicas.borrow().revision();
+        if source.is_told_at_once() {
+            self.news.borrow_mut().changed(self.clock.now_ms(), known);
+        }
+        let (revision, source_name) = (self.replicas.borrow().revision(), source.as_str());
         for change in changes {
             match change {
                 ReplicaChange::Set(record) => info!(
                     "event=replica_listed replica={} service={} address={} slots={} draining={} \
-                     revision={revision} source={source}",
+                     revision={revision} source={source_name}",
                     record.name, record.service, record.address, record.slots, record.is_draining
                 ),
                 ReplicaChange::Gone(name) => {
                     self.slots.forget(name);
-                    info!("event=replica_gone replica={name} revision={revision} source={source}");
+                    info!(
+                        "event=replica_gone replica={name} revision={revision} source={source_name}"
+                    );
                 }
             }
         }
-        self.membership.borrow_mut().hurry();
+        if source.is_told_at_once() {
+            self.membership.borrow_mut().hurry();
+        }
     }
 
     /// Asks a peer for its configuration, which is newer.
@@ -130,39 +178,38 @@
             return;
         }
         if let Some(body) = self.pull(peer, "/configuration").await {
-            self.offer_configuration(&body, "peer");
+            self.offer_configuration(&body, Source::Peer);
         }
         self.is_pulling_configuration.set(false);
     }
 
     /// Asks a peer for what changed in its view of the replicas, which is newer.
-    ///
-    /// Two daemons can count the same revision for different lists where a hold ended at one of
-    /// them; the digest tells, and the whole list is asked for.
     pub async fn pull_replicas(&self, peer: SocketAddr) {
         if self.is_pulling_replicas.replace(true) {
             return;
         }
         let since = self.replicas.borrow().revision();
-        let digest = self.pull_view(peer, &format!("/replicas?since={since}")).await;
-        if digest.is_some_and(|digest| digest != self.replicas.borrow().digest()) {
+        if self.pull_view(peer, &format!("/replicas?since={since}")).await == Some(false) {
             info!("event=replica_list_differs peer={peer} since={since}");
             self.pull_view(peer, "/replicas").await;
         }
         self.is_pulling_replicas.set(false);
     }
 
-    /// Takes a peer's view and returns the digest of its list.
-    async fn pull_view(&self, peer: SocketAddr, path: &str) -> Option<u64> {
+    /// Asks a peer for its whole list of replicas, since this one differs under the same revision.
+    pub async fn pull_all_replicas(&self, peer: SocketAddr) {
+        if self.is_pulling_replicas.replace(true) {
+            return;
+        }
+        info!("event=replica_list_differs peer={peer} since={}", self.replicas.borrow().revision());
+        self.pull_view(peer, "/replicas").await;
+        self.is_pulling_replicas.set(false);
+    }
+
+    async fn pull_view(&self, peer: SocketAddr, path: &str) -> Option<bool> {
         let body = self.pull(peer, path).await?;
         match serde_json::from_slice::<ReplicaView>(&body) {
-            Ok(view) => {
-                let digest = view.digest;
-                let now_ms = self.clock.now_ms();
-                let changes = self.replicas.borrow_mut().adopt(now_ms, view);
-                self.replicas_changed(&changes, "peer");
-                Some(digest)
-            }
+            Ok(view) => Some(self.take_view(view)),
             Err(error) => {
                 warn!("event=replica_view_malformed peer={peer} error=\"{error}\"");
                 None
@@ -170,6 +217,29 @@
         }
     }
 
+    /// Takes a peer's view and returns whether the list agrees with the peer's, as far as is known.
+    ///
+    /// Two daemons can count the same revision for different lists where a hold ended at one of
+    /// them; the digest tells.
+    pub fn take_view(&self, view: ReplicaView) -> bool {
+        let (revision, digest) = (view.revision, view.digest);
+        let now_ms = self.clock.now_ms();
+        let changes = self.replicas.borrow_mut().adopt(now_ms, view);
+        self.replicas_changed(&changes, Source::Peer);
+        let replicas = self.replicas.borrow();
+        replicas.revision() != revision || replicas.digest() == digest
+    }
+
+    /// Returns what peers are told of the replicas at once; none if nothing changed a moment ago,
+    /// or so much that they should ask for it.
+    pub fn replica_news(&self) -> Option<ReplicaView> {
+        let now_ms = self.clock.now_ms();
+        let since = self.news.borrow_mut().since(now_ms)?;
+        let view = self.replicas.borrow().view_since(now_ms, since);
+        let is_small = view.entries.len() + view.gone.len() <= MAX_NEWS;
+        (view.since.is_some() && is_small).then_some(view)
+    }
+
     async fn pull(&self, peer: SocketAddr, path: &str) -> Option<Bytes> {
         let answered = self.control.call(peer, Method::GET, path, &[], PULL_PATIENCE).await;
         match answered {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod directory;
 pub mod knowledge;
 pub mod metrics;
+pub mod news;
 pub mod node;
 pub mod probe;
 pub mod reload;
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -25,6 +25,7 @@
 use wire::rendezvous;
 
 use crate::knowledge::Knowledge;
+use crate::knowledge::Source;
 
 /// The daemons that watch one kind; two may be lost at the same time without a gap.
 const WATCHERS: usize = 3;
@@ -145,14 +146,14 @@
     match what {
         Watched::Configuration => {
             for object in objects.iter().filter(|object| object.name == CONFIGURATION_NAME) {
-                knowledge.offer_configuration(&object.value, "store");
+                knowledge.offer_configuration(&object.value, Source::Store);
             }
         }
         Watched::Replicas => {
             let records = objects.iter().filter_map(read_replica).collect();
             let now_ms = knowledge.clock.now_ms();
             let changes = knowledge.replicas.borrow_mut().replace(now_ms, revision, records);
-            knowledge.replicas_changed(&changes, "store");
+            knowledge.replicas_changed(&changes, Source::Store);
         }
     }
     Ok(revision)
@@ -179,7 +180,7 @@
         .iter()
         .filter_map(|change| apply(what, change, changes.revision, knowledge))
         .collect();
-    knowledge.replicas_changed(&applied, "store");
+    knowledge.replicas_changed(&applied, Source::Store);
     Ok(Some(changes.revision.max(since)))
 }
 
@@ -192,7 +193,7 @@
     let object = &change.object;
     if what == Watched::Configuration {
         if object.name == CONFIGURATION_NAME && !change.is_removed {
-            knowledge.offer_configuration(&object.value, "store");
+            knowledge.offer_configuration(&object.value, Source::Store);
         }
         return None;
     }
--- a/crates/peers/src/heartbeat.rs
+++ b/crates/peers/src/heartbeat.rs
@@ -19,6 +19,8 @@
     Slots,
     /// Jobs.
     Jobs,
+    /// Changes of the list of replicas.
+    Replicas,
 }
 
 /// One datagram.
