Refuse a wish at once where requests wait for slots in vain

Cause: under a long overload every request waited out its third of the time, although the order (those that can be on time first) gave those that were late no chance any more. Change: Table learns how long online runs take and when a wish waited in vain; within a second of that it refuses a wish that would not be on time after those before it. Three new tests of the table.

--- a/crates/slots/src/client.rs
+++ b/crates/slots/src/client.rs
@@ -127,6 +127,9 @@
             if let Some(lease) = search.ask_more(now_ms) {
                 return Ok(lease);
             }
+            if search.is_hopeless() {
+                return Err(NoSlot::Full);
+            }
             search.wait(now_ms).await;
             if let Some(lease) = search.take() {
                 return Ok(lease);
@@ -384,6 +387,7 @@
             ToHolder::Granted { ticket, load } => (ticket, WishState::Granted, Some(load)),
             ToHolder::Queued { ticket, load } => (ticket, WishState::Queued, Some(load)),
             ToHolder::NotOwner { ticket } => (ticket, WishState::NotOwner, None),
+            ToHolder::Refused { ticket, load } => (ticket, WishState::Refused, Some(load)),
             ToHolder::Revoked { ticket } => {
                 self.revoked(replica, ticket);
                 return;
--- a/crates/slots/src/message.rs
+++ b/crates/slots/src/message.rs
@@ -102,6 +102,13 @@
         /// The wish.
         ticket: Ticket,
     },
+    /// The wish is not taken, since too many wait before it.
+    Refused {
+        /// The wish.
+        ticket: Ticket,
+        /// The replica's load.
+        load: Load,
+    },
 }
 
 /// How full a replica is, as its owner counts.
--- a/crates/slots/src/owner.rs
+++ b/crates/slots/src/owner.rs
@@ -203,6 +203,10 @@
                 TableAction::Queue { holder, ticket } => {
                     self.tell_holder(&holder, replica, ToHolder::Queued { ticket, load });
                 }
+                TableAction::Refuse { holder, ticket } => {
+                    self.counters.count("slots_refused");
+                    self.tell_holder(&holder, replica, ToHolder::Refused { ticket, load });
+                }
                 TableAction::Revoke { holder, ticket } => {
                     self.counters.count("slots_revoked");
                     self.tell_holder(&holder, replica, ToHolder::Revoked { ticket });
--- a/crates/slots/src/search.rs
+++ b/crates/slots/src/search.rs
@@ -8,6 +8,7 @@
 use tokio::time::timeout;
 use wire::DaemonName;
 use wire::Millis;
+use wire::ReplicaName;
 use wire::ReplicaRecord;
 
 use crate::ask::NoSlot;
@@ -44,6 +45,8 @@
     Granted,
     /// The daemon that was asked does not own the replica.
     NotOwner,
+    /// Too many wait at the replica.
+    Refused,
 }
 
 /// A wish that an owner's messages find by its ticket.
@@ -89,6 +92,7 @@
     ask: &'a SlotAsk<'a>,
     changed: Rc<Notify>,
     wishes: Vec<Wish>,
+    refused: Vec<ReplicaName>,
     found_replica: bool,
     asked: u32,
 }
@@ -97,7 +101,13 @@
     /// Starts a search.
     pub(crate) fn new(slots: &'a Rc<Slots>, ask: &'a SlotAsk<'a>) -> Self {
         let changed = Rc::new(Notify::new());
-        Self { slots, ask, changed, wishes: Vec::new(), found_replica: false, asked: 0 }
+        let (wishes, refused) = (Vec::new(), Vec::new());
+        Self { slots, ask, changed, wishes, refused, found_replica: false, asked: 0 }
+    }
+
+    /// Returns whether no queue took the wish, so that waiting is in vain.
+    pub(crate) fn is_hopeless(&self) -> bool {
+        self.wishes.is_empty() && self.refused.len() >= self.max_wishes()
     }
 
     /// Returns why there was no slot.
@@ -112,9 +122,7 @@
         if !self.wants_more() {
             return None;
         }
-        let wishes = &self.wishes;
-        let is_asked = |name: &wire::ReplicaName| wishes.iter().any(|w| w.replica.name == *name);
-        let replica = self.slots.choose(now_ms, self.ask, is_asked)?;
+        let replica = self.slots.choose(now_ms, self.ask, |name| self.is_asked(name))?;
         if self.wishes.len() >= self.max_wishes() {
             if !self.slots.has_room(&replica, self.ask.class) {
                 return None;
@@ -181,19 +189,29 @@
         if self.asked >= MAX_ASKED || !self.wishes.iter().all(is_queued) {
             return false;
         }
+        if self.refused.len() >= self.max_wishes() {
+            return self.has_better();
+        }
         self.wishes.len() < self.max_wishes() || self.has_better()
     }
 
     fn has_better(&self) -> bool {
-        let is_asked =
-            |name: &wire::ReplicaName| self.wishes.iter().any(|w| w.replica.name == *name);
-        self.slots.any_has_room(self.ask, is_asked)
+        self.slots.any_has_room(self.ask, |name| self.is_asked(name))
+    }
+
+    fn is_asked(&self, name: &ReplicaName) -> bool {
+        self.wishes.iter().any(|wish| wish.replica.name == *name) || self.refused.contains(name)
     }
 
     fn drop_unusable(&mut self) {
-        let slots = self.slots;
+        let (slots, refused) = (self.slots, &mut self.refused);
         self.wishes.retain(|wish| {
-            wish.pending.state.get() != WishState::NotOwner && slots.is_usable(&wish.replica.name)
+            let state = wish.pending.state.get();
+            if state == WishState::Refused {
+                refused.push(wish.replica.name.clone());
+            }
+            !matches!(state, WishState::NotOwner | WishState::Refused)
+                && slots.is_usable(&wish.replica.name)
         });
     }
 
--- a/crates/slots/src/table.rs
+++ b/crates/slots/src/table.rs
@@ -26,6 +26,14 @@
 /// How long runs of nobody are believed in without news of the replica; somewhat longer than an item
 /// runs.
 const FOREIGN_MS: Millis = 6_000;
+/// The queues that a request stands in at the same time, so that half of a queue is served elsewhere.
+const QUEUES_OF_A_REQUEST: Millis = 2;
+/// How long before its time a wish that is taken back has waited in vain; messages take a moment.
+const GAVE_UP_MARGIN_MS: Millis = 30;
+/// How long after a request that waited in vain a replica counts as overloaded.
+const OVERLOADED_MS: Millis = 1_000;
+/// The runs over which the time of an online run is averaged.
+const AVERAGED_RUNS: Millis = 8;
 /// Longer than any run; keeps the order of grants above zero.
 const MAX_RUN_MS: Millis = 600_000;
 
@@ -84,6 +92,13 @@
         /// The wish.
         ticket: Ticket,
     },
+    /// The wish is not taken: too many are before it.
+    Refuse {
+        /// The holder.
+        holder: DaemonName,
+        /// The wish.
+        ticket: Ticket,
+    },
     /// The holder must give the slot back.
     Revoke {
         /// The holder.
@@ -104,6 +119,8 @@
     foreign: u32,
     foreign_until_ms: Millis,
     batch_from_ms: Millis,
+    online_run_ms: Millis,
+    waited_in_vain_ms: Option<Millis>,
     is_suspect: bool,
     is_examined: bool,
     is_observed: bool,
@@ -127,6 +144,8 @@
             foreign: 0,
             foreign_until_ms: 0,
             batch_from_ms: 0,
+            online_run_ms: 0,
+            waited_in_vain_ms: None,
             is_suspect: false,
             is_examined: false,
             is_observed: false,
@@ -173,19 +192,63 @@
             });
         }
         let mut actions = self.settle(now_ms);
-        if self.waiting.iter().any(|waiting| waiting.ticket == ticket) {
+        let Some(place) = self.waiting.iter().position(|waiting| waiting.ticket == ticket) else {
+            return actions;
+        };
+        if self.is_hopeless(now_ms, place) {
+            self.waiting.swap_remove(place);
+            self.waited_in_vain_ms = Some(now_ms);
+            actions.push(TableAction::Refuse { holder, ticket });
+        } else {
             actions.push(TableAction::Queue { holder, ticket });
         }
         actions
     }
 
+    /// Returns whether an online wish would only wait in vain: others do, and it would not even be
+    /// on time after those before it. Its client can come back sooner if it is told now.
+    fn is_hopeless(&self, now_ms: Millis, place: usize) -> bool {
+        let wish = &self.waiting[place];
+        let is_overloaded =
+            self.waited_in_vain_ms.is_some_and(|vain_ms| now_ms < vain_ms + OVERLOADED_MS);
+        if wish.class != Class::Online || !is_overloaded {
+            return false;
+        }
+        let key = urgency_key(wish, now_ms);
+        let before = self.waiting.iter().filter(|other| urgency_key(other, now_ms) < key).count();
+        let wait_ms = before as Millis * self.online_run_ms
+            / (Millis::from(self.slots.max(1)) * QUEUES_OF_A_REQUEST);
+        now_ms + wait_ms > wish.on_time_at_ms
+    }
+
     /// Takes a slot, or a place in the queue, back.
     pub fn release(&mut self, now_ms: Millis, ticket: Ticket) -> Vec<TableAction> {
+        self.note_end(now_ms, ticket);
         self.grants.retain(|grant| grant.ticket != ticket);
         self.waiting.retain(|waiting| waiting.ticket != ticket);
         self.settle(now_ms)
     }
 
+    /// Learns from what ends: how long online runs take, and that a request waited in vain.
+    fn note_end(&mut self, now_ms: Millis, ticket: Ticket) {
+        let mut grants = self.grants.iter().filter(|grant| grant.class == Class::Online);
+        if let Some(grant) = grants.find(|grant| grant.ticket == ticket) {
+            let run_ms = now_ms.saturating_sub(grant.granted_ms);
+            self.online_run_ms = match self.online_run_ms {
+                0 => run_ms,
+                known_ms => (known_ms * (AVERAGED_RUNS - 1) + run_ms) / AVERAGED_RUNS,
+            };
+        }
+        let is_vain = |waiting: &Waiting| {
+            waiting.ticket == ticket
+                && waiting.class == Class::Online
+                && now_ms + GAVE_UP_MARGIN_MS >= waiting.give_up_at_ms
+        };
+        if self.waiting.iter().any(is_vain) {
+            self.waited_in_vain_ms = Some(now_ms);
+        }
+    }
+
     /// Takes a holder's list of all its runs at this replica.
     pub fn held(&mut self, now_ms: Millis, holder: &DaemonName, runs: &[Run]) -> Vec<TableAction> {
         self.grants.retain_mut(|grant| {
@@ -267,6 +330,11 @@
 
     fn settle(&mut self, now_ms: Millis) -> Vec<TableAction> {
         let mut actions = Vec::new();
+        let is_over =
+            |waiting: &Waiting| waiting.class == Class::Online && now_ms >= waiting.give_up_at_ms;
+        if self.waiting.iter().any(is_over) {
+            self.waited_in_vain_ms = Some(now_ms);
+        }
         self.waiting.retain(|waiting| now_ms < waiting.give_up_at_ms);
         if self.is_suspect {
             return actions;
@@ -298,16 +366,11 @@
     /// Returns the place of the wish that is served next: online before batch, and in each class
     /// those that can still be on time, in their order, before those that are late.
     fn most_urgent(&self, now_ms: Millis) -> Option<usize> {
-        let key = |waiting: &Waiting| {
-            let is_late = waiting.on_time_at_ms < now_ms;
-            let at_ms = if is_late { waiting.give_up_at_ms } else { waiting.order_at_ms };
-            (waiting.class, is_late, at_ms, waiting.ticket)
-        };
         let is_allowed =
             |waiting: &Waiting| waiting.class == Class::Online || now_ms >= self.batch_from_ms;
         (0..self.waiting.len())
             .filter(|place| is_allowed(&self.waiting[*place]))
-            .min_by_key(|place| key(&self.waiting[*place]))
+            .min_by_key(|place| urgency_key(&self.waiting[*place], now_ms))
     }
 
     /// Revokes as many items as online requests wait: those that cannot be on time, then those
@@ -340,3 +403,10 @@
         }
     }
 }
+
+/// Orders wishes: the least is served first.
+fn urgency_key(waiting: &Waiting, now_ms: Millis) -> (Class, bool, Millis, Ticket) {
+    let is_late = waiting.on_time_at_ms < now_ms;
+    let at_ms = if is_late { waiting.give_up_at_ms } else { waiting.order_at_ms };
+    (waiting.class, is_late, at_ms, waiting.ticket)
+}
--- a/crates/slots/tests/table.rs
+++ b/crates/slots/tests/table.rs
@@ -213,3 +213,49 @@
     assert!(table.load().is_suspect);
     assert_eq!(grants(&table.trust(10)), [1]);
 }
+
+/// A table of one slot at which runs take 500 ms and a request has waited in vain at 2,000 ms.
+fn overloaded() -> Table {
+    let mut table = Table::new(1);
+    table.ask(0, wish(1, Class::Online, 240));
+    table.release(500, Ticket(1));
+    table.ask(500, wish(2, Class::Online, 240));
+    table.ask(500, Wish { give_up_left_ms: 1_500, ..wish(3, Class::Online, 240) });
+    table.release(1_990, Ticket(3));
+    table
+}
+
+fn is_refused(actions: &[TableAction], ticket: u64) -> bool {
+    actions.contains(&TableAction::Refuse { holder: holder(), ticket: Ticket(ticket) })
+}
+
+#[test]
+fn where_requests_wait_in_vain_one_that_would_be_late_is_refused_at_once() {
+    let mut table = overloaded();
+    let first = table.ask(2_000, wish(4, Class::Online, 240));
+    assert!(!is_refused(&first, 4), "it is the next one");
+    assert!(is_refused(&table.ask(2_000, wish(5, Class::Online, 240)), 5));
+    assert_eq!(table.load().online_waiting, 1);
+    let urgent = table.ask(2_000, wish(6, Class::Online, 100));
+    assert!(!is_refused(&urgent, 6), "it is before the others");
+    assert!(!is_refused(&table.ask(2_000, wish(7, Class::Batch, 240)), 7), "items can wait");
+}
+
+#[test]
+fn requests_wait_again_when_nobody_waits_in_vain_any_more() {
+    let mut table = overloaded();
+    for ticket in 4..8 {
+        table.ask(2_000, wish(ticket, Class::Online, 240));
+    }
+    assert!(!is_refused(&table.ask(3_500, wish(8, Class::Online, 240)), 8));
+}
+
+#[test]
+fn without_overload_a_request_that_will_be_late_waits() {
+    let mut table = Table::new(1);
+    table.ask(0, wish(1, Class::Online, 240));
+    table.release(500, Ticket(1));
+    for ticket in 2..12 {
+        assert!(!is_refused(&table.ask(500, wish(ticket, Class::Online, 240)), ticket));
+    }
+}
