Send fewer heartbeats to other data centres of a large fleet; losses are told by those near

Every daemon sent a heartbeat with the loads of ten replicas to every other one each second. Change: from 96 daemons on those of other data centres get each fourth heartbeat, news go to all at once as before; a far daemon is suspect after ten periods. Two daemons near a lost one tell all far ones, who believe two different tellers (one may be cut off itself). Peer has a file of its own. Four new tests.

--- a/crates/node/src/beats.rs
+++ b/crates/node/src/beats.rs
@@ -13,6 +13,7 @@
 use peers::Transport;
 use peers::heartbeat::Datagram;
 use peers::heartbeat::Identity;
+use peers::heartbeat::LostDaemon;
 use peers::heartbeat::Readiness;
 use peers::membership::MemberAction;
 use peers::transport::decode;
@@ -63,6 +64,9 @@
         let beats = self.clone();
         let receiver = move |datagram: &Datagram, _from: IpAddr| beats.take_replica_news(datagram);
         self.transport.on(Topic::Replicas, Rc::new(receiver));
+        let beats = self.clone();
+        let receiver = move |datagram: &Datagram, _from: IpAddr| beats.take_loss(datagram);
+        self.transport.on(Topic::Lost, Rc::new(receiver));
     }
 
     /// Takes daemons that the store names.
@@ -167,11 +171,31 @@
                     info!("event=peer_restarted peer={name}");
                     self.forget_life(&name);
                 }
-                MemberAction::Lost(name) => self.forget_life(&name),
+                MemberAction::Lost(name) => {
+                    self.tell_of_loss(&name);
+                    self.forget_life(&name);
+                }
             }
         }
     }
 
+    fn tell_of_loss(&self, name: &DaemonName) {
+        let membership = self.knowledge.membership.borrow();
+        let Some(peer) = membership.peer(name) else { return };
+        let lost = LostDaemon { name: name.clone(), incarnation: peer.identity.incarnation };
+        for ip in membership.to_tell_of_loss(name) {
+            self.transport.send(ip, Topic::Lost, &lost);
+        }
+    }
+
+    fn take_loss(&self, datagram: &Datagram) {
+        let Some(lost) = decode::<LostDaemon>(Topic::Lost, &datagram.payload) else { return };
+        let now_ms = self.knowledge.clock.now_ms();
+        let actions =
+            self.knowledge.membership.borrow_mut().told_lost(now_ms, &datagram.from, &lost);
+        self.perform(actions);
+    }
+
     /// Forgets what a lost life of a daemon held in memory.
     fn forget_life(&self, name: &DaemonName) {
         self.slots.holder_lost(name);
@@ -210,7 +234,7 @@
                     let identity = &beat.identity;
                     self.board.take_rider(&identity.name, identity.incarnation, &rider.payload);
                 }
-                Topic::Heartbeat | Topic::Members | Topic::Replicas => {}
+                Topic::Heartbeat | Topic::Members | Topic::Replicas | Topic::Lost => {}
             }
         }
         let Some(control) = beat.identity.control else { return };
--- a/crates/peers/src/heartbeat.rs
+++ b/crates/peers/src/heartbeat.rs
@@ -21,6 +21,8 @@
     Jobs,
     /// Changes of the list of replicas.
     Replicas,
+    /// A daemon that is lost.
+    Lost,
 }
 
 /// One datagram.
@@ -84,6 +86,15 @@
     pub riders: Vec<Rider>,
 }
 
+/// A daemon that those of its data centre count as lost.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LostDaemon {
+    /// The daemon.
+    pub name: DaemonName,
+    /// Its incarnation.
+    pub incarnation: u64,
+}
+
 /// A part of a heartbeat that another part of the daemon made.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Rider {
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod control;
 pub mod heartbeat;
 pub mod membership;
+pub mod peer;
 pub mod transport;
 
 pub use control::ControlClient;
--- a/crates/peers/src/membership.rs
+++ b/crates/peers/src/membership.rs
@@ -7,10 +7,15 @@
 use wire::DaemonName;
 use wire::DataCentre;
 use wire::Millis;
+use wire::rendezvous;
 
 use crate::heartbeat::Heartbeat;
 use crate::heartbeat::Identity;
+use crate::heartbeat::LostDaemon;
 use crate::heartbeat::Readiness;
+use crate::peer::LossWord;
+use crate::peer::Peer;
+use crate::peer::PeerState;
 
 /// The shortest time between two heartbeats to one daemon.
 const MIN_PERIOD_MS: Millis = 200;
@@ -18,6 +23,16 @@
 const MAX_PERIOD_MS: Millis = 1_000;
 /// How much the period grows with each daemon, so that the cost of a daemon stays level.
 const PERIOD_PER_DAEMON_MS: Millis = 6;
+/// The daemons up to which every daemon hears every other one each period; all deployments of the
+/// users but their largest are below it. In larger fleets bytes between data centres cost most.
+const SMALL_FLEET: usize = 96;
+/// In a larger fleet, the periods between two heartbeats to a daemon of another data centre.
+const FAR_EVERY: u64 = 4;
+/// In a larger fleet, the periods of silence after which a daemon of another data centre is left out
+/// of decisions: two of its heartbeats may be lost. Those near it tell of its loss earlier.
+const FAR_SUSPECT_PERIODS: Millis = 10;
+/// The daemons of a data centre that tell the others of a loss there.
+const TELLERS: usize = 2;
 /// Heartbeats that may be lost before a daemon is left out of decisions.
 const SUSPECT_PERIODS: Millis = 4;
 /// Silence after which a daemon counts as lost and its jobs are taken over.
@@ -28,81 +43,9 @@
 const SETTLE_MS: Millis = 1_500;
 /// The time between two ticks from which on this daemon counts as paused: it ticks every 50 ms.
 const OWN_PAUSE_MS: Millis = 400;
-/// The incarnations of one daemon that are remembered as over; more starts within a minute, after
-/// which a silent daemon is forgotten, are not expected.
-const MAX_OVER: usize = 8;
 /// How often a lost daemon is tried again.
 const RETRY_LOST_MS: Millis = 1_000;
 
-/// What one daemon knows of another.
-#[derive(Clone, Debug)]
-pub struct Peer {
-    /// Who it is.
-    pub identity: Identity,
-    /// Whether it takes work.
-    pub readiness: Readiness,
-    /// Whether the store answers it.
-    pub reaches_store: bool,
-    /// The version of its configuration.
-    pub configuration_version: u64,
-    /// The revision of its list of replicas.
-    pub replicas_revision: u64,
-    heard_ms: Option<Millis>,
-    introduced_ms: Millis,
-    tried_ms: Millis,
-    state: PeerState,
-    /// Incarnations that are over; one may be higher than the current one, since a start's number
-    /// is its time of day and clocks go back.
-    over: BTreeSet<u64>,
-}
-
-impl Peer {
-    /// Returns the incarnations that are over once `next` has taken the place of this one.
-    fn over_after(&self, next: u64) -> BTreeSet<u64> {
-        let mut over = self.over.clone();
-        over.insert(self.identity.incarnation);
-        over.remove(&next);
-        while over.len() > MAX_OVER {
-            over.pop_first();
-        }
-        over
-    }
-
-    /// Returns whether a heartbeat of an incarnation is of the peer's present start.
-    ///
-    /// One that is over or has a lower number may be a late datagram of an earlier start; it counts
-    /// once the known start has gone silent.
-    fn is_present(&self, incarnation: u64) -> bool {
-        let is_later =
-            incarnation >= self.identity.incarnation && !self.over.contains(&incarnation);
-        is_later || self.state != PeerState::Alive
-    }
-}
-
-/// How sure it is that a peer lives.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PeerState {
-    /// It was told of and has not been heard itself.
-    Unheard,
-    /// It was heard a moment ago.
-    Alive,
-    /// Heartbeats are missing.
-    Suspect,
-    /// It has been silent for so long that others take its work over.
-    Lost,
-}
-
-impl PeerState {
-    fn as_str(self) -> &'static str {
-        match self {
-            Self::Unheard => "unheard",
-            Self::Alive => "alive",
-            Self::Suspect => "suspect",
-            Self::Lost => "lost",
-        }
-    }
-}
-
 /// What the daemon must do or note.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum MemberAction {
@@ -135,6 +78,7 @@
     started_ms: Option<Millis>,
     now_ms: Millis,
     sent_ms: Option<Millis>,
+    rounds: u64,
     seeds_tried_ms: Option<Millis>,
     is_urgent: bool,
 }
@@ -151,6 +95,7 @@
             started_ms: None,
             now_ms: 0,
             sent_ms: None,
+            rounds: 0,
             seeds_tried_ms: None,
             is_urgent: false,
         }
@@ -220,6 +165,7 @@
                 tried_ms: now_ms,
                 state: PeerState::Alive,
                 over,
+                loss_word: None,
             },
         );
         if is_new || is_restart {
@@ -255,6 +201,7 @@
                 tried_ms: now_ms,
                 state: PeerState::Unheard,
                 over: known.map(|peer| peer.over_after(identity.incarnation)).unwrap_or_default(),
+                loss_word: None,
                 identity,
             };
             self.peers.insert(peer.identity.name.clone(), peer);
@@ -274,19 +221,74 @@
         if !is_due && !self.is_urgent {
             return actions;
         }
-        self.is_urgent = false;
+        let is_to_all = std::mem::take(&mut self.is_urgent) || !self.is_large();
         self.sent_ms = Some(now_ms);
-        for peer in self.peers.values_mut() {
+        self.rounds += 1;
+        for (peer, place) in self.peers.values_mut().zip(self.rounds..) {
             let is_silent = matches!(peer.state, PeerState::Lost | PeerState::Unheard);
             if is_silent && now_ms < peer.tried_ms + RETRY_LOST_MS {
                 continue;
             }
+            let is_far = peer.identity.data_centre != self.own.data_centre;
+            if is_far && !is_to_all && !place.is_multiple_of(FAR_EVERY) {
+                continue;
+            }
             peer.tried_ms = now_ms;
             actions.push(MemberAction::SendHeartbeat(peer.identity.ip));
         }
         actions
     }
 
+    /// Returns whether daemons of other data centres get fewer heartbeats.
+    fn is_large(&self) -> bool {
+        self.peers.len() >= SMALL_FLEET
+    }
+
+    /// Returns whom this daemon tells that another one is lost: those far away, who hear it less
+    /// often, if this is one of the tellers of the lost one's data centre.
+    pub fn to_tell_of_loss(&self, name: &DaemonName) -> Vec<IpAddr> {
+        let own = &self.own;
+        let is_near =
+            self.peers.get(name).is_some_and(|peer| peer.identity.data_centre == own.data_centre);
+        if !is_near || !self.is_large() {
+            return Vec::new();
+        }
+        let weight = |teller: &DaemonName| rendezvous::weight(name.as_str(), teller.as_str());
+        let own_weight = weight(&own.name);
+        let near = self.alive().filter(|peer| peer.identity.data_centre == own.data_centre);
+        if near.filter(|peer| weight(&peer.identity.name) > own_weight).count() >= TELLERS {
+            return Vec::new();
+        }
+        let far = self.alive().filter(|peer| peer.identity.data_centre != own.data_centre);
+        far.map(|peer| peer.identity.ip).collect()
+    }
+
+    /// Takes the word of a daemon near it that a daemon is lost; its next heartbeat ends that.
+    ///
+    /// Two have to say so: one may only be cut off from it.
+    pub fn told_lost(
+        &mut self,
+        now_ms: Millis,
+        teller: &DaemonName,
+        lost: &LostDaemon,
+    ) -> Vec<MemberAction> {
+        let Some(peer) = self.peers.get_mut(&lost.name) else { return Vec::new() };
+        let silent_ms = now_ms.saturating_sub(peer.heard_ms.unwrap_or(peer.introduced_ms));
+        let is_same = peer.identity.incarnation == lost.incarnation;
+        if !is_same || silent_ms < MIN_PERIOD_MS || peer.state == PeerState::Lost {
+            return Vec::new();
+        }
+        let word = LossWord { teller: teller.clone(), at_ms: now_ms };
+        let before = peer.loss_word.replace(word);
+        let is_second = before
+            .is_some_and(|word| word.teller != *teller && now_ms < word.at_ms + LOST_AFTER_MS);
+        if !is_second {
+            return Vec::new();
+        }
+        peer.state = PeerState::Lost;
+        vec![changed(&lost.name, PeerState::Lost, silent_ms), MemberAction::Lost(lost.name.clone())]
+    }
+
     /// Returns the known peers.
     pub fn peers(&self) -> impl Iterator<Item = &Peer> {
         self.peers.values()
@@ -370,8 +372,10 @@
     }
 
     fn note_silence(&mut self, now_ms: Millis, actions: &mut Vec<MemberAction>) {
-        let suspect_ms = self.period_ms() * SUSPECT_PERIODS;
+        let (period_ms, is_large) = (self.period_ms(), self.is_large());
         for (name, peer) in &mut self.peers {
+            let is_far = is_large && peer.identity.data_centre != self.own.data_centre;
+            let suspect_ms = period_ms * if is_far { FAR_SUSPECT_PERIODS } else { SUSPECT_PERIODS };
             let since_ms = peer.heard_ms.unwrap_or(peer.introduced_ms);
             let silent_ms = now_ms.saturating_sub(since_ms);
             let state = match peer.state {
--- a/crates/peers/tests/membership.rs
+++ b/crates/peers/tests/membership.rs
@@ -6,6 +6,7 @@
 use peers::Heartbeat;
 use peers::Membership;
 use peers::heartbeat::Identity;
+use peers::heartbeat::LostDaemon;
 use peers::heartbeat::Readiness;
 use peers::membership::MemberAction;
 
@@ -169,3 +170,111 @@
     ticks(&mut membership, 0, 1_000);
     assert!(membership.is_isolated());
 }
+
+fn in_zone(number: u8, zone: &str) -> Heartbeat {
+    let identity = Identity { data_centre: zone.into(), ..identity(number, 1) };
+    Heartbeat { identity, ..beat(number, 1) }
+}
+
+/// A daemon of zone a that knows 49 others there and 60 of zone b.
+fn large() -> Membership {
+    let mut membership = Membership::new(identity(1, 1), Vec::new());
+    membership.tick(0);
+    for number in 2..=110 {
+        membership.heard(0, &in_zone(number, if number <= 50 { "a" } else { "b" }));
+    }
+    membership
+}
+
+fn sent(actions: &[MemberAction], number: u8) -> usize {
+    actions.iter().filter(|action| **action == MemberAction::SendHeartbeat(ip(number))).count()
+}
+
+#[test]
+fn in_a_large_fleet_daemons_of_other_data_centres_get_each_fourth_heartbeat() {
+    let mut membership = large();
+    let period_ms = membership.period_ms();
+    let mut all = Vec::new();
+    for round in 1..=8 {
+        all.extend(membership.tick(round * period_ms));
+        for number in 2..=110 {
+            membership
+                .heard(round * period_ms, &in_zone(number, if number <= 50 { "a" } else { "b" }));
+        }
+    }
+    assert!((2..=50).all(|number| sent(&all, number) == 8));
+    assert!((51..=110).all(|number| sent(&all, number) == 2));
+    membership.hurry();
+    assert_eq!(membership.tick(8 * period_ms + 50).len(), 109, "news go to all");
+}
+
+#[test]
+fn in_a_large_fleet_the_loss_of_a_far_daemon_is_told_by_those_near_it() {
+    let mut membership = large();
+    let period_ms = membership.period_ms();
+    let far = identity(60, 1).name;
+    let keep = |membership: &mut Membership, now_ms: u64| {
+        for number in (2..=110).filter(|number| *number != 60) {
+            membership.heard(now_ms, &in_zone(number, if number <= 50 { "a" } else { "b" }));
+        }
+    };
+    for now_ms in (50..period_ms * 9).step_by(50) {
+        membership.tick(now_ms);
+        keep(&mut membership, now_ms);
+    }
+    assert!(membership.is_alive(&far), "some of its heartbeats may be lost");
+    let now_ms = period_ms * 9;
+    let late = LostDaemon { name: far.clone(), incarnation: 0 };
+    let (teller, other) = (identity(70, 1).name, identity(71, 1).name);
+    membership.told_lost(now_ms, &teller, &late);
+    assert!(membership.told_lost(now_ms, &other, &late).is_empty(), "that is another start");
+    let lost = LostDaemon { name: far.clone(), incarnation: 1 };
+    assert!(membership.told_lost(now_ms, &teller, &lost).is_empty(), "it may be cut off itself");
+    assert!(membership.told_lost(now_ms, &teller, &lost).is_empty(), "that is the same word");
+    let actions = membership.told_lost(now_ms, &other, &lost);
+    assert!(actions.contains(&MemberAction::Lost(far.clone())));
+    assert!(membership.is_gone(&far, 1) && !membership.is_alive(&far));
+    assert!(membership.told_lost(now_ms, &teller, &lost).is_empty(), "it is known");
+    membership.heard(now_ms + 1, &in_zone(60, "b"));
+    assert!(membership.is_alive(&far));
+    membership.told_lost(now_ms + 2, &teller, &lost);
+    assert!(membership.told_lost(now_ms + 2, &other, &lost).is_empty(), "it was heard just now");
+}
+
+#[test]
+fn a_far_daemon_of_which_nobody_tells_is_lost_in_the_end() {
+    let mut membership = large();
+    let far = identity(60, 1).name;
+    let until_ms = membership.period_ms() * 10;
+    let actions = ticks(&mut membership, 50, until_ms);
+    assert!(actions.contains(&MemberAction::Lost(far)));
+}
+
+#[test]
+fn two_daemons_of_a_data_centre_tell_of_a_loss_there_and_only_far_ones() {
+    let tellers = (1..=50)
+        .filter(|number| *number != 7)
+        .filter(|number| {
+            let own = Identity { data_centre: "a".into(), ..identity(*number, 1) };
+            let mut membership = Membership::new(own, Vec::new());
+            membership.tick(0);
+            for peer in (1..=110).filter(|peer| peer != number) {
+                membership.heard(0, &in_zone(peer, if peer <= 50 { "a" } else { "b" }));
+            }
+            // The lost one is not heard any more; all others are.
+            ticks(&mut membership, 50, 1_000);
+            for peer in (1..=110).filter(|peer| peer != number && *peer != 7) {
+                membership.heard(1_000, &in_zone(peer, if peer <= 50 { "a" } else { "b" }));
+            }
+            ticks(&mut membership, 1_050, 3_000);
+            for peer in (1..=110).filter(|peer| peer != number && *peer != 7) {
+                membership.heard(3_000, &in_zone(peer, if peer <= 50 { "a" } else { "b" }));
+            }
+            let told = membership.to_tell_of_loss(&identity(7, 1).name);
+            assert!(told.is_empty() || told.len() == 60);
+            assert!(membership.to_tell_of_loss(&identity(60, 1).name).is_empty());
+            !told.is_empty()
+        })
+        .count();
+    assert_eq!(tellers, 2);
+}
