--- a/crates/bench/src/path_cost.rs
+++ b/crates/bench/src/path_cost.rs
@@ -140,12 +140,9 @@
 
 fn replica(service: &str, number: usize) -> ReplicaSettings {
     ReplicaSettings {
-        name: format!("{service}-{number}"),
-        service: service.to_owned(),
-        zone: "a".to_owned(),
         slots: SLOTS,
         queue: SLOTS,
         step: Duration::from_millis(STEP_MS),
-        is_engine: service == ENGINES,
+        ..ReplicaSettings::usual(&format!("{service}-{number}"), service, "a")
     }
 }
--- a/crates/daemon/tests/platform_fleet/mod.rs
+++ b/crates/daemon/tests/platform_fleet/mod.rs
@@ -146,13 +146,5 @@
 }
 
 fn replica(service: &str, name: &str, number: usize) -> ReplicaSettings {
-    ReplicaSettings {
-        name: format!("{name}-{number}"),
-        service: service.to_owned(),
-        zone: "a".to_owned(),
-        slots: 8,
-        queue: 16,
-        step: Duration::from_millis(5),
-        is_engine: service == ENGINES,
-    }
+    ReplicaSettings::usual(&format!("{name}-{number}"), service, "a")
 }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -318,16 +318,7 @@
     fn add_replica(&self, service: &'static str) -> Result<(), KernelError> {
         let number = self.next_replica.replace(self.next_replica.get() + 1);
         let name = format!("{service}-{number}");
-        let is_engine = service == ENGINES;
-        let settings = ReplicaSettings {
-            name: name.clone(),
-            service: service.to_owned(),
-            zone: zone(number as usize).to_owned(),
-            slots: 8,
-            queue: 16,
-            step: Duration::from_millis(5),
-            is_engine,
-        };
+        let settings = ReplicaSettings::usual(&name, service, zone(number as usize));
         self.deployment.add_replica_behind(settings, |address| {
             let proxy = Proxy::start(address)?;
             let front = proxy.address;
