Have two daemons tell a new one of all others in a large fleet

Cause: each daemon that heard of a new one for the first time sent it the list of all others, 60 bytes each. New test; before, all 110 daemons sent the list.

--- a/crates/peers/src/membership.rs
+++ b/crates/peers/src/membership.rs
@@ -31,7 +31,8 @@
 /// In a larger fleet, the periods of silence after which a daemon of another data centre is left out
 /// of decisions: two of its heartbeats may be lost. Those near it tell of its loss earlier.
 const FAR_SUSPECT_PERIODS: Millis = 10;
-/// The daemons of a data centre that tell the others of a loss there.
+/// The daemons that tell a new one of all others, and those of a data centre that tell of a loss
+/// there, in a large fleet.
 const TELLERS: usize = 2;
 /// Heartbeats that may be lost before a daemon is left out of decisions.
 const SUSPECT_PERIODS: Millis = 4;
@@ -74,6 +75,7 @@
     own: Identity,
     own_readiness: Readiness,
     seeds: Vec<IpAddr>,
+    is_seed: bool,
     peers: BTreeMap<DaemonName, Peer>,
     started_ms: Option<Millis>,
     now_ms: Millis,
@@ -86,11 +88,13 @@
 impl Membership {
     /// Creates the membership of a daemon that knows only seeds.
     pub fn new(own: Identity, seeds: Vec<IpAddr>) -> Self {
+        let is_seed = seeds.contains(&own.ip);
         let seeds = seeds.into_iter().filter(|ip| *ip != own.ip).collect();
         Self {
             own,
             own_readiness: Readiness::Starting,
             seeds,
+            is_seed,
             peers: BTreeMap::new(),
             started_ms: None,
             now_ms: 0,
@@ -168,7 +172,7 @@
                 loss_word: None,
             },
         );
-        if is_new || is_restart {
+        if (is_new || is_restart) && self.is_teller_of_members(&identity.name) {
             actions.push(MemberAction::SendMembers(identity.ip));
         }
         if old_state != PeerState::Alive {
@@ -244,6 +248,18 @@
         self.peers.len() >= SMALL_FLEET
     }
 
+    /// Returns whether this daemon tells a new one of all others. In a large fleet the list is long,
+    /// and all daemons hear of a new one at about the same time.
+    fn is_teller_of_members(&self, newcomer: &DaemonName) -> bool {
+        if !self.is_large() || self.is_seed {
+            return true;
+        }
+        let weight = |teller: &DaemonName| rendezvous::weight(newcomer.as_str(), teller.as_str());
+        let own_weight = weight(&self.own.name);
+        let others = self.alive().filter(|peer| peer.identity.name != *newcomer);
+        others.filter(|peer| weight(&peer.identity.name) > own_weight).count() < TELLERS
+    }
+
     /// Returns whom this daemon tells that another one is lost: those far away, who hear it less
     /// often, if this is one of the tellers of the lost one's data centre.
     pub fn to_tell_of_loss(&self, name: &DaemonName) -> Vec<IpAddr> {
@@ -319,6 +335,7 @@
 
     /// Replaces the addresses that are asked first.
     pub fn set_seeds(&mut self, seeds: Vec<IpAddr>) {
+        self.is_seed = seeds.contains(&self.own.ip);
         self.seeds = seeds.into_iter().filter(|ip| *ip != self.own.ip).collect();
     }
 
--- a/crates/peers/tests/membership.rs
+++ b/crates/peers/tests/membership.rs
@@ -278,3 +278,18 @@
         .count();
     assert_eq!(tellers, 2);
 }
+
+#[test]
+fn in_a_large_fleet_a_new_daemon_is_told_of_the_others_by_two_and_by_seeds() {
+    let tells = |own: u8, seeds: Vec<IpAddr>| {
+        let mut membership = Membership::new(identity(own, 1), seeds);
+        membership.tick(0);
+        for number in (1..=110).filter(|number| *number != own) {
+            membership.heard(0, &beat(number, 1));
+        }
+        let actions = membership.heard(10, &beat(200, 1));
+        actions.contains(&MemberAction::SendMembers(ip(200)))
+    };
+    assert_eq!((1..=110).filter(|own| tells(*own, Vec::new())).count(), 2);
+    assert!((1..=110).all(|own| tells(own, vec![ip(own)])));
+}
