--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -23,7 +23,9 @@
 use log::debug;
 use peers::ControlClient;
 use peers::Membership;
+use peers::Topic;
 use peers::control::PeerFault;
+use peers::transport::encode;
 use rand::seq::SliceRandom;
 use serde::Deserialize;
 use serde::Serialize;
@@ -110,13 +112,7 @@
         let since = query.and_then(|query| query.strip_prefix("since=")?.parse().ok());
         let now_ms = self.knowledge.clock.now_ms();
         let view = self.knowledge.replicas.borrow().view_since(now_ms, since.unwrap_or(0));
-        match serde_json::to_vec(&view) {
-            Ok(json) => (StatusCode::OK, Bytes::from(json)),
-            Err(error) => {
-                debug!("event=replica_view_not_encoded error=\"{error}\"");
-                (StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
-            }
-        }
+        (StatusCode::OK, Bytes::from(encode(Topic::Replicas, &view)))
     }
 
     async fn relay(&self, body: &[u8]) -> (StatusCode, Bytes) {
--- a/crates/node/src/knowledge.rs
+++ b/crates/node/src/knowledge.rs
@@ -21,6 +21,8 @@
 use log::warn;
 use peers::ControlClient;
 use peers::Membership;
+use peers::Topic;
+use peers::transport::decode;
 use slots::Slots;
 use wire::Configuration;
 
@@ -208,13 +210,11 @@
 
     async fn pull_view(&self, peer: SocketAddr, path: &str) -> Option<bool> {
         let body = self.pull(peer, path).await?;
-        match serde_json::from_slice::<ReplicaView>(&body) {
-            Ok(view) => Some(self.take_view(view)),
-            Err(error) => {
-                warn!("event=replica_view_malformed peer={peer} error=\"{error}\"");
-                None
-            }
+        let view = decode::<ReplicaView>(Topic::Replicas, &body);
+        if view.is_none() {
+            warn!("event=replica_view_malformed peer={peer} bytes={}", body.len());
         }
+        view.map(|view| self.take_view(view))
     }
 
     /// Takes a peer's view and returns whether the list agrees with the peer's, as far as is known.
