--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod endpoints;
 pub mod handshake;
+mod lease;
 pub mod link;
 pub mod links;
 pub mod members;
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -11,14 +11,12 @@
 use arc_swap::ArcSwap;
 use async_trait::async_trait;
 use bytes::Bytes;
-use kernel::Clock;
 use kernel::Services;
 use log::info;
 use log::warn;
 use store::CallClass;
 use store::PutEnd;
 use store::Store;
-use store::object::Listed;
 use store::store::new_write_id;
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
@@ -31,22 +29,21 @@
 use wire::link::Request;
 use wire::rendezvous;
 
+use crate::lease::LEASES;
+use crate::lease::LEAVING_SUFFIX;
+use crate::lease::lease_key;
+use crate::lease::leases;
 use crate::links::LinkHandler;
 use crate::links::Links;
 use crate::membership::Action;
 use crate::membership::DaemonInfo;
 use crate::membership::Event;
-use crate::membership::LeaseSeen;
 use crate::membership::MemberStatus;
 use crate::membership::Membership;
 use crate::membership::OwnerState;
 
-/// The prefix of the leases' keys: `daemons/NAME/INCARNATION`.
-const LEASES: &str = "daemons/";
 /// How long the list of owners is used; every request asks for it.
 const OWNERS_LIFE_MS: wire::Millis = 50;
-/// What ends the key of a leaving daemon's lease.
-const LEAVING_SUFFIX: &str = ".leaving";
 /// The fleet size up to which every daemon lists leases at the full rate.
 const LIST_AT_FULL_RATE: u64 = 16;
 
@@ -462,28 +459,3 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     ticks
 }
-
-fn lease_key(daemon: &DaemonName, incarnation: &str) -> String {
-    format!("{LEASES}{daemon}/{incarnation}")
-}
-
-fn leases(listed: &[Listed]) -> Vec<LeaseSeen> {
-    listed
-        .iter()
-        .filter_map(|line| {
-            let (daemon, incarnation) = line.key.strip_prefix(LEASES)?.split_once('/')?;
-            let unmarked = incarnation.strip_suffix(LEAVING_SUFFIX);
-            Some(LeaseSeen {
-                daemon: DaemonName::from(daemon),
-                incarnation: unmarked.unwrap_or(incarnation).to_owned(),
-                version: line.version,
-                leaving: unmarked.is_some(),
-            })
-        })
-        .collect()
-}
-
-/// Returns a name for this start of the daemon, later starts sorting after earlier ones.
-pub fn new_incarnation() -> String {
-    format!("{:013}-{}", Clock::unix_ms(), &new_write_id()[..8])
-}
--- a/crates/fleet/src/plugin.rs
+++ b/crates/fleet/src/plugin.rs
@@ -9,9 +9,9 @@
 use kernel::inventory;
 use store::Store;
 
+use crate::lease::new_incarnation;
 use crate::links::Links;
 use crate::members::Members;
-use crate::members::new_incarnation;
 use crate::membership::DaemonInfo;
 use crate::membership::Membership;
 use crate::membership::Timing;
--- a/crates/node/src/beats.rs
+++ b/crates/node/src/beats.rs
@@ -52,21 +52,17 @@
 impl Beats {
     /// Takes the messages of the transport.
     pub fn listen(self: &Rc<Self>) {
+        self.on(Topic::Heartbeat, Self::take_beat);
+        self.on(Topic::Members, Self::take_members);
+        self.on(Topic::Jobs, Self::take_job_message);
+        self.on(Topic::Replicas, Self::take_replica_news);
+        self.on(Topic::Lost, Self::take_loss);
+    }
+
+    fn on(self: &Rc<Self>, topic: Topic, take: fn(&Self, &Datagram)) {
         let beats = self.clone();
-        let receiver = move |datagram: &Datagram, _from: IpAddr| beats.take_beat(datagram);
-        self.transport.on(Topic::Heartbeat, Rc::new(receiver));
-        let beats = self.clone();
-        let receiver = move |datagram: &Datagram, _from: IpAddr| beats.take_members(datagram);
-        self.transport.on(Topic::Members, Rc::new(receiver));
-        let beats = self.clone();
-        let receiver = move |datagram: &Datagram, _from: IpAddr| beats.take_job_message(datagram);
-        self.transport.on(Topic::Jobs, Rc::new(receiver));
-        let beats = self.clone();
-        let receiver = move |datagram: &Datagram, _from: IpAddr| beats.take_replica_news(datagram);
-        self.transport.on(Topic::Replicas, Rc::new(receiver));
-        let beats = self.clone();
-        let receiver = move |datagram: &Datagram, _from: IpAddr| beats.take_loss(datagram);
-        self.transport.on(Topic::Lost, Rc::new(receiver));
+        let receiver = move |datagram: &Datagram, _from: IpAddr| take(&beats, datagram);
+        self.transport.on(topic, Rc::new(receiver));
     }
 
     /// Takes daemons that the store names.
