Suspect far daemons late already where others may count a large fleet

Cause: found by reading. A daemon that counts 96 others sends far ones each fourth heartbeat; one that counts a few less, while daemons come and go, would suspect it after four periods, which is when the next one is due. Change: the longer patience begins six daemons earlier than the fewer heartbeats. Deployments under 90 daemons behave as before.

--- a/crates/peers/src/membership.rs
+++ b/crates/peers/src/membership.rs
@@ -26,6 +26,8 @@
 /// The daemons up to which every daemon hears every other one each period; all deployments of the
 /// users but their largest are below it. In larger fleets bytes between data centres cost most.
 const SMALL_FLEET: usize = 96;
+/// By how much daemons may differ in the size that they see while others come and go.
+const UNSURE_SIZE: usize = 6;
 /// In a larger fleet, the periods between two heartbeats to a daemon of another data centre.
 const FAR_EVERY: u64 = 4;
 /// In a larger fleet, the periods of silence after which a daemon of another data centre is left out
@@ -389,7 +391,9 @@
     }
 
     fn note_silence(&mut self, now_ms: Millis, actions: &mut Vec<MemberAction>) {
-        let (period_ms, is_large) = (self.period_ms(), self.is_large());
+        // Others may count some daemons more and send this one fewer heartbeats already.
+        let is_large = self.peers.len() + UNSURE_SIZE >= SMALL_FLEET;
+        let period_ms = self.period_ms();
         for (name, peer) in &mut self.peers {
             let is_far = is_large && peer.identity.data_centre != self.own.data_centre;
             let suspect_ms = period_ms * if is_far { FAR_SUSPECT_PERIODS } else { SUSPECT_PERIODS };
--- a/crates/peers/tests/membership.rs
+++ b/crates/peers/tests/membership.rs
@@ -293,3 +293,24 @@
     assert_eq!((1..=110).filter(|own| tells(*own, Vec::new())).count(), 2);
     assert!((1..=110).all(|own| tells(own, vec![ip(own)])));
 }
+
+#[test]
+fn a_far_daemon_that_sees_a_larger_fleet_is_not_suspected_for_its_fewer_heartbeats() {
+    let mut membership = Membership::new(identity(1, 1), Vec::new());
+    membership.tick(0);
+    let zone = |number: u8| if number <= 50 { "a" } else { "b" };
+    for number in 2..=94 {
+        membership.heard(0, &in_zone(number, zone(number)));
+    }
+    let period_ms = membership.period_ms();
+    let mut all = Vec::new();
+    for now_ms in (50..period_ms * 9).step_by(50) {
+        all.extend(membership.tick(now_ms));
+        for number in 2..=50 {
+            membership.heard(now_ms, &in_zone(number, zone(number)));
+        }
+    }
+    assert!(!all.iter().any(|action| matches!(action, MemberAction::Lost(_))));
+    assert!(membership.is_alive(&identity(60, 1).name));
+    assert_eq!(sent(&all, 60), sent(&all, 2), "it sends to all itself");
+}
