Drop the runtime of a lab's daemon without waiting

Cause: a cell of the fault matrix that runs out of its time drops its lab inside the matrix's own runtime; a daemon's runtime that was being stopped waited there, which panics, and a release build ends at a panic. Change: LabRuntime shuts down in the background wherever it is dropped.

--- a/crates/bench/src/lab.rs
+++ b/crates/bench/src/lab.rs
@@ -83,7 +83,29 @@
 /// One daemon of a lab.
 struct LabDaemon {
     settings: Settings,
-    running: Option<(Daemon<Serving>, Runtime)>,
+    running: Option<(Daemon<Serving>, LabRuntime)>,
+}
+
+/// A runtime that never waits for its tasks when it is dropped: a cell that ran out of its time
+/// drops its lab inside another runtime, which may not wait.
+struct LabRuntime(Option<Runtime>);
+
+impl LabRuntime {
+    /// Runs work to its end; none if the work panicked.
+    async fn run<F>(&self, work: F) -> Option<F::Output>
+    where
+        F: Future<Output: Send> + Send + 'static,
+    {
+        self.0.as_ref()?.spawn(work).await.ok()
+    }
+}
+
+impl Drop for LabRuntime {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
 }
 
 /// A running lab.
@@ -205,33 +227,24 @@
             .enable_all()
             .build()
             .map_err(|source| KernelError::File { path: "the runtime".to_owned(), source })?;
-        let started = runtime.spawn(daemon::start(settings)).await;
-        let started = started.unwrap_or_else(|error| {
-            Err(KernelError::Plugin { plugin: "daemon", message: error.to_string() })
+        let runtime = LabRuntime(Some(runtime));
+        let started = runtime.run(daemon::start(settings)).await;
+        let started = started.unwrap_or_else(|| {
+            let message = "it panicked while it started".to_owned();
+            Err(KernelError::Plugin { plugin: "daemon", message })
         });
-        match started {
-            Ok(daemon) => {
-                self.daemons[index].running = Some((daemon, runtime));
-                Ok(())
-            }
-            Err(error) => {
-                runtime.shutdown_background();
-                Err(error)
-            }
-        }
+        self.daemons[index].running = Some((started?, runtime));
+        Ok(())
     }
 
     /// Stops a daemon gracefully.
     pub async fn stop_daemon(&mut self, index: usize) {
-        if let Some((daemon, runtime)) = self.daemons[index].running.take() {
-            let ports = daemon.services.need::<Ports>();
-            let drained = runtime.spawn(daemon.drain()).await;
-            if let Ok(drained) = drained {
-                drained.stop();
-            }
-            close_ports(ports.ok());
-            runtime.shutdown_background();
+        let Some((daemon, runtime)) = self.daemons[index].running.take() else { return };
+        let ports = daemon.services.need::<Ports>();
+        if let Some(drained) = runtime.run(daemon.drain()).await {
+            drained.stop();
         }
+        close_ports(ports.ok());
     }
 
     /// Kills a daemon: its ports close and its tasks are dropped where they stand.
@@ -240,7 +253,7 @@
             let ports = daemon.services.need::<Ports>();
             daemon.kill();
             close_ports(ports.ok());
-            runtime.shutdown_background();
+            drop(runtime);
         }
     }
 
