Ask who is among the heaviest daemons in one place; pull the whole list in one place

Two new choices of tellers in peers::Membership wrote again what the choice of watchers in node::watch does; Knowledge::pull_replicas repeated the last step of pull_all_replicas; Search::wants_more had a branch that its condition can say. Change: rendezvous::is_among_heaviest serves all three choices; pull_replicas calls pull_all_replicas. Decisions stay as they are. The log line replica_list_differs names the revision under which the lists differ, as the other caller did, no longer the one before.

--- a/crates/node/src/knowledge.rs
+++ b/crates/node/src/knowledge.rs
@@ -191,11 +191,11 @@
             return;
         }
         let since = self.replicas.borrow().revision();
-        if self.pull_view(peer, &format!("/replicas?since={since}")).await == Some(false) {
-            info!("event=replica_list_differs peer={peer} since={since}");
-            self.pull_view(peer, "/replicas").await;
-        }
+        let agrees = self.pull_view(peer, &format!("/replicas?since={since}")).await;
         self.is_pulling_replicas.set(false);
+        if agrees == Some(false) {
+            self.pull_all_replicas(peer).await;
+        }
     }
 
     /// Asks a peer for its whole list of replicas, since this one differs under the same revision.
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -112,12 +112,9 @@
     if store.reach() == Reach::Lost && membership.alive().any(|peer| peer.reaches_store) {
         return false;
     }
-    let own = membership.own();
-    let own_weight = rendezvous::weight(what.kind(), own.name.as_str());
     let others = membership.alive().filter(|peer| peer.reaches_store);
-    let heavier = others
-        .filter(|peer| rendezvous::weight(what.kind(), peer.identity.name.as_str()) > own_weight);
-    heavier.count() < WATCHERS
+    let others = others.map(|peer| &peer.identity.name);
+    rendezvous::is_among_heaviest(what.kind(), &membership.own().name, others, WATCHERS)
 }
 
 /// Reads the whole list and returns the revision to watch from.
--- a/crates/peers/src/membership.rs
+++ b/crates/peers/src/membership.rs
@@ -256,10 +256,8 @@
         if !self.is_large() || self.is_seed {
             return true;
         }
-        let weight = |teller: &DaemonName| rendezvous::weight(newcomer.as_str(), teller.as_str());
-        let own_weight = weight(&self.own.name);
-        let others = self.alive().filter(|peer| peer.identity.name != *newcomer);
-        others.filter(|peer| weight(&peer.identity.name) > own_weight).count() < TELLERS
+        let others = self.alive().map(|peer| &peer.identity.name).filter(|name| *name != newcomer);
+        rendezvous::is_among_heaviest(newcomer.as_str(), &self.own.name, others, TELLERS)
     }
 
     /// Returns whom this daemon tells that another one is lost: those far away, who hear it less
@@ -271,10 +269,9 @@
         if !is_near || !self.is_large() {
             return Vec::new();
         }
-        let weight = |teller: &DaemonName| rendezvous::weight(name.as_str(), teller.as_str());
-        let own_weight = weight(&own.name);
         let near = self.alive().filter(|peer| peer.identity.data_centre == own.data_centre);
-        if near.filter(|peer| weight(&peer.identity.name) > own_weight).count() >= TELLERS {
+        let near = near.map(|peer| &peer.identity.name);
+        if !rendezvous::is_among_heaviest(name.as_str(), &own.name, near, TELLERS) {
             return Vec::new();
         }
         let far = self.alive().filter(|peer| peer.identity.data_centre != own.data_centre);
--- a/crates/slots/src/search.rs
+++ b/crates/slots/src/search.rs
@@ -189,10 +189,9 @@
         if self.asked >= MAX_ASKED || !self.wishes.iter().all(is_queued) {
             return false;
         }
-        if self.refused.len() >= self.max_wishes() {
-            return self.has_better();
-        }
-        self.wishes.len() < self.max_wishes() || self.has_better()
+        let most = self.max_wishes();
+        let may_queue = self.refused.len() < most && self.wishes.len() < most;
+        may_queue || self.has_better()
     }
 
     fn has_better(&self) -> bool {
--- a/crates/wire/src/rendezvous.rs
+++ b/crates/wire/src/rendezvous.rs
@@ -28,6 +28,21 @@
         .map(|(_, member)| member)
 }
 
+/// Returns whether fewer than `count` of `others` are heavier than `own` for a key.
+pub fn is_among_heaviest<'a, M>(
+    key: &str,
+    own: &M,
+    others: impl IntoIterator<Item = &'a M>,
+    count: usize,
+) -> bool
+where
+    M: AsRef<str> + 'a,
+{
+    let own_weight = weight(key, own.as_ref());
+    let heavier = others.into_iter().filter(|other| weight(key, other.as_ref()) > own_weight);
+    heavier.count() < count
+}
+
 /// Returns the hash of some bytes, the same in every process.
 pub fn hash(bytes: &[u8]) -> u64 {
     xxh3_64_with_seed(bytes, 0)
