--- a/crates/jobs/src/serve.rs
+++ b/crates/jobs/src/serve.rs
@@ -158,6 +158,12 @@
                     }
                     self.note_home(&job, &home);
                     if let Some(answer) = self.answer_from_memory(call, &handle) {
+                        info!(
+                            "event=answered_from_record job={job} home={} listed={} revision={}",
+                            home.daemon,
+                            handle.job.borrow().written_results().len(),
+                            handle.job.borrow().revision
+                        );
                         return answer;
                     }
                 }
--- a/crates/jobs/src/status_writer.rs
+++ b/crates/jobs/src/status_writer.rs
@@ -56,7 +56,10 @@
                 }
                 StatusWrite::Deposed => break,
                 StatusWrite::Failed(error) => {
-                    warn!("event=results_not_written job={id} error=\"{error}\"");
+                    warn!(
+                        "event=results_not_written job={id} listed={} error=\"{error}\"",
+                        handle.job.borrow().written_results().len()
+                    );
                     tokio::time::sleep(WRITE_RETRY_DELAY).await;
                 }
             }
@@ -72,6 +75,7 @@
             let job = handle.job.borrow();
             (job.status(&self.own_home, self.deps.max_object_bytes), job.revision)
         };
+        let started_ms = self.now_ms();
         let call = match status_call(id, revision, &status) {
             Ok(call) => call,
             Err(error) => return StatusWrite::Failed(error),
@@ -99,7 +103,7 @@
             handle.job.borrow_mut().apply_write_reply(now_ms, &self.own_home, &status, reply);
         match outcome {
             StatusWriteOutcome::Written => {
-                self.log_written(&handle.job.borrow(), now_ms);
+                self.log_written(&handle.job.borrow(), now_ms, now_ms.saturating_sub(started_ms));
                 StatusWrite::Written
             }
             StatusWriteOutcome::Deposed(home) => {
@@ -109,13 +113,13 @@
         }
     }
 
-    fn log_written(&self, job: &Job, now_ms: Millis) {
+    fn log_written(&self, job: &Job, now_ms: Millis, took_ms: Millis) {
         if job.is_finished() {
             let age_ms = (now_ms as i64 - job.submitted_ms).max(0);
             self.deps.counters.observe("job_ms", age_ms as u64);
         }
         info!(
-            "event=results_written job={} listed={} total={} revision={} ended={}",
+            "event=results_written job={} listed={} total={} revision={} ended={} took_ms={took_ms}",
             job.id,
             job.written_results().len(),
             job.total(),
