Answer 503 instead of an old list while a write of results is unanswered

Cause: the store applies a home's status write and its answer is late or lost. Daemons that get no answer from the home read the record, which holds the new results; the home shows the list from before the write until one of its retries is answered. Nothing bounded that time.

Why it works: results become visible to readers of the record no sooner than the write is sent. From 500 ms after the first unanswered one the home no longer says that nothing follows its known results; a daemon that asked it reads the record instead. A confirmed or conflicting answer ends that state. The same holds for results that a stopping home hands to its successor, which writes them.

--- a/crates/daemon/tests/platform_jobs.rs
+++ b/crates/daemon/tests/platform_jobs.rs
@@ -71,6 +71,33 @@
     });
 }
 
+#[test]
+fn home_with_unanswered_write_shows_no_fewer_results_than_were_read() {
+    run_local("unanswered", |folder| async move {
+        let mut fleet = Fleet::start(folder, 2).await;
+        let job = items("u1", 150, 200);
+        let accepted =
+            Client.submit_job(fleet.ingress(0), JOBS, "u1", &job).await.expect("an answer");
+        assert_eq!(accepted.status, StatusCode::ACCEPTED);
+        let at_home = wait_for_results(fleet.ingress(0), "u1", 1).await;
+        let lost = StoreFault::LostAnswers { share: 1.0, late_ms: 0 };
+        fleet.deployment.store.fault.set(lost);
+        sleep(Duration::from_millis(2_500)).await;
+        // A paused home makes the other daemon answer from the record.
+        fleet.daemons[0].signal(Signal::STOP).expect("the signal is sent");
+        let read = wait_for_results(fleet.ingress(1), "u1", at_home + 1).await;
+        fleet.daemons[0].signal(Signal::CONT).expect("the signal is sent");
+        sleep(Duration::from_millis(1_100)).await;
+        let (status, page) =
+            Client.read_results(fleet.ingress(0), "u1", read - 1).await.expect("an answer");
+        let shown = page.map_or(0, |page| page.results.len());
+        assert!(!status.is_success() || shown > 0, "position {} of {read} is missing", read - 1);
+        fleet.deployment.store.fault.set(StoreFault::None);
+        let results = read_all_results(fleet.ingress(0), "u1", Duration::from_secs(20)).await;
+        assert_eq!(results.len(), 150);
+    });
+}
+
 fn set_replica_faults(fleet: &Fleet, fault: ReplicaFault) {
     for name in fleet.deployment.replicas() {
         fleet.deployment.replica(&name).expect("the replica runs").fault.set(fault);
--- a/crates/jobs/src/handover.rs
+++ b/crates/jobs/src/handover.rs
@@ -108,6 +108,7 @@
             return;
         }
         handle.is_record_busy.set(true);
+        handle.job.borrow_mut().begin_write(self.now_ms());
         let body = postcard::to_allocvec(&handle.job.borrow().to_handover(self.now_ms()));
         let body = match body {
             Ok(body) => body,
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -24,6 +24,9 @@
 /// How long output of running items may stay unwritten, which bounds the work that is lost with a
 /// home. An item runs for 4 to 6 s and costs as much as some hundred writes.
 const CHECKPOINT_INTERVAL_MS: Millis = 2_000;
+/// How long a write that adds results may be unanswered until the home no longer answers that there
+/// are none: readers of the record may have seen them for that time.
+const MAX_UNCONFIRMED_MS: Millis = 500;
 /// The delay before an item runs again after a failure that it did not cause.
 const RETRY_DELAY_MS: Millis = 60;
 /// The base of the backoff of a failed item; it doubles with each failure, up to the fourth.
@@ -131,6 +134,8 @@
     unwritten: Vec<ItemResult>,
     unwritten_since_ms: Option<Millis>,
     progress_since_ms: Option<Millis>,
+    /// When the first write of results was sent whose effect is unknown.
+    unconfirmed_since_ms: Option<Millis>,
     needs_write: bool,
 }
 
@@ -173,6 +178,7 @@
             unwritten: Vec::new(),
             unwritten_since_ms: None,
             progress_since_ms: None,
+            unconfirmed_since_ms: None,
             needs_write: false,
         }
     }
@@ -402,6 +408,24 @@
         self.needs_write || !self.unwritten.is_empty()
     }
 
+    /// Records that a write of all results is sent, or that another daemon is asked to write them.
+    ///
+    /// Until [`Self::mark_written`], the record may hold more results than this home knows.
+    pub fn begin_write(&mut self, now_ms: Millis) {
+        if !self.unwritten.is_empty() {
+            self.unconfirmed_since_ms.get_or_insert(now_ms);
+        }
+    }
+
+    /// Returns whether the home may answer that there are no results from position `after` on: no
+    /// reader of the record can have seen one for longer than `MAX_UNCONFIRMED_MS`.
+    pub fn can_answer_from(&self, now_ms: Millis, after: usize) -> bool {
+        after < self.written.len()
+            || self
+                .unconfirmed_since_ms
+                .is_none_or(|since_ms| now_ms < since_ms + MAX_UNCONFIRMED_MS)
+    }
+
     /// Marks the first `count` results as written, and the job's end too if `is_ended`.
     pub fn mark_written(&mut self, now_ms: Millis, revision: u64, count: usize, is_ended: bool) {
         self.revision = revision;
@@ -409,6 +433,7 @@
         self.written.extend(self.unwritten.drain(..newly_written));
         self.unwritten_since_ms = (!self.unwritten.is_empty()).then_some(now_ms);
         self.progress_since_ms = None;
+        self.unconfirmed_since_ms = None;
         self.needs_write = self.is_ended && !is_ended;
     }
 
--- a/crates/jobs/src/serve.rs
+++ b/crates/jobs/src/serve.rs
@@ -130,7 +130,9 @@
             let home = match self.locate(&job) {
                 JobLocation::Local(handle) => match self.answer_here(call, &handle).await {
                     Some(answer) => return answer,
-                    None if origin == CallOrigin::Peer => break,
+                    None if origin == CallOrigin::Peer || self.has_unconfirmed(call, &handle) => {
+                        break;
+                    }
                     None => continue,
                 },
                 _ if origin == CallOrigin::Peer => return (StatusCode::NOT_FOUND, Bytes::new()),
@@ -191,9 +193,25 @@
         if handle.is_deposed.get() || handle.is_contested.get() {
             return None;
         }
+        if self.has_unconfirmed(call, handle) {
+            self.deps.counters.count("results_unconfirmed");
+            info!(
+                "event=results_unconfirmed job={} listed={}",
+                handle.job.borrow().id,
+                handle.job.borrow().written_results().len()
+            );
+            return None;
+        }
         self.answer_from_memory(call, handle)
     }
 
+    /// Returns whether the call asks for results that the job's record may hold although this home
+    /// got no answer to its write of them.
+    fn has_unconfirmed(&self, call: &JobCall, handle: &JobHandle) -> bool {
+        let JobCall::Results { after, .. } = call else { return false };
+        !handle.job.borrow().can_answer_from(self.now_ms(), *after)
+    }
+
     /// Answers from the state in memory; returns `None` for an end, which only the home can write.
     fn answer_from_memory(&self, call: &JobCall, handle: &JobHandle) -> Option<CallAnswer> {
         match call {
--- a/crates/jobs/src/status_writer.rs
+++ b/crates/jobs/src/status_writer.rs
@@ -71,11 +71,12 @@
         if let Err(error) = self.spill(id, handle).await {
             return StatusWrite::Failed(error);
         }
+        let started_ms = self.now_ms();
         let (status, revision) = {
-            let job = handle.job.borrow();
+            let mut job = handle.job.borrow_mut();
+            job.begin_write(started_ms);
             (job.status(&self.own_home, self.deps.max_object_bytes), job.revision)
         };
-        let started_ms = self.now_ms();
         let call = match status_call(id, revision, &status) {
             Ok(call) => call,
             Err(error) => return StatusWrite::Failed(error),
--- a/crates/jobs/tests/status.rs
+++ b/crates/jobs/tests/status.rs
@@ -95,3 +95,21 @@
     let unique: std::collections::BTreeSet<_> = names.iter().collect();
     assert_eq!(unique.len(), names.len());
 }
+
+#[test]
+fn home_does_not_deny_results_of_an_unanswered_write() {
+    let mut job = job(3);
+    finish_next(&mut job);
+    job.begin_write(100);
+    job.mark_written(110, 2, 1, false);
+    job.begin_write(200);
+    assert!(job.can_answer_from(10_000, 1), "nothing was sent");
+    finish_next(&mut job);
+    job.begin_write(1_000);
+    job.begin_write(1_400);
+    assert!(job.can_answer_from(1_499, 1), "no reader of the record has seen it for long");
+    assert!(!job.can_answer_from(1_500, 1), "a reader may have seen the second result");
+    assert!(job.can_answer_from(1_500, 0), "the first result is known");
+    job.mark_written(2_000, 3, 2, false);
+    assert!(job.can_answer_from(9_000, 2), "the write is confirmed");
+}
