Poll the answer of a link call before the close of its link

A call over a link could end with NoAnswer although its answer had been received: an item in doubt for batch, a lost online answer for its caller.

Link::deliver_reply takes a call off the list of pending calls; the end of another call then finds the list empty and closes a link that its peer announced as closing. The select in Link::call picked by chance among the answer and the close, both ready. With several threads the close could also come between the removal of the call and the sending of its reply.

The select now polls the answer first, and the reply is sent under the lock of the pending calls, so a link that closes because its last call was taken off has delivered the reply before.

--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -127,11 +127,13 @@
             return Err(LinkError::NotSent);
         }
         tokio::select! {
-            () = self.closed.cancelled() => Err(LinkError::NoAnswer),
+            // An answer that was received before the link closed is polled first.
+            biased;
             answer = timeout(wait, receiver) => match answer {
                 Ok(Ok(reply)) => Ok(reply),
                 Ok(Err(_)) | Err(_) => Err(LinkError::NoAnswer),
             },
+            () = self.closed.cancelled() => Err(LinkError::NoAnswer),
         }
     }
 
@@ -246,8 +248,12 @@
         is_open
     }
 
+    /// Passes a reply to its call, and returns whether the call was still waiting.
+    ///
+    /// The reply is sent under the lock: once the call is off the list, the link may close.
     fn deliver_reply(&self, call: u64, reply: Reply) -> bool {
-        let pending = self.pending_calls().remove(&call);
+        let mut pending_calls = self.pending_calls();
+        let pending = pending_calls.remove(&call);
         pending.is_some_and(|sender| sender.send(reply).is_ok())
     }
 
--- a/crates/fleet/tests/links.rs
+++ b/crates/fleet/tests/links.rs
@@ -8,11 +8,17 @@
 use fleet::DaemonInfo;
 use fleet::LinkHandler;
 use fleet::Links;
+use fleet::link;
+use fleet::link::Link;
 use fleet::link::LinkError;
+use futures::SinkExt;
+use futures::StreamExt;
 use futures::future::join_all;
+use futures::stream;
 use kernel::Counters;
 use tokio_util::sync::CancellationToken;
 use wire::DaemonName;
+use wire::link::Frame;
 use wire::link::Heartbeat;
 use wire::link::Notice;
 use wire::link::Reply;
@@ -90,6 +96,24 @@
     stop_caller.cancel();
 }
 
+#[tokio::test]
+async fn answers_received_before_a_link_closes_reach_their_calls() {
+    let counters = Counters::new(None).expect("counters without an address");
+    let sink = futures::sink::drain().sink_map_err(|never| match never {});
+    let link = Link::open(sink, counters, CancellationToken::new());
+    let answer = |call| Frame::Answer { call, reply: Reply::Pong(heartbeat(true)) };
+    let frames = std::iter::once(Frame::Closing).chain((1..=CALLS as u64).map(answer));
+    let messages = frames.map(|frame| link::encode(&frame).expect("the frame is encoded"));
+    let inbound = stream::iter(messages).map(Ok).chain(stream::pending());
+    let calls =
+        join_all((0..CALLS).map(|_| link.call(Request::Ping(heartbeat(false)), CALL_TIMEOUT)));
+    let (outcomes, late_answers) = tokio::join!(calls, link.read(inbound, |_| {}));
+    let lost = outcomes.iter().filter(|outcome| outcome.is_err()).count();
+    assert_eq!(lost, 0, "calls ended without their answer");
+    assert_eq!(late_answers, 0);
+    assert!(link.is_closed(), "the link closes after its last call");
+}
+
 #[tokio::test]
 async fn drain_time_is_bounded_with_a_silent_peer() {
     let (stop_server, stop_caller) = (CancellationToken::new(), CancellationToken::new());
