Take from the budget for store calls that have waited

On the platform path a call that found the budget used up waited for its turn and was then sent without taking from the budget. All calls that waited together went out at once: of 60 calls with a rate of 10 a second and a burst of 20, all 60 reached the store within 0.2 s. The fleet could exceed the store's rate, and the reserve for leases did not hold against them.

ObjectClient::wait_for_budget called take_call once, slept for the wait that it returned and went on. It now asks again after each wait until it has a token, and refuses a call as RateLimited that would wait for longer than the limit of one call in all.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -302,19 +302,29 @@
         }
     }
 
+    /// Waits until the budget has a token for the call and takes it; a call that would wait for more
+    /// than `CALL_TIMEOUT_MS` is refused.
     async fn wait_for_budget(&self, class: CallClass, call: &Call) -> Result<(), StoreError> {
-        let budget = if call.is_write() { &self.writes } else { &self.reads };
-        let now_ms = self.started.elapsed().as_millis() as Millis;
-        let acquired = budget.borrow_mut().take_call(now_ms, class);
-        let counter = if call.is_write() { "store_writes" } else { "store_reads" };
+        let is_write = call.is_write();
+        let budget = if is_write { &self.writes } else { &self.reads };
+        let counter = if is_write { "store_writes" } else { "store_reads" };
         self.counters.count_tagged(counter, "class", class.as_str());
-        let Err(wait_ms) = acquired else { return Ok(()) };
-        if wait_ms > CALL_TIMEOUT_MS {
-            self.counters.count_tagged("store_over_budget", "class", class.as_str());
-            return Err(StoreError::RateLimited);
+        let started_ms = self.elapsed_ms();
+        loop {
+            let now_ms = self.elapsed_ms();
+            let taken = budget.borrow_mut().take_call(now_ms, class);
+            let Err(wait_ms) = taken else { return Ok(()) };
+            if now_ms - started_ms + wait_ms > CALL_TIMEOUT_MS {
+                self.counters.count_tagged("store_over_budget", "class", class.as_str());
+                return Err(StoreError::RateLimited);
+            }
+            // Another call may take the token first, so the budget is asked again.
+            sleep(Duration::from_millis(wait_ms)).await;
         }
-        sleep(Duration::from_millis(wait_ms)).await;
-        Ok(())
+    }
+
+    fn elapsed_ms(&self) -> Millis {
+        self.started.elapsed().as_millis() as Millis
     }
 
     fn update_reachability(
