End a stop after a grace period when the object API does not answer

An operator who stopped a daemon that owned a job during an outage of the object API waited for as long as the outage lasted: JobSupervisor::drain waits for the runners, and a runner that hands its job back retried its last writes without limit.

A runner of a stopping daemon now releases its job once no item of it runs and the object API has answered nothing for batch.stop_grace_ms (10 s). The decision is StopGrace, without clock or task; an item that ends and every answered read or write start the period anew, so a slow object API loses nothing. What is lost is what a loss of the host loses: unrecorded idempotent items run again, marked items are resumed by their request ids or closed as interrupted, and no item runs twice.

job_owner_stops_during_store_outage_and_repeats_no_item failed before ("the daemon has not ended after 20s") and passes now, beside the tests of a graceful restart and of a store outage. A daemon with the old settings file takes the default; the records in the object API do not change.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod records;
 pub mod results;
 pub mod runner;
+pub mod stop_grace;
 pub mod supervisor;
 
 pub use jobs::JobApi;
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -40,6 +40,7 @@
 use crate::ledger::WriteResult;
 use crate::lot_cache::LotCache;
 use crate::records;
+use crate::stop_grace::StopGrace;
 
 /// Interval of the ledger's timer events.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -57,7 +58,7 @@
     /// Every item has a recorded outcome.
     Finished,
     /// The runner gave up the job before its end: another daemon has taken it over, it was handed
-    /// back, or this daemon has stopped.
+    /// back, this daemon has stopped, or the object API did not answer while it was stopping.
     Released,
 }
 
@@ -96,6 +97,7 @@
     events: mpsc::UnboundedSender<Event>,
     inbox: mpsc::UnboundedReceiver<Event>,
     attempts: HashMap<(u32, u32), CancellationToken>,
+    stop_grace: StopGrace,
     stopped: CancellationToken,
 }
 
@@ -115,6 +117,7 @@
         let params = JobParams::new(manifest.items, manifest.spec.idempotent);
         let ledger =
             Ledger::new(context.members.own_owner_name(), params, limits, manifest.cancelled);
+        let stop_grace = StopGrace::new(settings.batch.stop_grace_ms);
         let (events, inbox) = mpsc::unbounded_channel();
         Self {
             lots: Arc::new(LotCache::new(Arc::clone(&context.store), Arc::clone(&manifest))),
@@ -126,6 +129,7 @@
             events,
             inbox,
             attempts: HashMap::new(),
+            stop_grace,
         }
     }
 
@@ -166,6 +170,7 @@
             self.attempts.remove(&(*chunk, *item));
         }
         let now_ms = self.context.services.clock.now_ms();
+        let has_progress = is_progress(&event);
         let mut end = None;
         for action in self.ledger.step(now_ms, event) {
             match action {
@@ -199,6 +204,13 @@
                 }
             }
         }
+        let is_waiting = self.context.services.leaving.is_cancelled() && self.attempts.is_empty();
+        if self.stop_grace.is_over(now_ms, is_waiting, has_progress) && end.is_none() {
+            let job = &self.manifest.job;
+            warn!("event=job_not_handed_back job={job} error=\"the object API does not answer\"");
+            self.context.services.counters.count("jobs_not_handed_back");
+            end = Some(RunnerExit::Released);
+        }
         end
     }
 
@@ -327,6 +339,17 @@
     }
 }
 
+/// Returns whether an event shows that an item has ended or that the object API has answered.
+fn is_progress(event: &Event) -> bool {
+    match event {
+        Event::HeadRead { .. } | Event::ChunkRead { .. } | Event::ItemEnded { .. } => true,
+        Event::HeadWritten { result, .. } | Event::ChunkWritten { result, .. } => {
+            *result != WriteResult::NoAnswer
+        }
+        Event::Cancel | Event::HandBack | Event::Tick => false,
+    }
+}
+
 /// The owner that a job's head names, and when it was first seen there.
 #[derive(Debug, Default)]
 struct OwnerSighting {
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -84,6 +84,27 @@
         assert!(status.success(), "a graceful stop ends with success");
     }
 
+    /// Stops a daemon gracefully, and panics if it has not ended within `limit`.
+    pub fn stop_within(&mut self, index: usize, limit: Duration) {
+        self.signal(index, "-TERM");
+        let deadline = Instant::now() + limit;
+        let child = self.daemons[index].as_mut().expect("the daemon runs");
+        let status = loop {
+            if let Some(status) = child.try_wait().expect("the daemon can be waited for") {
+                break status;
+            }
+            assert!(Instant::now() < deadline, "the daemon has not ended after {limit:?}");
+            std::thread::sleep(Duration::from_millis(50));
+        };
+        self.daemons[index] = None;
+        assert!(status.success(), "a graceful stop ends with success");
+    }
+
+    /// Returns the log of a daemon.
+    pub fn read_log(&self, index: usize) -> String {
+        std::fs::read_to_string(self.path(&format!("daemon-{index}.log"))).unwrap_or_default()
+    }
+
     /// Runs `crocus` as a caller.
     pub fn run_as_caller(&self, args: &[&str]) -> Output {
         self.crocus(CALLER_TOKEN, args)
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -141,6 +141,27 @@
     assert_eq!(results.count_outcome("done"), 2000);
 }
 
+#[test]
+fn job_owner_stops_during_store_outage_and_repeats_no_item() {
+    let mut fleet = Fleet::start("stop-outage", 208, 2);
+    let file = fleet.write_items("manifests", 3000, TOKENS);
+    let (child, results) = start_job(&fleet, &file, &["--not-idempotent"]);
+    wait_for_runs(&fleet, 300);
+    let owner = (0..2).find(|index| fleet.read_log(*index).contains("event=job_run_started"));
+    let owner = owner.expect("a daemon runs the job");
+    fleet.inject_platform_fault("{\"fault\": \"down\"}");
+    std::thread::sleep(Duration::from_millis(500));
+    fleet.stop_within(owner, Duration::from_secs(20));
+    fleet.inject_platform_fault("{\"fault\": \"heal\"}");
+    fleet.start_daemon(owner);
+    let output = wait_for_job(child);
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    let results = Results::read(&results);
+    results.assert_complete("manifests", 3000);
+    assert_eq!(results.count_outcome("done") + results.count_outcome("interrupted"), 3000);
+    assert!(fleet.runs().values().all(|count| *count == 1), "an item was run twice");
+}
+
 #[test]
 fn cancelled_job_starts_no_item_and_keeps_outcomes() {
     let fleet = Fleet::start("cancelled", 206, 2);
--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -237,6 +237,9 @@
     pub shard_list_every_ms: Millis,
     /// The maximum time for which one item may run.
     pub item_timeout_ms: Millis,
+    /// How long a stopping daemon that runs no item of a job waits for the object API to answer
+    /// before it leaves the job to the next owner without recording the last outcomes.
+    pub stop_grace_ms: Millis,
     /// An item is not retried after this many backend servers were lost while they ran it.
     pub max_attempts: u32,
     /// The folder for the result cache, on hosts with a disk.
@@ -253,6 +256,7 @@
             record_within_ms: 20_000,
             shard_list_every_ms: 10_000,
             item_timeout_ms: 120_000,
+            stop_grace_ms: 10_000,
             max_attempts: 4,
             data_folder: None,
         }
