Report a call as possibly run if any attempt may have run

A call of crocus that may be repeated is sent again after a lost answer. If the later attempts found no host or were refused as not run, crocus ended with the error of the last one: exit code 4 or 1, "nothing was run", although the first attempt may have run.

Client::call returned last_error alone. It now remembers whether an attempt may have run and marks the final error so: an unreachable host becomes OutcomeUnknown, a refusal keeps its reason and says that the request may have run (exit code 3).

lost_answer_before_failed_connects_is_not_reported_as_not_run failed before with Err(Unreachable(..)), lost_answer_before_refusals_is_not_reported_as_not_run with (Overload, No); both pass now. Checks: cargo fmt, tests of cli/client.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -162,7 +162,20 @@
 
     /// Makes a call. A call that failed is retried with backoff at the next address if it certainly
     /// did not run or is idempotent.
+    ///
+    /// After an attempt that may have run, the error says so, however a later attempt failed.
     pub async fn call(&self, call: &Call) -> Result<Response<Bytes>, CliError> {
+        let mut may_have_run = false;
+        self.call_repeatedly(call, &mut may_have_run)
+            .await
+            .map_err(|error| if may_have_run { error.with_unknown_outcome() } else { error })
+    }
+
+    async fn call_repeatedly(
+        &self,
+        call: &Call,
+        may_have_run: &mut bool,
+    ) -> Result<Response<Bytes>, CliError> {
         let mut url_index = 0;
         let mut last_error = CliError::Unreachable("no endpoint".to_owned());
         for attempt in 0..MAX_ATTEMPTS {
@@ -175,6 +188,7 @@
             match self.call_at(url, call).await {
                 Ok(response) => return Ok(response),
                 Err(error) => {
+                    *may_have_run |= error.may_have_run();
                     if !may_repeat(&error, call) {
                         return Err(error);
                     }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -45,6 +45,27 @@
         }
     }
 
+    /// Returns whether the request may have run.
+    pub fn may_have_run(&self) -> bool {
+        match self {
+            Self::Refused(refusal) => refusal.ran == Ran::Unknown,
+            Self::OutcomeUnknown(_) | Self::InvalidAnswer(_) => true,
+            _ => false,
+        }
+    }
+
+    /// Returns the error of a call that an earlier attempt may have run.
+    pub fn with_unknown_outcome(self) -> Self {
+        match self {
+            Self::Refused(mut refusal) => {
+                refusal.ran = Ran::Unknown;
+                Self::Refused(refusal)
+            }
+            Self::Unreachable(message) => Self::OutcomeUnknown(message),
+            other => other,
+        }
+    }
+
     /// Returns the exit code: 1 refused or not done, 2 usage error, 3 outcome unknown, 4 unreachable.
     pub fn exit_code(&self) -> ExitCode {
         match self {
