Release a job's record on every path of a handover

A handover whose body could not be encoded returned with the job marked as busy, so no task wrote its status any more: results that were not yet in the record would never have been shown. No input is known that cannot be encoded; found by reading.

The flag was set and cleared by hand in four places, and hand_over missed it on this path. JobHandle::use_record now hands out the use of a record as a value that frees the record when it is dropped; a handover that was accepted and a removal retire it instead, as before.

--- a/crates/jobs/src/adoption.rs
+++ b/crates/jobs/src/adoption.rs
@@ -82,7 +82,7 @@
     pub async fn confirm_homes(&self) {
         let handles: Vec<Rc<JobHandle>> = self.jobs.borrow().values().cloned().collect();
         for handle in handles.iter().filter(|handle| !handle.job.borrow().is_finished()) {
-            if !handle.is_record_busy.get() && self.confirm_home(handle).await.is_err() {
+            if !handle.is_record_busy() && self.confirm_home(handle).await.is_err() {
                 return;
             }
         }
--- a/crates/jobs/src/handover.rs
+++ b/crates/jobs/src/handover.rs
@@ -101,13 +101,13 @@
     async fn hand_over(self: Rc<Self>, handle: Rc<JobHandle>) {
         let id = handle.job.borrow().id.clone();
         handle.stop.cancel();
-        while handle.is_record_busy.get() || handle.job.borrow().running_count() > 0 {
+        while handle.is_record_busy() || handle.job.borrow().running_count() > 0 {
             sleep(POLL_INTERVAL).await;
         }
         if handle.is_deposed.get() {
             return;
         }
-        handle.is_record_busy.set(true);
+        let Some(record_use) = handle.use_record() else { return };
         let body = postcard::to_allocvec(&handle.job.borrow().to_handover(self.now_ms()));
         let body = match body {
             Ok(body) => body,
@@ -125,6 +125,7 @@
                 Ok((StatusCode::OK, _)) => {
                     info!("event=job_handed_over job={id} successor={}", successor.daemon);
                     self.complete_handover(&id, &handle, &successor);
+                    record_use.retire();
                     return;
                 }
                 Ok((status, _)) => {
@@ -142,7 +143,6 @@
             }
         }
         // The record still names this daemon; another one adopts the job after this one has stopped.
-        handle.is_record_busy.set(false);
         warn!("event=job_not_handed_over job={id} error=\"no daemon accepted the job\"");
     }
 
--- a/crates/jobs/src/manager.rs
+++ b/crates/jobs/src/manager.rs
@@ -85,8 +85,39 @@
     pub is_deposed: Cell<bool>,
     /// Whether another daemon claims to be the home and the store has not answered yet.
     pub is_contested: Cell<bool>,
-    /// Whether a task is writing, handing over or removing the job's record.
-    pub is_record_busy: Cell<bool>,
+    is_record_busy: Cell<bool>,
+}
+
+impl JobHandle {
+    /// Returns whether a task is writing, handing over or removing the job's record.
+    pub fn is_record_busy(&self) -> bool {
+        self.is_record_busy.get()
+    }
+
+    /// Starts a use of the job's record; returns `None` while another task uses it.
+    pub fn use_record(self: &Rc<Self>) -> Option<RecordUse> {
+        (!self.is_record_busy.replace(true))
+            .then(|| RecordUse { handle: self.clone(), is_last: false })
+    }
+}
+
+/// The exclusive use of a job's record, which ends when it is dropped.
+pub struct RecordUse {
+    handle: Rc<JobHandle>,
+    is_last: bool,
+}
+
+impl RecordUse {
+    /// Ends the use and lets no other follow: the record is gone or has another home.
+    pub fn retire(mut self) {
+        self.is_last = true;
+    }
+}
+
+impl Drop for RecordUse {
+    fn drop(&mut self) {
+        self.handle.is_record_busy.set(self.is_last);
+    }
 }
 
 /// Which daemon holds a job, as far as this daemon knows.
--- a/crates/jobs/src/retention.rs
+++ b/crates/jobs/src/retention.rs
@@ -16,6 +16,7 @@
 
 use crate::manager::JobHandle;
 use crate::manager::JobManager;
+use crate::manager::RecordUse;
 use crate::record;
 use crate::record::INPUT_KIND;
 use crate::record::JOB_KIND;
@@ -85,8 +86,8 @@
     pub(crate) fn remove_expired(self: &Rc<Self>, handles: &[Rc<JobHandle>], now_ms: Millis) {
         for handle in handles {
             let is_expired = handle.job.borrow().is_removable(now_ms, self.keep_ms());
-            if is_expired && !handle.is_record_busy.replace(true) {
-                spawn_local(self.clone().remove(handle.clone()));
+            if is_expired && let Some(record_use) = handle.use_record() {
+                spawn_local(self.clone().remove(handle.clone(), record_use));
             }
         }
     }
@@ -116,7 +117,7 @@
         self.deps.keep_jobs_ms + self.deps.keep_jobs_ms / MARGIN_DIVISOR
     }
 
-    async fn remove(self: Rc<Self>, handle: Rc<JobHandle>) {
+    async fn remove(self: Rc<Self>, handle: Rc<JobHandle>, record_use: RecordUse) {
         let (id, input_parts, result_parts) = {
             let job = handle.job.borrow();
             (job.id.clone(), job.input_parts, job.result_parts.clone())
@@ -125,11 +126,11 @@
             Ok(()) => {
                 self.jobs.borrow_mut().remove(&id);
                 self.forget_home(&id);
+                record_use.retire();
             }
             Err(error) => {
                 warn!("event=job_not_removed job={id} error=\"{error}\"");
                 sleep(REMOVE_RETRY_DELAY).await;
-                handle.is_record_busy.set(false);
             }
         }
     }
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -65,7 +65,7 @@
                 Some(limits) => handle.job.borrow().is_write_due(now_ms, limits),
                 None => handle.job.borrow().has_unwritten(),
             };
-            if is_due && !handle.is_record_busy.get() {
+            if is_due && !handle.is_record_busy() {
                 spawn_local(self.clone().write_results(handle.clone()));
             }
         }
--- a/crates/jobs/src/status_writer.rs
+++ b/crates/jobs/src/status_writer.rs
@@ -42,9 +42,7 @@
     /// Writes the job's status until nothing is left to write or the job has another home; does
     /// nothing while another task uses the record.
     pub async fn write_results(self: Rc<Self>, handle: Rc<JobHandle>) {
-        if handle.is_record_busy.replace(true) {
-            return;
-        }
+        let Some(_record_use) = handle.use_record() else { return };
         let id = handle.job.borrow().id.clone();
         while !handle.is_deposed.get() {
             match self.write_status(&id, &handle).await {
@@ -61,7 +59,6 @@
                 }
             }
         }
-        handle.is_record_busy.set(false);
     }
 
     async fn write_status(&self, id: &JobId, handle: &JobHandle) -> StatusWrite {
