Keep the state of a job that is added while it is held

A client could read fewer results than before and items could run twice, after a handover whose answer from the store was late. The successor writes itself into the record, the answer is lost and the call is repeated. Meanwhile a read of a client, or an Adopt message, loads the record: it names this daemon, which does not hold the job yet, so it claims the job and adds it. The repeated call then finds its own status and accept_handover adds the job again: add_job replaced the first state in the table. Both states went on running the items; the first one, whose results may have been shown, was never served or written again. The acceptance of a job whose creation is answered late could do the same.

claim() looked for a held job before it added one; accept_handover and accept did not. add_job now does so itself and returns the held state, which was read from a record that contains everything of the handover's status.

job_read_while_its_handover_is_unanswered_keeps_one_state failed before ("the job has two states, and both run its items") and passes now.

--- a/crates/jobs/src/manager.rs
+++ b/crates/jobs/src/manager.rs
@@ -293,8 +293,14 @@
     }
 
     /// Adds a job whose home is this daemon, and has a heartbeat announce it at once.
+    ///
+    /// A job that is held already keeps its state: it may have been loaded from the record while
+    /// the store's answer to another task was still on its way.
     pub fn add_job(&self, job: Job) -> Rc<JobHandle> {
         let id = job.id.clone();
+        if let JobLocation::Local(held) = self.locate(&id) {
+            return held;
+        }
         let handle = Rc::new(new_handle(job));
         self.remote_homes.borrow_mut().remove(&id);
         self.jobs.borrow_mut().insert(id, handle.clone());
--- /dev/null
+++ b/crates/jobs/tests/handover.rs
@@ -0,0 +1,261 @@
+//! Handovers of a job whose answers are late or lost.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use catalog::ConfigurationInForce;
+use catalog::ReplicaSet;
+use gate::IngressCodec;
+use gate::JobCall;
+use gate::codec::AnswerMeta;
+use gate::codec::ForwardMeta;
+use gate::codec::InvalidHead;
+use gate::codec::RequestMeta;
+use http::HeaderMap;
+use http::Method;
+use http::StatusCode;
+use http::request::Parts;
+use jobs::adoption::LoadedJob;
+use jobs::codec::InvalidSubmission;
+use jobs::codec::JobCodec;
+use jobs::item::Item;
+use jobs::item::ItemResult;
+use jobs::item::Submission;
+use jobs::job::Job;
+use jobs::manager::Dependencies;
+use jobs::manager::JobLocation;
+use jobs::manager::JobManager;
+use jobs::record;
+use jobs::record::Home;
+use jobs::record::JobRecord;
+use kernel::BootClock;
+use kernel::Counters;
+use peers::ControlClient;
+use peers::Membership;
+use peers::Transport;
+use peers::heartbeat::Heartbeat;
+use peers::heartbeat::Identity;
+use peers::heartbeat::Readiness;
+use slots::Slots;
+use store::Call;
+use store::ObjectClient;
+use store::Reply;
+use store::StoreError;
+use store::call::EncodedCall;
+use store::call::ObjectCodec;
+use store::call::StoredObject;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+use upstream::ConnectionPool;
+use upstream::RequestWriter;
+use wire::JobId;
+
+const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+const INCARNATION: u64 = 7;
+const TIME_LIMIT: Duration = Duration::from_secs(5);
+
+/// Codecs for a manager that gets no requests of clients.
+struct UnusedCodec;
+
+impl JobCodec for UnusedCodec {
+    fn decode_submission(&self, _body: &Bytes) -> Result<Submission, InvalidSubmission> {
+        Err(InvalidSubmission { message: "not used".to_owned() })
+    }
+
+    fn encode_results(&self, _total: usize, _next: usize, _results: &[ItemResult]) -> Bytes {
+        Bytes::new()
+    }
+
+    fn encode_item_headers(&self, _item: &Item, _host: &str) -> HeaderMap {
+        HeaderMap::new()
+    }
+}
+
+impl IngressCodec for UnusedCodec {
+    fn decode_request_head(&self, _headers: &HeaderMap) -> Result<RequestMeta, InvalidHead> {
+        Err(InvalidHead { message: "not used" })
+    }
+
+    fn write_forwarded_headers(
+        &self,
+        _writer: &mut RequestWriter,
+        _headers: &HeaderMap,
+        _meta: &ForwardMeta,
+    ) {
+    }
+
+    fn decode_answer_head(&self, _status: StatusCode, _headers: &HeaderMap) -> AnswerMeta {
+        panic!("no replica is called")
+    }
+
+    fn decode_job_call(&self, _parts: &Parts) -> Option<JobCall> {
+        None
+    }
+
+    fn encode_refusal(&self, _message: &str) -> Bytes {
+        Bytes::new()
+    }
+}
+
+/// A store with one object, which applies a call when its answer is decoded.
+struct OneObject {
+    object: RefCell<StoredObject>,
+    answers_to_lose: Cell<u32>,
+}
+
+impl ObjectCodec for OneObject {
+    fn encode(&self, _call: &Call) -> EncodedCall {
+        EncodedCall { method: Method::PUT, target: "/".to_owned(), body: Bytes::new() }
+    }
+
+    fn decode(&self, call: &Call, _status: StatusCode, _body: &Bytes) -> Result<Reply, StoreError> {
+        let mut object = self.object.borrow_mut();
+        let Call::SetStatus { revision, status, .. } = call else {
+            return Ok(Reply::Object(object.clone()));
+        };
+        if *revision != Some(object.revision) {
+            return Ok(Reply::Conflict(Some(object.clone())));
+        }
+        object.revision += 1;
+        object.status = status.clone();
+        if self.answers_to_lose.get() > 0 {
+            self.answers_to_lose.set(self.answers_to_lose.get() - 1);
+            return Err(StoreError::Unknown("the answer was lost".to_owned()));
+        }
+        Ok(Reply::Object(object.clone()))
+    }
+}
+
+async fn start_server() -> SocketAddr {
+    let listener = TcpListener::bind((LOOPBACK, 0)).await.expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            spawn_local(async move {
+                let mut buffer = vec![0; 4096];
+                while stream.read(&mut buffer).await.is_ok_and(|count| count > 0) {
+                    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+                    stream.write_all(answer).await.expect("the client reads");
+                }
+            });
+        }
+    });
+    address
+}
+
+fn identity(name: &str, control: Option<SocketAddr>) -> Identity {
+    Identity {
+        name: name.into(),
+        incarnation: INCARNATION,
+        ip: LOOPBACK,
+        data_centre: "dc".into(),
+        ingress: None,
+        control,
+        cpu_millis: 1000,
+    }
+}
+
+fn home(name: &str) -> Home {
+    Home { daemon: name.into(), incarnation: INCARNATION }
+}
+
+/// Returns a job of one item without results, and the store with its record.
+fn recorded_job(id: &JobId, home: Home) -> (Job, Rc<OneObject>) {
+    let item = Item {
+        id: "i".into(),
+        path: "/i".to_owned(),
+        headers: Vec::new(),
+        body: Bytes::new(),
+        tokens: 1,
+    };
+    let submission = Submission { items: vec![item] };
+    let value = JobRecord {
+        home,
+        host: "host".to_owned(),
+        path: "/jobs/".to_owned(),
+        submitted_unix_ms: 0,
+        input: record::encode_input(&submission).expect("the input is encoded"),
+        input_parts: 0,
+    };
+    let value = record::to_json(&value).expect("the record is encoded");
+    let mut job = Job::new(id.clone(), "host", "/jobs/", 0, submission.items, Vec::new());
+    job.revision = 1;
+    job.value_bytes = value.len();
+    let object = StoredObject { name: id.to_string(), revision: 1, value, status: Bytes::new() };
+    let store = OneObject { object: RefCell::new(object), answers_to_lose: Cell::new(0) };
+    (job, Rc::new(store))
+}
+
+async fn manager(name: &str, codec: Rc<OneObject>, peers: &[Identity]) -> Rc<JobManager> {
+    let clock = BootClock::start();
+    let counters = Counters::new(None).expect("counters without an address");
+    let own = identity(name, None);
+    let transport = Transport::bind(LOOPBACK, 0, own.name.clone(), INCARNATION, counters.clone());
+    let transport = Rc::new(transport.await.expect("a port is free"));
+    let mut membership = Membership::new(own, Vec::new());
+    for peer in peers {
+        let heartbeat = Heartbeat {
+            identity: peer.clone(),
+            readiness: Readiness::Ready,
+            reaches_store: true,
+            configuration_version: 1,
+            replicas_revision: 1,
+            attachments: Vec::new(),
+        };
+        membership.handle_heartbeat(0, &heartbeat);
+    }
+    let membership = Rc::new(RefCell::new(membership));
+    let replicas = Rc::new(RefCell::new(ReplicaSet::default()));
+    let slots =
+        Slots::start(clock, counters.clone(), transport.clone(), membership.clone(), replicas);
+    let address = start_server().await;
+    let store = ObjectClient::new(codec, address, 1e3, 1e3, counters.clone());
+    JobManager::new(Dependencies {
+        job_codec: Rc::new(UnusedCodec),
+        ingress_codec: Rc::new(UnusedCodec),
+        clock,
+        counters,
+        in_force: Rc::new(RefCell::new(ConfigurationInForce::default())),
+        slots,
+        pool: Rc::new(ConnectionPool::new(TIME_LIMIT, TIME_LIMIT)),
+        store: Rc::new(store),
+        membership,
+        control: Rc::new(ControlClient::default()),
+        max_object_bytes: 1 << 20,
+        transport,
+        keep_jobs_ms: 60_000,
+    })
+}
+
+#[tokio::test]
+async fn job_read_while_its_handover_is_unanswered_keeps_one_state() {
+    let run = async {
+        let id = JobId::from("j");
+        let (job, store) = recorded_job(&id, home("former"));
+        store.answers_to_lose.set(1);
+        let body = postcard::to_allocvec(&job.to_handover(0)).expect("the job is encoded");
+        let manager = manager("successor", store, &[]).await;
+        let read = async {
+            // The handover has written the status and waits to ask again for the answer.
+            tokio::time::sleep(Duration::from_millis(15)).await;
+            match manager.load(&id, TIME_LIMIT).await {
+                Ok(LoadedJob::Local(handle)) => handle,
+                _ => panic!("the job is not adopted"),
+            }
+        };
+        let (status, adopted) = tokio::join!(manager.accept_handover(&body), read);
+        assert_eq!(status, StatusCode::OK);
+        let JobLocation::Local(held) = manager.locate(&id) else { panic!("the job is not held") };
+        assert!(Rc::ptr_eq(&held, &adopted), "the job has two states, and both run its items");
+    };
+    LocalSet::new().run_until(run).await;
+}
