Ask the store for the home of a job whose handover was not answered

A client could read fewer results than before at a daemon that was stopping. The daemon hands a job over; the successor writes itself and all results into the record, but its answer does not arrive within 1.5 s, or the store's answer does not reach the successor. The daemon logged that nobody accepted the job and went on serving it from memory, without the results that the successor had written and shown, until a heartbeat of the successor or its own next write told it.

hand_over treated a missing answer like a refusal. After no answer, a conflict of the successor's write or a write of unknown outcome the daemon now treats its home as contested: it serves no results until the store has named the home, and drops the job if that is another daemon.

job_whose_handover_was_accepted_without_an_answer_is_not_served failed before ("an old list of results is served") and passes now. A write that the store applies only after that question is still found by the next write alone.

--- a/crates/jobs/src/handover.rs
+++ b/crates/jobs/src/handover.rs
@@ -117,6 +117,9 @@
             }
         };
         for (successor, address) in self.successors(&id) {
+            if handle.is_deposed.get() {
+                return;
+            }
             let target = format!("/jobs/{id}/home");
             let control = &self.deps.control;
             let answer =
@@ -132,13 +135,18 @@
                     info!(
                         "event=successor_refused job={id} successor={} status={status}",
                         successor.daemon
-                    )
+                    );
+                    if status == StatusCode::CONFLICT || status == StatusCode::BAD_GATEWAY {
+                        self.verify_contested_home(&id, &successor);
+                    }
                 }
                 Err(fault) => {
                     info!(
                         "event=successor_no_answer job={id} successor={} fault={fault:?}",
                         successor.daemon
-                    )
+                    );
+                    // The successor may have written itself into the record.
+                    self.verify_contested_home(&id, &successor);
                 }
             }
         }
--- a/crates/jobs/tests/handover.rs
+++ b/crates/jobs/tests/handover.rs
@@ -259,3 +259,27 @@
     };
     LocalSet::new().run_until(run).await;
 }
+
+#[tokio::test]
+async fn job_whose_handover_was_accepted_without_an_answer_is_not_served() {
+    let run = async {
+        let id = JobId::from("j");
+        let (job, store) = recorded_job(&id, home("former"));
+        let listener = TcpListener::bind((LOOPBACK, 0)).await.expect("a port is free");
+        let control = listener.local_addr().expect("the listener has an address");
+        let peers = [identity("successor", Some(control))];
+        let manager = manager("former", store.clone(), &peers).await;
+        let handle = manager.add_job(job);
+        let status = handle.job.borrow().status(&home("successor"), 1 << 20);
+        manager.hand_over_jobs();
+        let (_unanswered, _) = listener.accept().await.expect("the job is handed over");
+        store.object.borrow_mut().revision += 1;
+        store.object.borrow_mut().status = record::to_json(&status).expect("a status");
+        // The handover waits for 1.5 s for the answer of the successor.
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        assert!(handle.is_deposed.get(), "an old list of results is served");
+        let JobLocation::Remote(found) = manager.locate(&id) else { panic!("no home is known") };
+        assert_eq!(found, home("successor"));
+    };
+    LocalSet::new().run_until(run).await;
+}
