Read the other entries of a page that holds one which is no JSON

Callers would see: while one entry of the replicas' kind held bytes that are not UTF-8 or not JSON, every list and every watch of that kind failed as a whole. No daemon learnt of new, drained or removed replicas until the entry was gone; a daemon that started then knew no replica at all.

Cause: a page was parsed as one JSON document. Its elements were raw values, which are skipped without recursion and without reading numbers, so an entry nested 100,000 deep or with 1e999 did no harm; but a raw value must still be valid JSON in UTF-8.

The decoder hands the unreadable ones to the client, which logs each version once instead of at each read.

--- a/crates/store/src/call.rs
+++ b/crates/store/src/call.rs
@@ -121,11 +121,22 @@
     pub status: Bytes,
 }
 
+/// An entry of an answer that cannot be read as an object.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MalformedObject {
+    /// A digest of its bytes, which tells its versions apart.
+    pub digest: u64,
+    /// A description of the fault.
+    pub message: String,
+}
+
 /// One page of a list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Page {
     /// The objects.
     pub objects: Vec<StoredObject>,
+    /// The entries that cannot be read.
+    pub malformed: Vec<MalformedObject>,
     /// Whether further objects follow the last name.
     pub has_more: bool,
     /// The store's revision.
@@ -146,6 +157,8 @@
 pub struct Changes {
     /// The changes, in order.
     pub changes: Vec<Change>,
+    /// The changes that cannot be read.
+    pub malformed: Vec<MalformedObject>,
     /// The revision from which to continue.
     pub revision: u64,
 }
@@ -169,6 +182,17 @@
     Done,
 }
 
+impl Reply {
+    /// Returns the entries of a page or of changes that cannot be read.
+    pub fn malformed(&self) -> &[MalformedObject] {
+        match self {
+            Self::Page(page) => &page.malformed,
+            Self::Changes(changes) => &changes.malformed,
+            _ => &[],
+        }
+    }
+}
+
 /// A call encoded as an HTTP request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EncodedCall {
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -28,6 +28,8 @@
 use crate::call::EncodedCall;
 use crate::call::ObjectCodec;
 use crate::call::Reply;
+use crate::logged_versions::LoggedVersions;
+use crate::logged_versions::excerpt;
 use crate::object::StoreError;
 
 /// The maximum wait for an answer; a store that is a hundred times slower than usual still answers
@@ -92,6 +94,7 @@
     reachability: Cell<Reachability>,
     reachable_again: Notify,
     relay: RefCell<Option<Rc<dyn Relay>>>,
+    logged: RefCell<LoggedVersions>,
 }
 
 impl ObjectClient {
@@ -117,6 +120,7 @@
             reachability: Cell::new(Reachability::Reachable),
             reachable_again: Notify::new(),
             relay: RefCell::new(None),
+            logged: RefCell::default(),
         }
     }
 
@@ -228,13 +232,29 @@
         let name = format!("{}_{}", call.verb(), call.kind());
         self.counters.count_tagged("store_calls", "call", &name);
         let result = match self.exchange(&encoded, Duration::from_millis(limit_ms)).await {
-            Ok((status, body)) => self.codec.decode(call, status, &body),
+            Ok((status, body)) => self.decode(call, status, &body),
             Err(error) => Err(error),
         };
         self.update_reachability(call, started_at, &result);
         result
     }
 
+    /// Decodes an answer and logs its malformed entries, each version once.
+    fn decode(&self, call: &Call, status: StatusCode, body: &Bytes) -> Result<Reply, StoreError> {
+        let reply = self.codec.decode(call, status, body)?;
+        for entry in reply.malformed() {
+            if self.logged.borrow_mut().add(entry.digest) {
+                warn!(
+                    "event=stored_object_malformed kind={} digest={:016x} error=\"{}\"",
+                    call.kind(),
+                    entry.digest,
+                    excerpt(&entry.message)
+                );
+            }
+        }
+        Ok(reply)
+    }
+
     /// Waits until the store is reachable again, or until `pause` has passed.
     async fn wait_until_reachable(&self, pause: Duration) {
         let reachable_again = self.reachable_again.notified();
@@ -267,7 +287,7 @@
         let Some(answer) = relay.relay(&encoded, limit).await else { return RelayResult::NotSent };
         let Some((status, body)) = answer else { return RelayResult::Unknown };
         self.counters.count("store_calls_relayed");
-        match self.codec.decode(call, status, &body) {
+        match self.decode(call, status, &body) {
             Ok(reply) => RelayResult::Answered(reply),
             Err(StoreError::Unavailable(_) | StoreError::RateLimited) => RelayResult::NotSent,
             Err(_) => RelayResult::Unknown,
