--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -178,7 +178,7 @@
     let applied: Vec<ReplicaChange> = changes
         .changes
         .iter()
-        .filter_map(|change| apply(watched, change, changes.revision, state))
+        .filter_map(|change| apply(watched, change, changes.revision_of(change), state))
         .collect();
     state.handle_replica_changes(&applied, Source::Store);
     Ok(Some(changes.revision.max(since)))
@@ -187,7 +187,7 @@
 fn apply(
     watched: Watched,
     change: &Change,
-    batch_revision: u64,
+    revision: u64,
     state: &PlatformState,
 ) -> Option<ReplicaChange> {
     let object = &change.object;
@@ -204,7 +204,6 @@
         read_replica(object)
             .map_or_else(|| ReplicaChange::Gone(object.name.as_str().into()), ReplicaChange::Set)
     };
-    let revision = if object.revision > 0 { object.revision } else { batch_revision };
     state.replicas.borrow_mut().apply(state.clock.now_ms(), revision, change)
 }
 
--- a/crates/store/src/call.rs
+++ b/crates/store/src/call.rs
@@ -163,6 +163,13 @@
     pub revision: u64,
 }
 
+impl Changes {
+    /// Returns the revision of a change, which is that of the whole answer if the object has none.
+    pub fn revision_of(&self, change: &Change) -> u64 {
+        if change.object.revision > 0 { change.object.revision } else { self.revision }
+    }
+}
+
 /// The result of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
