Follow the replicas on after an entry with a revision above the store's

Callers would see: after one change whose object had a revision near 2^64, the daemon's list of replicas was never replaced by a later list, and peers took the list as the newest of all.

Cause: the revision of the set is the highest of its changes, and a list of a lower one is ignored. The revision of a change's object was taken as it came.

Evidence: revision_above_that_of_the_store_does_not_end_the_watch failed before: left [, 5], right [12, 5].

Fix: no object can have changed after the store's own revision, which every answer to a watch names, so a change counts at that revision at most.

--- a/crates/store/src/call.rs
+++ b/crates/store/src/call.rs
@@ -164,9 +164,13 @@
 }
 
 impl Changes {
-    /// Returns the revision of a change, which is that of the whole answer if the object has none.
+    /// Returns the revision of a change, which is that of the whole answer if the object has none or
+    /// one that the store has not reached.
     pub fn revision_of(&self, change: &Change) -> u64 {
-        if change.object.revision > 0 { change.object.revision } else { self.revision }
+        match change.object.revision {
+            0 => self.revision,
+            revision => revision.min(self.revision),
+        }
     }
 }
 
