Log each version of a replica's malformed record once

Operators would see: a line for every malformed record at each list of the replicas, with the name and the error as the writer chose them, megabytes long if it liked.

Cause: the line was written wherever a record was decoded, and nothing bounded the texts in it. An unreadable entry was hashed with the event around it, so that the watch and the list took it for two versions.

Fix: the watch remembers the versions that it logged, at most 1,024, and both texts are escaped and cut at 120 characters.

--- a/crates/node/src/platform_state.rs
+++ b/crates/node/src/platform_state.rs
@@ -24,6 +24,7 @@
 use peers::Topic;
 use peers::transport::decode;
 use slots::Slots;
+use store::LoggedVersions;
 use wire::Configuration;
 
 use crate::recent_changes::RecentChanges;
@@ -79,6 +80,8 @@
     pub control: Rc<ControlClient>,
     /// The lifecycle and the connection limits of the server for clients.
     pub ingress_lifecycle: Rc<ServerLifecycle>,
+    /// The malformed records of replicas that were logged.
+    pub logged_records: RefCell<LoggedVersions>,
     raw_configuration: RefCell<Bytes>,
     is_pulling_configuration: Cell<bool>,
     is_pulling_replicas: Cell<bool>,
@@ -105,6 +108,7 @@
             slots,
             control,
             ingress_lifecycle,
+            logged_records: RefCell::default(),
             raw_configuration: RefCell::new(Bytes::new()),
             is_pulling_configuration: Cell::new(false),
             is_pulling_replicas: Cell::new(false),
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -18,6 +18,7 @@
 use store::StoreError;
 use store::call::Change;
 use store::call::StoredObject;
+use store::logged_versions::excerpt;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use wire::Millis;
@@ -150,7 +151,7 @@
             }
         }
         Watched::Replicas => {
-            let records = objects.iter().filter_map(read_replica).collect();
+            let records = objects.iter().filter_map(|object| read_replica(object, state)).collect();
             let now_ms = state.clock.now_ms();
             let changes = state.replicas.borrow_mut().replace(now_ms, revision, records);
             state.handle_replica_changes(&changes, Source::Store);
@@ -201,17 +202,25 @@
         ReplicaChange::Gone(object.name.as_str().into())
     } else {
         // A replica whose record is malformed cannot be used.
-        read_replica(object)
+        read_replica(object, state)
             .map_or_else(|| ReplicaChange::Gone(object.name.as_str().into()), ReplicaChange::Set)
     };
     state.replicas.borrow_mut().apply(state.clock.now_ms(), revision, change)
 }
 
-fn read_replica(object: &StoredObject) -> Option<ReplicaRecord> {
+/// Decodes a record, or returns `None` and logs once that this version of it is malformed.
+fn read_replica(object: &StoredObject, state: &PlatformState) -> Option<ReplicaRecord> {
     match platform::replica::decode_record(&object.name, &object.value) {
         Ok(record) => Some(record),
         Err(error) => {
-            warn!("event=replica_record_malformed replica={:?} error=\"{error}\"", object.name);
+            if state.logged_records.borrow_mut().add(object.version_digest()) {
+                warn!(
+                    "event=replica_record_malformed replica={} revision={} error=\"{}\"",
+                    excerpt(&object.name),
+                    object.revision,
+                    excerpt(&error.to_string())
+                );
+            }
             None
         }
     }
--- a/crates/store/src/call.rs
+++ b/crates/store/src/call.rs
@@ -4,6 +4,7 @@
 use http::Method;
 use http::StatusCode;
 use wire::Millis;
+use wire::rendezvous;
 
 use crate::object::StoreError;
 
@@ -121,6 +122,16 @@
     pub status: Bytes,
 }
 
+impl StoredObject {
+    /// Returns a digest that tells the versions of malformed objects apart.
+    pub fn version_digest(&self) -> u64 {
+        let parts = [rendezvous::hash(self.name.as_bytes()), rendezvous::hash(&self.value)];
+        parts.iter().fold(self.revision, |digest, part| {
+            rendezvous::hash(&[digest.to_be_bytes(), part.to_be_bytes()].concat())
+        })
+    }
+}
+
 /// An entry of an answer that cannot be read as an object.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MalformedObject {
