Hold the records that are missing from the first answer after an outage

Callers would see: a replica whose entry had expired while the store was away lost its requests at once when the store came back, although it was alive and its entry was back within two seconds.

Cause: the watch applied the first answer after an outage before it marked the store as reachable. The removals of that answer were put on hold until the moment itself, since the hold after the outage had not begun, and the next tick removed the records.

Fix: an answer marks the store as reachable before it is applied, so that the hold covers it.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -6,6 +6,7 @@
 
 use http::StatusCode;
 use platform::names::DEADLINE_MS;
+use platform::names::REPLICA_KIND;
 use platform_stub::Client;
 use platform_stub::client::NewItem;
 use platform_stub::client::OutgoingRequest;
@@ -19,6 +20,7 @@
 use platform_stub::replica::IMPOSSIBLE_SEGMENT;
 use platform_stub::replica::ReplicaFault;
 use platform_stub::replica::plain_body;
+use platform_stub::store_server::StoreFault;
 use rustix::process::Signal;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
@@ -235,6 +237,36 @@
     });
 }
 
+#[test]
+fn record_that_expired_during_store_outage_is_not_removed_before_it_can_return() {
+    run_local("outage", |folder| async move {
+        let fleet = Fleet::start(folder, 2).await;
+        let any_logs = |text: &str| {
+            fleet.daemons.iter().any(|daemon| {
+                std::fs::read_to_string(&daemon.log).expect("the log can be read").contains(text)
+            })
+        };
+        let store = &fleet.deployment.store;
+        store.fault.set(StoreFault::Busy);
+        fleet.deployment.reset_store().expect("the store is reset");
+        sleep(Duration::from_millis(1_500)).await;
+        assert!(any_logs("event=dependency_lost"), "no daemon noticed the outage");
+        store.change(|objects| objects.remove(REPLICA_KIND, "engine-0"));
+        sleep(Duration::from_millis(500)).await;
+        store.fault.set(StoreFault::None);
+        let gone = "event=replica_gone replica=engine-0 ";
+        let returned = Instant::now();
+        while returned.elapsed() < Duration::from_millis(2_000) {
+            assert!(!any_logs(gone), "removed {:?} after the store's return", returned.elapsed());
+            sleep(Duration::from_millis(50)).await;
+        }
+        while !any_logs(gone) {
+            assert!(returned.elapsed() < Duration::from_secs(6), "the record was not removed");
+            sleep(Duration::from_millis(50)).await;
+        }
+    });
+}
+
 #[test]
 fn resumed_daemon_reports_no_replica_as_silent() {
     run_local("pause", |folder| async move {
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -91,7 +91,6 @@
                     info!("event=watch_started kind={} revision={next:?}", watched.kind());
                 }
                 cursor = next;
-                state.replicas.borrow_mut().set_store_reachable(state.clock.now_ms());
                 sleep(MIN_CALL_INTERVAL.saturating_sub(started.elapsed())).await;
             }
             Err(error) => {
@@ -144,6 +143,7 @@
         }
     }
     let revision = first_revision.unwrap_or_default();
+    mark_store_reachable(state);
     match watched {
         Watched::Configuration => {
             for object in objects.iter().filter(|object| object.name == CONFIGURATION_NAME) {
@@ -168,7 +168,9 @@
     store: &ObjectClient,
 ) -> Result<Option<u64>, StoreError> {
     let call = Call::Changes { kind: watched.kind(), since, wait_ms: WATCH_WAIT_MS };
-    let changes = match store.call_once(CallClass::Bundle, &call).await? {
+    let reply = store.call_once(CallClass::Bundle, &call).await?;
+    mark_store_reachable(state);
+    let changes = match reply {
         Reply::Changes(changes) => changes,
         Reply::HistoryGone => {
             info!("event=watch_history_gone kind={} since={since}", watched.kind());
@@ -185,6 +187,12 @@
     Ok(Some(changes.revision.max(since)))
 }
 
+/// Marks the store as reachable. This comes before its answer is applied, so that the hold after an
+/// outage covers the records that are missing from the answer.
+fn mark_store_reachable(state: &PlatformState) {
+    state.replicas.borrow_mut().set_store_reachable(state.clock.now_ms());
+}
+
 fn apply(
     watched: Watched,
     change: &Change,
