Saturate sums of numbers that come from outside

Callers would see: a job whose items claim 2^63 tokens each passed the quota of its route, since the sum wraps around in a release build. In a debug build the task that met such a number ended: tokens, the age and the parts of a job's record, a peer's times and loads, a hold or a revision near 2^64, and an idle time of s in Keep-Alive.

Cause: plain additions and multiplications, and casts to signed or shorter types, of numbers that another process chose.

Fix: these sums saturate.

--- a/crates/catalog/src/replicas.rs
+++ b/crates/catalog/src/replicas.rs
@@ -163,7 +163,7 @@
             if let (Some(left_ms), Some(existing)) =
                 (entry.hold_left_ms, self.entries.get_mut(&name))
             {
-                existing.remove_at_ms = Some(now_ms + left_ms);
+                existing.remove_at_ms = Some(now_ms.saturating_add(left_ms));
             }
         }
         self.record_changes(&changes);
@@ -242,7 +242,7 @@
             self.entries.remove(name);
         }
         if !expired.is_empty() {
-            self.revision = (self.revision + 1).max(self.seen_revision);
+            self.revision = self.revision.saturating_add(1).max(self.seen_revision);
         }
         let changes: Vec<ReplicaChange> = expired.into_iter().map(ReplicaChange::Gone).collect();
         self.record_changes(&changes);
--- a/crates/catalog/tests/configuration_and_replicas.rs
+++ b/crates/catalog/tests/configuration_and_replicas.rs
@@ -180,3 +180,18 @@
     assert_eq!(set.revision(), 10);
     assert_ne!(set.generation(), first, "a change of an older revision counts as well");
 }
+
+#[test]
+fn numbers_near_the_largest_do_not_overflow() {
+    let mut set = ReplicaSet::default();
+    set.replace(0, u64::MAX, vec![replica("a"), replica("b")]);
+    set.set_store_unreachable();
+    set.apply(1, u64::MAX, ReplicaChange::Gone("a".into()));
+    set.set_store_reachable(2);
+    assert_eq!(set.tick(3_000), [ReplicaChange::Gone("a".into())]);
+    let mut view = set.view(3_000);
+    view.entries[0].hold_left_ms = Some(u64::MAX);
+    let mut peer = ReplicaSet::default();
+    peer.merge_view(10, view);
+    assert!(peer.tick(20).is_empty());
+}
--- a/crates/jobs/src/adoption.rs
+++ b/crates/jobs/src/adoption.rs
@@ -229,7 +229,7 @@
             }
             results.extend(status.results.iter().cloned());
         }
-        let age_ms = Clock::unix_ms() as i64 - value.submitted_unix_ms as i64;
+        let age_ms = (Clock::unix_ms() as i64).saturating_sub_unsigned(value.submitted_unix_ms);
         let (now_ms, items) = (self.now_ms(), submission.items);
         let mut job =
             Job::from_record(now_ms, age_ms, id.clone(), &value.host, &value.path, items, results);
--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -31,7 +31,7 @@
 impl Submission {
     /// Returns the sum of the tokens of all items.
     pub fn tokens(&self) -> u64 {
-        self.items.iter().map(|item| item.tokens).sum()
+        self.items.iter().fold(0, |sum, item| sum.saturating_add(item.tokens))
     }
 }
 
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -190,7 +190,7 @@
         items: Vec<Item>,
         written: Vec<ItemResult>,
     ) -> Self {
-        let submitted_ms = now_ms as i64 - age_ms.max(0);
+        let submitted_ms = (now_ms as i64).saturating_sub(age_ms.max(0));
         let mut job = Self::new(id, host, path, submitted_ms, items, written);
         job.kept_since_ms = now_ms as i64;
         job
@@ -216,7 +216,7 @@
     /// Only monotonic clocks count: a jump of the wall clock would remove results that clients still
     /// read.
     pub fn is_removable(&self, now_ms: Millis, keep_ms: Millis) -> bool {
-        self.is_finished() && now_ms as i64 >= self.kept_since_ms + keep_ms as i64
+        self.is_finished() && now_ms as i64 >= self.kept_since_ms.saturating_add(signed_ms(keep_ms))
     }
 
     /// Returns whether nothing is left to run or to write.
@@ -231,7 +231,7 @@
             return 0;
         }
         let open = self.entries.iter().filter(|entry| entry.phase != Phase::Done);
-        open.map(|entry| entry.item.tokens).sum()
+        open.fold(0, |sum, entry| sum.saturating_add(entry.item.tokens))
     }
 
     /// Returns the request body of an item.
@@ -250,7 +250,7 @@
         if self.is_ended {
             return None;
         }
-        let due_ms = (self.submitted_ms + limits.due_ms as i64).max(0) as Millis;
+        let due_ms = self.submitted_ms.saturating_add(signed_ms(limits.due_ms)).max(0) as Millis;
         let ready = self.entries.iter().filter(|entry| is_ready(entry, now_ms));
         let most = ready.max_by_key(|entry| entry.progress.events)?;
         let done_ms = run_time.expected_ms(most.progress.events);
@@ -358,8 +358,9 @@
 
     /// Gives up the waiting items if the retention time has passed or the route is gone.
     pub fn give_up_expired(&mut self, now_ms: Millis, limits: Option<&JobLimits>) {
-        let is_expired = limits
-            .is_none_or(|limits| now_ms as i64 >= self.kept_since_ms + limits.retention_ms as i64);
+        let is_expired = limits.is_none_or(|limits| {
+            now_ms as i64 >= self.kept_since_ms.saturating_add(signed_ms(limits.retention_ms))
+        });
         if !is_expired || self.is_ended {
             return;
         }
@@ -391,7 +392,7 @@
         }
         let Some(since_ms) = self.unwritten_since_ms else { return false };
         let is_all_done = self.entries.iter().all(|entry| entry.phase == Phase::Done);
-        let due_ms = self.submitted_ms + limits.due_ms as i64;
+        let due_ms = self.submitted_ms.saturating_add(signed_ms(limits.due_ms));
         is_all_done
             || now_ms >= since_ms + WRITE_DELAY_MS
             || now_ms as i64 + DUE_SOON_MS as i64 >= due_ms
@@ -423,8 +424,8 @@
             id: self.id.clone(),
             host: self.host.to_string(),
             path: self.path.to_string(),
-            age_ms: (now_ms as i64 - self.submitted_ms).max(0) as Millis,
-            kept_ms: (now_ms as i64 - self.kept_since_ms).max(0) as Millis,
+            age_ms: (now_ms as i64).saturating_sub(self.submitted_ms).max(0) as Millis,
+            kept_ms: (now_ms as i64).saturating_sub(self.kept_since_ms).max(0) as Millis,
             revision: self.revision,
             value_bytes: self.value_bytes,
             input_parts: self.input_parts,
@@ -438,7 +439,7 @@
 
     /// Creates a job from the state that its previous home sent.
     pub fn from_handover(handover: JobHandover, now_ms: Millis) -> Self {
-        let submitted_ms = now_ms as i64 - handover.age_ms as i64;
+        let submitted_ms = now_ms as i64 - signed_ms(handover.age_ms);
         let progress: Vec<(u32, Progress)> =
             handover.items.iter().map(|item| (item.failures, item.progress.clone())).collect();
         let items = handover.items.into_iter().map(|item| item.item).collect();
@@ -451,7 +452,7 @@
             entry.failures = failures;
             entry.progress = progress;
         }
-        job.kept_since_ms = now_ms as i64 - handover.kept_ms as i64;
+        job.kept_since_ms = now_ms as i64 - signed_ms(handover.kept_ms);
         job.revision = handover.revision;
         job.value_bytes = handover.value_bytes;
         job.input_parts = handover.input_parts;
@@ -470,6 +471,11 @@
     }
 }
 
+/// Returns a duration as a signed number; one that is too large acts like the largest.
+fn signed_ms(duration_ms: Millis) -> i64 {
+    i64::try_from(duration_ms).unwrap_or(i64::MAX)
+}
+
 fn is_ready(entry: &ItemEntry, now_ms: Millis) -> bool {
     matches!(entry.phase, Phase::Waiting { not_before_ms } if not_before_ms <= now_ms)
 }
--- a/crates/jobs/src/manager.rs
+++ b/crates/jobs/src/manager.rs
@@ -156,7 +156,8 @@
             let job = handle.job.borrow();
             jobs.push(JobSummary { job: id.clone(), is_open: !job.is_finished() });
             if let Some(route) = self.route_of(&job) {
-                *waiting.entry(route_hash(&route)).or_default() += job.waiting_tokens();
+                let tokens: &mut u64 = waiting.entry(route_hash(&route)).or_default();
+                *tokens = tokens.saturating_add(job.waiting_tokens());
             }
         }
         let waiting =
@@ -221,17 +222,16 @@
     /// Returns the tokens of unfinished items on a route, summed over all daemons.
     pub fn waiting_tokens(&self, route: &Route) -> u64 {
         let hash = route_hash(route);
-        let own: u64 = self
+        let own = self
             .jobs
             .borrow()
             .values()
             .map(|handle| handle.job.borrow())
             .filter(|job| self.route_of(job).is_some_and(|other| route_hash(&other) == hash))
-            .map(|job| job.waiting_tokens())
-            .sum();
+            .fold(0, |sum: u64, job| sum.saturating_add(job.waiting_tokens()));
         let peers = self.peer_waiting_tokens.borrow();
         let others = peers.values().flatten().filter(|waiting| waiting.route == hash);
-        own + others.map(|waiting| waiting.tokens).sum::<u64>()
+        others.fold(own, |sum, waiting| sum.saturating_add(waiting.tokens))
     }
 
     /// Forgets the waiting tokens of a lost daemon; the homes that adopt its jobs report them anew.
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -32,6 +32,9 @@
 /// percent; inputs and results leave it free.
 const PROGRESS_PERCENT: usize = 8;
 
+/// The maximum number of objects that hold one input; a daemon calls the store for each of them.
+const MAX_INPUT_PARTS: usize = 1_000;
+
 /// A daemon at one incarnation, as the home of jobs.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Home {
@@ -105,14 +108,18 @@
 impl JobRecord {
     /// Decodes a record's value.
     pub fn decode(json: &[u8]) -> Result<Self, RecordError> {
-        serde_json::from_slice(json).map_err(invalid)
+        let record: Self = serde_json::from_slice(json).map_err(invalid)?;
+        if record.input_parts > MAX_INPUT_PARTS {
+            return Err(invalid(format!("the input has {} parts", record.input_parts)));
+        }
+        Ok(record)
     }
 }
 
 impl JobStatus {
     /// Returns the number of results, including those in parts.
     pub fn result_count(&self) -> usize {
-        count_in_parts(&self.result_parts) + self.results.len()
+        count_in_parts(&self.result_parts).saturating_add(self.results.len())
     }
 
     /// Decodes a record's status.
@@ -190,7 +197,7 @@
 
 /// Returns the number of results in `parts`.
 pub fn count_in_parts(parts: &[ResultPart]) -> usize {
-    parts.iter().map(|part| part.count).sum()
+    parts.iter().fold(0, |sum, part| sum.saturating_add(part.count))
 }
 
 /// Returns the name of a part of a job's input.
--- a/crates/jobs/src/serve.rs
+++ b/crates/jobs/src/serve.rs
@@ -367,7 +367,7 @@
         let Some(max_tokens) = route.max_waiting_tokens else { return Ok(()) };
         let waiting = self.waiting_tokens(route);
         let tokens = submission.tokens();
-        if waiting + tokens <= max_tokens {
+        if waiting.saturating_add(tokens) <= max_tokens {
             return Ok(());
         }
         info!("event=job_over_quota job={id} tokens={tokens} waiting={waiting} max={max_tokens}");
--- a/crates/jobs/src/status_writer.rs
+++ b/crates/jobs/src/status_writer.rs
@@ -111,7 +111,7 @@
 
     fn log_written(&self, job: &Job, now_ms: Millis) {
         if job.is_finished() {
-            let age_ms = (now_ms as i64 - job.submitted_ms).max(0);
+            let age_ms = (now_ms as i64).saturating_sub(job.submitted_ms).max(0);
             self.deps.counters.observe("job_ms", age_ms as u64);
         }
         info!(
--- a/crates/jobs/tests/job.rs
+++ b/crates/jobs/tests/job.rs
@@ -1,6 +1,7 @@
 //! The state machine of one job at its home: runs, results, writes and the end.
 
 use bytes::Bytes;
+use jobs::handover::JobHandover;
 use jobs::item::Item;
 use jobs::item::ItemResult;
 use jobs::item::Outcome;
@@ -10,6 +11,7 @@
 use jobs::job::JobLimits;
 use jobs::progress::Progress;
 use jobs::record;
+use jobs::record::ResultPart;
 use jobs::retention::UnheldJobs;
 use jobs::run_time::RunTimeEstimate;
 
@@ -264,3 +266,32 @@
     unheld_jobs.forget(2_499, 1_000);
     assert!(unheld_jobs.is_empty());
 }
+
+#[test]
+fn sum_of_tokens_does_not_wrap_around_the_quota() {
+    let items = vec![Item { tokens: u64::MAX, ..item("a") }, Item { tokens: 2, ..item("b") }];
+    assert_eq!(Submission { items: items.clone() }.tokens(), u64::MAX);
+    let job = Job::new("j".into(), "host", "/jobs/", 0, items, Vec::new());
+    assert_eq!(job.waiting_tokens(), u64::MAX);
+}
+
+#[test]
+fn odd_numbers_in_a_record_or_a_handover_do_not_overflow() {
+    let part = ResultPart { name: "p".to_owned(), count: usize::MAX };
+    assert_eq!(record::count_in_parts(&[part.clone(), part]), usize::MAX);
+    let record = r#"{"home":{"daemon":"d","incarnation":1},"host":"h","path":"/j/",
+        "submitted_unix_ms":1,"input":"","input_parts":1000000000000}"#;
+    assert!(record::JobRecord::decode(record.as_bytes()).is_err());
+    for age_ms in [i64::MIN, i64::MAX] {
+        let job =
+            Job::from_record(5, age_ms, "j".into(), "host", "/jobs/", vec![item("a")], vec![]);
+        assert!(!job.is_removable(5, 1 << 40));
+        for age_ms in [1_u64 << 63, u64::MAX] {
+            let handover = JobHandover { age_ms, kept_ms: age_ms, ..job.to_handover(10) };
+            let taken = Job::from_handover(handover, 20);
+            taken.next_urgency(20, &LIMITS, &RunTimeEstimate::default());
+            assert!(!taken.is_finished());
+            taken.to_handover(30);
+        }
+    }
+}
--- a/crates/slots/src/balancer.rs
+++ b/crates/slots/src/balancer.rs
@@ -142,8 +142,8 @@
         let requested = stats.requested_since_load;
         let (online, total) = if stats.load_at_ms.is_some() {
             let load = stats.load;
-            let online = load.online + load.online_waiting + requested;
-            (online, online + load.batch + load.batch_waiting)
+            let online = load.online.saturating_add(load.online_waiting).saturating_add(requested);
+            (online, online.saturating_add(load.batch).saturating_add(load.batch_waiting))
         } else {
             (stats.own_runs, stats.own_runs)
         };
--- a/crates/slots/src/table.rs
+++ b/crates/slots/src/table.rs
@@ -161,12 +161,16 @@
 
     /// Returns the load of the replica.
     pub fn load(&self) -> Load {
-        let count = |class: Class| self.grants.iter().filter(|g| g.class == class).count() as u16;
-        let queued = |class: Class| self.queue.iter().filter(|r| r.class == class).count() as u16;
+        let saturate = |count: usize| u16::try_from(count).unwrap_or(u16::MAX);
+        let count =
+            |class: Class| saturate(self.grants.iter().filter(|g| g.class == class).count());
+        let queued =
+            |class: Class| saturate(self.queue.iter().filter(|r| r.class == class).count());
+        let orphaned = saturate(self.orphaned_runs as usize);
         Load {
-            slots: self.slots as u16,
+            slots: saturate(self.slots as usize),
             // Orphaned runs count as online, since neither can be revoked.
-            online: count(Class::Online) + self.orphaned_runs as u16,
+            online: count(Class::Online).saturating_add(orphaned),
             batch: count(Class::Batch),
             online_waiting: queued(Class::Online),
             batch_waiting: queued(Class::Batch),
@@ -187,9 +191,9 @@
                 ticket,
                 holder: holder.clone(),
                 class,
-                on_time_at_ms: now_ms + urgency.on_time_left_ms,
-                order_at_ms: now_ms + urgency.order_left_ms,
-                give_up_at_ms: now_ms + give_up_left_ms,
+                on_time_at_ms: now_ms.saturating_add(urgency.on_time_left_ms),
+                order_at_ms: now_ms.saturating_add(urgency.order_left_ms),
+                give_up_at_ms: now_ms.saturating_add(give_up_left_ms),
                 last_requested_at_ms: now_ms,
             });
         }
@@ -280,8 +284,8 @@
                 ticket: run.ticket,
                 holder: holder.clone(),
                 class: run.class,
-                on_time_at_ms: now_ms + run.urgency.on_time_left_ms,
-                order_at_ms: now_ms + run.urgency.order_left_ms,
+                on_time_at_ms: now_ms.saturating_add(run.urgency.on_time_left_ms),
+                order_at_ms: now_ms.saturating_add(run.urgency.order_left_ms),
                 granted_at_ms: now_ms,
                 confirmed_at_ms: now_ms,
                 revoked_at_ms: None,
@@ -295,7 +299,7 @@
     pub fn remove_holder(&mut self, now_ms: Millis, holder: &DaemonName) -> Vec<TableAction> {
         let before = self.grants.len();
         self.grants.retain(|grant| grant.holder != *holder);
-        self.orphaned_runs += (before - self.grants.len()) as u32;
+        self.orphaned_runs = self.orphaned_runs.saturating_add((before - self.grants.len()) as u32);
         self.orphaned_until_ms = now_ms + ORPHANED_RUN_TTL_MS;
         self.queue.retain(|queued| queued.holder != *holder);
         self.update_grants(now_ms)
@@ -351,7 +355,7 @@
         }
         let inherited = if now_ms < self.inherited_until_ms { self.inherited_runs } else { 0 };
         let runs_without_grant = inherited.max(self.orphaned_runs);
-        while self.grants.len() as u32 + runs_without_grant < self.slots {
+        while runs_without_grant.saturating_add(self.grants.len() as u32) < self.slots {
             let Some(next) = self.next_to_grant(now_ms) else { break };
             let queued = self.queue.swap_remove(next);
             actions
@@ -406,8 +410,9 @@
                 .filter(|grant| grant.class == Class::Batch && can_revoke(grant))
                 .max_by_key(|grant| {
                     let ran_ms = now_ms.saturating_sub(grant.granted_at_ms);
-                    let is_late = grant.on_time_at_ms + ran_ms < now_ms;
-                    let sort_key = (grant.order_at_ms + MAX_RUN_MS).saturating_sub(ran_ms);
+                    let is_late = grant.on_time_at_ms.saturating_add(ran_ms) < now_ms;
+                    let sort_key =
+                        grant.order_at_ms.saturating_add(MAX_RUN_MS).saturating_sub(ran_ms);
                     (grant.revoked_at_ms.is_none(), is_late, sort_key, grant.ticket)
                 });
             let Some(victim) = victim else { return };
--- a/crates/slots/tests/balancer.rs
+++ b/crates/slots/tests/balancer.rs
@@ -97,3 +97,21 @@
     assert_eq!(choose_name(&balancer, 1, &replicas, Class::Online), "full");
     assert!(!balancer.has_capacity(&replicas[0], Class::Online));
 }
+
+#[test]
+fn load_of_another_daemon_does_not_overflow() {
+    let replicas = [replica("flooded", "a"), replica("busy", "a")];
+    let mut balancer = Balancer::default();
+    let flooded = Load {
+        online: u16::MAX,
+        batch: u16::MAX,
+        online_waiting: u16::MAX,
+        batch_waiting: u16::MAX,
+        ..load(0, 0)
+    };
+    balancer.record_load(0, &replicas[0].name, flooded);
+    balancer.record_load(0, &replicas[1].name, load(100, 0));
+    balancer.record_request(&replicas[0].name);
+    assert_eq!(choose_name(&balancer, 1, &replicas, Class::Online), "busy");
+    assert_eq!(choose_name(&balancer, 1, &replicas, Class::Batch), "busy");
+}
--- a/crates/slots/tests/table.rs
+++ b/crates/slots/tests/table.rs
@@ -288,3 +288,19 @@
         ));
     }
 }
+
+#[test]
+fn times_and_counts_of_another_daemon_do_not_overflow() {
+    let mut table = SlotTable::inherit(u32::MAX, u32::MAX, 100);
+    let urgency = Urgency { on_time_left_ms: u64::MAX, order_left_ms: u64::MAX };
+    let request =
+        GrantRequest { urgency, give_up_left_ms: u64::MAX, ..grant_request(1, Class::Online, 0) };
+    table.request(10, request);
+    let run = Run { ticket: Ticket(2), class: Class::Batch, urgency };
+    table.apply_run_list(20, &holder(), &[run]);
+    table.apply_in_progress(30, u32::MAX);
+    table.request(40, grant_request(3, Class::Online, 100));
+    table.tick(200);
+    assert_eq!(table.load().slots, u16::MAX);
+    assert_eq!(table.load().online, u16::MAX);
+}
--- a/crates/upstream/src/head.rs
+++ b/crates/upstream/src/head.rs
@@ -69,7 +69,7 @@
     pub fn keep_alive_timeout_ms(&self) -> Option<u64> {
         let value = self.headers.get("keep-alive")?.to_str().ok()?;
         let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-        Some(seconds.trim().parse::<u64>().ok()? * 1000)
+        Some(seconds.trim().parse::<u64>().ok()?.saturating_mul(1000))
     }
 }
 
