Log a daemon's record that cannot be read

Operators would see: a daemon that did not find another one after its start, without a line that says why.

Cause: the list of the daemons' records dropped those that do not decode, and their errors. There is no test for a line of the log at start; found by reading.

Fix: each such record is logged with its name and error.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -31,6 +31,8 @@
 use store::CallClass;
 use store::ObjectClient;
 use store::Reply;
+use store::call::StoredObject;
+use store::logged_versions::excerpt;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -322,11 +324,7 @@
     let call = Call::Page { kind: DAEMON_KIND, after: String::new(), may_be_stale: false };
     match store.call_with_retries(CallClass::Lease, &call, REGISTER_TIMEOUT).await {
         Ok(Reply::Page(page)) => {
-            let members: Vec<Identity> = page
-                .objects
-                .iter()
-                .filter_map(|object| serde_json::from_slice(&object.value).ok())
-                .collect();
+            let members: Vec<Identity> = page.objects.iter().filter_map(decode_identity).collect();
             info!("event=daemons_read daemons={}", members.len());
             heartbeats.add_members(members);
         }
@@ -335,6 +333,18 @@
     }
 }
 
+fn decode_identity(object: &StoredObject) -> Option<Identity> {
+    serde_json::from_slice(&object.value)
+        .map_err(|error| {
+            warn!(
+                "event=daemon_record_malformed daemon={} error=\"{}\"",
+                excerpt(&object.name),
+                excerpt(&error.to_string())
+            )
+        })
+        .ok()
+}
+
 /// Logs the counters periodically, for operators who have only the log.
 async fn log_counters(counters: Counters) {
     loop {
