--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -18,6 +18,7 @@
 use store::StoreError;
 use store::call::Change;
 use store::call::StoredObject;
+use store::logged_versions::excerpt;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use wire::Millis;
@@ -90,7 +91,6 @@
                     info!("event=watch_started kind={} revision={next:?}", watched.kind());
                 }
                 cursor = next;
-                state.replicas.borrow_mut().set_store_reachable(state.clock.now_ms());
                 sleep(MIN_CALL_INTERVAL.saturating_sub(started.elapsed())).await;
             }
             Err(error) => {
@@ -143,6 +143,7 @@
         }
     }
     let revision = first_revision.unwrap_or_default();
+    mark_store_reachable(state);
     match watched {
         Watched::Configuration => {
             for object in objects.iter().filter(|object| object.name == CONFIGURATION_NAME) {
@@ -150,7 +151,7 @@
             }
         }
         Watched::Replicas => {
-            let records = objects.iter().filter_map(read_replica).collect();
+            let records = objects.iter().filter_map(|object| read_replica(object, state)).collect();
             let now_ms = state.clock.now_ms();
             let changes = state.replicas.borrow_mut().replace(now_ms, revision, records);
             state.handle_replica_changes(&changes, Source::Store);
@@ -167,7 +168,9 @@
     store: &ObjectClient,
 ) -> Result<Option<u64>, StoreError> {
     let call = Call::Changes { kind: watched.kind(), since, wait_ms: WATCH_WAIT_MS };
-    let changes = match store.call_once(CallClass::Bundle, &call).await? {
+    let reply = store.call_once(CallClass::Bundle, &call).await?;
+    mark_store_reachable(state);
+    let changes = match reply {
         Reply::Changes(changes) => changes,
         Reply::HistoryGone => {
             info!("event=watch_history_gone kind={} since={since}", watched.kind());
@@ -178,16 +181,22 @@
     let applied: Vec<ReplicaChange> = changes
         .changes
         .iter()
-        .filter_map(|change| apply(watched, change, changes.revision, state))
+        .filter_map(|change| apply(watched, change, changes.revision_of(change), state))
         .collect();
     state.handle_replica_changes(&applied, Source::Store);
     Ok(Some(changes.revision.max(since)))
 }
 
+/// Marks the store as reachable. This comes before its answer is applied, so that the hold after an
+/// outage covers the records that are missing from the answer.
+fn mark_store_reachable(state: &PlatformState) {
+    state.replicas.borrow_mut().set_store_reachable(state.clock.now_ms());
+}
+
 fn apply(
     watched: Watched,
     change: &Change,
-    batch_revision: u64,
+    revision: u64,
     state: &PlatformState,
 ) -> Option<ReplicaChange> {
     let object = &change.object;
@@ -201,18 +210,25 @@
         ReplicaChange::Gone(object.name.as_str().into())
     } else {
         // A replica whose record is malformed cannot be used.
-        read_replica(object)
+        read_replica(object, state)
             .map_or_else(|| ReplicaChange::Gone(object.name.as_str().into()), ReplicaChange::Set)
     };
-    let revision = if object.revision > 0 { object.revision } else { batch_revision };
     state.replicas.borrow_mut().apply(state.clock.now_ms(), revision, change)
 }
 
-fn read_replica(object: &StoredObject) -> Option<ReplicaRecord> {
+/// Decodes a record, or returns `None` and logs once that this version of it is malformed.
+fn read_replica(object: &StoredObject, state: &PlatformState) -> Option<ReplicaRecord> {
     match platform::replica::decode_record(&object.name, &object.value) {
         Ok(record) => Some(record),
         Err(error) => {
-            warn!("event=replica_record_malformed replica={:?} error=\"{error}\"", object.name);
+            if state.logged_records.borrow_mut().add(object.version_digest()) {
+                warn!(
+                    "event=replica_record_malformed replica={} revision={} error=\"{}\"",
+                    excerpt(&object.name),
+                    object.revision,
+                    excerpt(&error.to_string())
+                );
+            }
             None
         }
     }
--- a/crates/store/src/call.rs
+++ b/crates/store/src/call.rs
@@ -4,6 +4,7 @@
 use http::Method;
 use http::StatusCode;
 use wire::Millis;
+use wire::rendezvous;
 
 use crate::object::StoreError;
 
@@ -121,11 +122,32 @@
     pub status: Bytes,
 }
 
+impl StoredObject {
+    /// Returns a digest that tells the versions of malformed objects apart.
+    pub fn version_digest(&self) -> u64 {
+        let parts = [rendezvous::hash(self.name.as_bytes()), rendezvous::hash(&self.value)];
+        parts.iter().fold(self.revision, |digest, part| {
+            rendezvous::hash(&[digest.to_be_bytes(), part.to_be_bytes()].concat())
+        })
+    }
+}
+
+/// An entry of an answer that cannot be read as an object.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MalformedObject {
+    /// A digest of its bytes, which tells its versions apart.
+    pub digest: u64,
+    /// A description of the fault.
+    pub message: String,
+}
+
 /// One page of a list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Page {
     /// The objects.
     pub objects: Vec<StoredObject>,
+    /// The entries that cannot be read.
+    pub malformed: Vec<MalformedObject>,
     /// Whether further objects follow the last name.
     pub has_more: bool,
     /// The store's revision.
@@ -146,10 +168,23 @@
 pub struct Changes {
     /// The changes, in order.
     pub changes: Vec<Change>,
+    /// The changes that cannot be read.
+    pub malformed: Vec<MalformedObject>,
     /// The revision from which to continue.
     pub revision: u64,
 }
 
+impl Changes {
+    /// Returns the revision of a change, which is that of the whole answer if the object has none or
+    /// one that the store has not reached.
+    pub fn revision_of(&self, change: &Change) -> u64 {
+        match change.object.revision {
+            0 => self.revision,
+            revision => revision.min(self.revision),
+        }
+    }
+}
+
 /// The result of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
@@ -169,6 +204,17 @@
     Done,
 }
 
+impl Reply {
+    /// Returns the entries of a page or of changes that cannot be read.
+    pub fn malformed(&self) -> &[MalformedObject] {
+        match self {
+            Self::Page(page) => &page.malformed,
+            Self::Changes(changes) => &changes.malformed,
+            _ => &[],
+        }
+    }
+}
+
 /// A call encoded as an HTTP request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EncodedCall {
