Apply the limit of a body to its first part

Callers of Connection::read_whole_body could get a body over their limit: one that came in a single part was returned whole, whatever its size.

Cause: the first part was returned before any comparison with the limit.

Every part now counts.

--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -200,22 +200,22 @@
         }
     }
 
-    /// Reads the rest of the body, which may have at most `limit` bytes unless it is a single part.
-    pub async fn read_whole_body(&mut self, limit: usize) -> Result<Bytes, ExchangeError> {
-        let Some(first) = self.read_body().await? else {
-            return Ok(Bytes::new());
-        };
-        if self.framing == Framing::Done {
-            return Ok(first);
-        }
-        let mut body = BytesMut::from(first);
+    /// Reads the rest of the body, which may have at most `limit_bytes`.
+    pub async fn read_whole_body(&mut self, limit_bytes: usize) -> Result<Bytes, ExchangeError> {
+        let mut body = Bytes::new();
+        let mut parts = BytesMut::new();
         while let Some(part) = self.read_body().await? {
-            if body.len() + part.len() > limit {
+            if body.len() + parts.len() + part.len() > limit_bytes {
                 return Err(ExchangeError::Malformed("the body is too large"));
             }
-            body.extend_from_slice(&part);
+            if body.is_empty() && parts.is_empty() {
+                body = part;
+                continue;
+            }
+            parts.extend_from_slice(&std::mem::take(&mut body));
+            parts.extend_from_slice(&part);
         }
-        Ok(body.freeze())
+        Ok(if parts.is_empty() { body } else { parts.freeze() })
     }
 
     /// Returns whether the answer has ended and the connection can carry another request.
--- a/crates/upstream/tests/answers.rs
+++ b/crates/upstream/tests/answers.rs
@@ -101,6 +101,38 @@
     assert_eq!((head.status.as_u16(), body.len()), (204, 0));
 }
 
+#[tokio::test]
+async fn a_body_in_one_part_is_not_read_over_the_limit() {
+    let address =
+        start_server(vec![b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n123456789"]).await;
+    let mut connection =
+        Connection::open(address, Duration::from_secs(1)).await.expect("it connects");
+    connection.queue_request(request());
+    connection.read_head(&Method::GET).await.expect("a head");
+    let body = connection.read_whole_body(8).await;
+    assert!(matches!(body, Err(ExchangeError::Malformed(_))), "{body:?}");
+}
+
+#[tokio::test]
+async fn a_body_without_length_that_is_reset_is_a_lost_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("the listener binds");
+    let address = listener.local_addr().expect("the listener has an address");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("the client connects");
+        let read = stream.read(&mut [0; 1024]).await.expect("the request is read");
+        assert!(read > 0);
+        stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nhello").await.expect("the part is written");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("it is set");
+    });
+    let mut connection =
+        Connection::open(address, Duration::from_secs(1)).await.expect("it connects");
+    connection.queue_request(request());
+    connection.read_head(&Method::GET).await.expect("a head");
+    let body = connection.read_whole_body(1 << 20).await;
+    assert!(matches!(body, Err(ExchangeError::Lost(_))), "{body:?}");
+}
+
 #[tokio::test]
 async fn a_connection_is_not_reused_after_connection_close() {
     let close_header = b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
