Bound the time in which the body of a refusal is discarded

A request that a replica refused waited as long as the body of the refusal went on, without a limit, although another replica could have run it.

Cause: the body is read to its end so that the connection can be reused, and that read had a limit of bytes only.

Evidence: refusal_whose_body_never_ends_delays_no_request failed before (no answer in 8.0 s).

The body gets DISCARD_TIMEOUT; then the connection is closed, with connection_closed and the reason in the log, and the request goes on.

--- a/crates/daemon/tests/platform_answers.rs
+++ b/crates/daemon/tests/platform_answers.rs
@@ -209,6 +209,22 @@
     });
 }
 
+#[test]
+fn refusal_whose_body_never_ends_delays_no_request() {
+    run_local("endless-refusal", |folder| async move {
+        let requests = Requests::default();
+        let answer = faulty_at_first(&requests, |id, stream| {
+            let head = refusal(Some(&id)).replace("content-length: 0", "content-length: 99999");
+            write_without_end(stream, head, vec![b'x'], Duration::from_millis(50))
+        });
+        let fleet = start_with_raw_engines(folder, 2, answer).await;
+        let asked = Instant::now();
+        let answer = Client.stream(fleet.ingress(0), STREAM, "r", EVENTS).await;
+        assert!(asked.elapsed() < Duration::from_secs(1), "{:?}", asked.elapsed());
+        assert!(is_complete_stream("r", EVENTS, &answer.expect("an answer").body));
+    });
+}
+
 #[test]
 fn interim_heads_without_end_stop_no_other_request() {
     run_local("endless-interim", |folder| async move {
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -29,6 +29,8 @@
 const MAX_STALE_ANSWERS: u32 = 4;
 /// The largest body that is read only to be discarded, so that its connection can be reused.
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
+/// How long the body of a refusal may take, which usually arrives together with its head.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// A request of a client, kept as long as it may be sent again.
 #[derive(Clone, Debug)]
@@ -112,8 +114,17 @@
         Err(_) => return Err(SendFailure::NoAnswer),
     };
     if meta.is_not_run {
-        if connection.read_whole_body(MAX_DISCARDED_BYTES).await.is_ok() {
-            pool.put(connection);
+        let discarded = connection.read_whole_body(MAX_DISCARDED_BYTES);
+        match pause_tolerant::timeout(DISCARD_TIMEOUT, discarded).await {
+            Ok(Ok(_)) => pool.put(connection),
+            Ok(Err(error)) => {
+                debug!("event=refusal_not_discarded id={} error=\"{error}\"", request.id);
+            }
+            Err(_) => info!(
+                "event=connection_closed id={} peer={} reason=\"the body of a refusal did not end\"",
+                request.id,
+                connection.peer()
+            ),
         }
         return Err(SendFailure::TurnedAway);
     }
