Count the stall limits of streams by events

A stream of which a replica wrote an event that never ended, or the same event again and again, held its client until the request's time was over, and an item until its job gave it up, although each may be resumed.

Cause: each part of the bytes began the stall limit anew, whether or not it completed an event that the client or the item did not have.

Evidence, each failed before: event_that_never_ends_is_a_stalled_stream and repeated_events_without_end_are_a_stalled_stream, both with no answer before the client's time-out.

The limit now holds for the whole wait for a new event, in the relay, in the runs of items and in the token streams of the engine path. A stream that goes on when the request's time is over ends then, also if bytes are ready.

--- a/crates/daemon/tests/platform_answers.rs
+++ b/crates/daemon/tests/platform_answers.rs
@@ -15,6 +15,7 @@
 use platform_stub::deployment::ENGINE_SERVICE;
 use platform_stub::deployment::JOBS;
 use platform_stub::deployment::LOOKUP;
+use platform_stub::deployment::RESUMABLE;
 use platform_stub::deployment::STREAM;
 use platform_stub::raw_replica;
 use platform_stub::raw_replica::RawAnswer;
@@ -259,3 +260,52 @@
         assert!(answer.is_err(), "the stream looks complete");
     });
 }
+
+#[test]
+fn event_that_never_ends_is_a_stalled_stream() {
+    run_local("endless-event", |folder| async move {
+        let requests = Requests::default();
+        let answer = faulty_at_first(&requests, |id, stream| {
+            let head = success_head(&id, "") + "id: 1\ndata: ";
+            write_without_end(stream, head, vec![b'x'], Duration::from_millis(50))
+        });
+        let fleet = start_with_raw_engines(folder, 2, answer).await;
+        let daemon = fleet.ingress(0);
+        let asked = Instant::now();
+        let answer = Client.stream(daemon, RESUMABLE, "r", EVENTS).await.expect("an answer");
+        assert!(asked.elapsed() < Duration::from_secs(2), "{:?}", asked.elapsed());
+        assert!(is_complete_stream("r", EVENTS, &answer.body));
+        let job = items("j", 1, EVENTS);
+        Client.submit_job(daemon, JOBS, "j", &job).await.expect("an answer");
+        let results = read_all_results(daemon, "j", Duration::from_secs(8)).await;
+        assert_eq!(results.len(), 1, "the item did not end");
+        assert_eq!(results[0].text, expected_text("j-0", EVENTS));
+    });
+}
+
+#[test]
+fn repeated_events_without_end_are_a_stalled_stream() {
+    run_local("endless-repeats", |folder| async move {
+        let requests = Requests::default();
+        let answer = faulty_at_first(&requests, |id, stream| {
+            let event = format!("id: 1\ndata: {}\n\n", event_data(&id, 1));
+            write_without_end(
+                stream,
+                success_head(&id, ""),
+                event.into_bytes(),
+                Duration::from_millis(20),
+            )
+        });
+        let fleet = start_with_raw_engines(folder, 2, answer).await;
+        let daemon = fleet.ingress(0);
+        let asked = Instant::now();
+        let answer = Client.stream(daemon, RESUMABLE, "r", EVENTS).await.expect("an answer");
+        assert!(asked.elapsed() < Duration::from_secs(2), "{:?}", asked.elapsed());
+        assert!(is_complete_stream("r", EVENTS, &answer.body));
+        let job = items("j", 1, EVENTS);
+        Client.submit_job(daemon, JOBS, "j", &job).await.expect("an answer");
+        let results = read_all_results(daemon, "j", Duration::from_secs(8)).await;
+        assert_eq!(results.len(), 1, "the item did not end");
+        assert_eq!(results[0].text, expected_text("j-0", EVENTS));
+    });
+}
--- a/crates/engine/src/http_backend.rs
+++ b/crates/engine/src/http_backend.rs
@@ -10,6 +10,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http_body_util::BodyExt;
 use kernel::http_client::CallError;
 use kernel::http_client::HttpClient;
 use kernel::http_client::json_request;
@@ -72,7 +73,6 @@
         response: Response<hyper::body::Incoming>,
         time_limit: Duration,
     ) -> BackendError {
-        use http_body_util::BodyExt;
         let status = response.status();
         let body = timeout(time_limit, response.into_body().collect()).await;
         let text = match body {
@@ -229,26 +229,16 @@
     load: Option<BackendLoad>,
 }
 
-#[async_trait]
-impl TokenStream for HttpTokenStream {
-    async fn next(&mut self, timeout_ms: Millis) -> Result<StreamItem, BackendError> {
-        use http_body_util::BodyExt;
+impl HttpTokenStream {
+    async fn read_item(&mut self) -> Result<StreamItem, BackendError> {
         loop {
             if let Some(event) = self.events.next_event() {
                 return parse_event(&event.data());
             }
-            let frame = timeout(Duration::from_millis(timeout_ms), self.body.frame()).await;
-            let frame = match frame {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(error))) => return Err(BackendError::Lost(error.to_string())),
-                Ok(None) => {
-                    return Err(BackendError::Lost("the answer ended early".to_owned()));
-                }
-                Err(_) => {
-                    // Other pooled connections to the same host may be unresponsive too.
-                    self.client.replace_pool();
-                    return Err(BackendError::Lost(format!("silent for {timeout_ms} ms")));
-                }
+            let frame = match self.body.frame().await {
+                Some(Ok(frame)) => frame,
+                Some(Err(error)) => return Err(BackendError::Lost(error.to_string())),
+                None => return Err(BackendError::Lost("the answer ended early".to_owned())),
             };
             if let Ok(bytes) = frame.into_data() {
                 let pushed = self.events.push(&bytes);
@@ -256,6 +246,20 @@
             }
         }
     }
+}
+
+#[async_trait]
+impl TokenStream for HttpTokenStream {
+    async fn next(&mut self, timeout_ms: Millis) -> Result<StreamItem, BackendError> {
+        match timeout(Duration::from_millis(timeout_ms), self.read_item()).await {
+            Ok(item) => item,
+            Err(_) => {
+                // Other pooled connections to the same host may be unresponsive too.
+                self.client.replace_pool();
+                Err(BackendError::Lost(format!("no event for {timeout_ms} ms")))
+            }
+        }
+    }
 
     fn load(&self) -> Option<BackendLoad> {
         self.load
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -14,10 +14,13 @@
 use kernel::local_server::LocalBody;
 use kernel::pause_tolerant;
 use log::info;
+use log::warn;
 use slots::SlotLease;
 use upstream::AnswerHead;
 use upstream::Connection;
 use upstream::EventSplitter;
+use upstream::EventTooLong;
+use upstream::ExchangeError;
 use wire::Millis;
 use wire::Route;
 
@@ -98,37 +101,65 @@
     }
 
     async fn next_part(&mut self) -> Result<Option<Bytes>, SendFailure> {
-        if self.attempt.policy().is_resumable {
-            return self.next_events().await;
+        if !self.attempt.policy().is_resumable {
+            let part = self.read_part().await?;
+            self.report.events += u32::from(part.is_some());
+            return Ok(part);
+        }
+        loop {
+            match self.read_events().await {
+                Err(failure) => self.resume(failure).await?,
+                finished => return finished,
+            }
         }
-        let part = self.read_part(self.remaining_ms()).await?;
-        self.report.events += u32::from(part.is_some());
-        Ok(part)
     }
 
-    /// Waits for complete events and returns them; resumes the stream if it fails.
-    async fn next_events(&mut self) -> Result<Option<Bytes>, SendFailure> {
+    /// Waits for complete events and returns them, or `None` at the end of the stream.
+    async fn read_events(&mut self) -> Result<Option<Bytes>, SendFailure> {
+        let limit_ms = self.stall_ms().min(self.remaining_ms()?);
+        let (Some(mut connection), Some(lease)) = (self.connection.take(), self.lease.take())
+        else {
+            return Err(SendFailure::BrokenOff);
+        };
+        let gateway = self.gateway.clone();
+        let reading = self.read_until_event(&mut connection);
+        let reading = pause_tolerant::timeout(Duration::from_millis(limit_ms), reading);
+        let result = gateway.wait_reporting_silence(&lease, EVENT_SILENCE_TIMEOUT, reading).await;
+        self.connection = Some(connection);
+        self.lease = Some(lease);
+        result.unwrap_or(Err(SendFailure::Stalled))
+    }
+
+    async fn read_until_event(
+        &mut self,
+        connection: &mut Connection,
+    ) -> Result<Option<Bytes>, SendFailure> {
         loop {
             if let Some(events) = self.take_events() {
                 return Ok(Some(events));
             }
-            let stall_ms = self
-                .route
-                .gap_objective_ms
-                .map_or(DEFAULT_STALL_MS, |gap_ms| gap_ms * STALL_GAP_OBJECTIVES);
-            let failure = match self.read_part(stall_ms.min(self.remaining_ms())).await {
-                Ok(Some(bytes)) => match self.splitter.push(&bytes) {
-                    Ok(()) => continue,
-                    Err(_) => SendFailure::Garbled,
-                },
-                Ok(None) if self.splitter.has_partial() => SendFailure::BrokenOff,
+            match connection.read_body().await {
+                Ok(Some(bytes)) if self.splitter.push(&bytes).is_err() => {
+                    warn!(
+                        "event=answer_over_limit id={} peer={} reason=\"{EventTooLong}\"",
+                        self.request.id,
+                        connection.peer()
+                    );
+                    return Err(SendFailure::Garbled);
+                }
+                Ok(Some(_)) => {}
+                Ok(None) if self.splitter.has_partial() => return Err(SendFailure::BrokenOff),
                 Ok(None) => return Ok(None),
-                Err(failure) => failure,
-            };
-            self.resume(failure).await?;
+                Err(error) => return Err(classify_body_error(&error)),
+            }
         }
     }
 
+    /// Returns how long the stream may go without a complete event.
+    fn stall_ms(&self) -> Millis {
+        self.route.gap_objective_ms.map_or(DEFAULT_STALL_MS, |gap_ms| gap_ms * STALL_GAP_OBJECTIVES)
+    }
+
     /// Takes the complete events that have arrived, without those that the client already has.
     fn take_events(&mut self) -> Option<Bytes> {
         let mut events = BytesMut::new();
@@ -148,7 +179,9 @@
         (!events.is_empty()).then(|| events.freeze())
     }
 
-    async fn read_part(&mut self, limit_ms: Millis) -> Result<Option<Bytes>, SendFailure> {
+    /// Waits for the next part of a stream that may not be resumed.
+    async fn read_part(&mut self) -> Result<Option<Bytes>, SendFailure> {
+        let limit_ms = self.remaining_ms()?;
         let (Some(connection), Some(lease)) = (&mut self.connection, &self.lease) else {
             return Err(SendFailure::BrokenOff);
         };
@@ -156,10 +189,7 @@
             pause_tolerant::timeout(Duration::from_millis(limit_ms), connection.read_body());
         match self.gateway.wait_reporting_silence(lease, EVENT_SILENCE_TIMEOUT, reading).await {
             Ok(Ok(part)) => Ok(part),
-            Ok(Err(error)) => Err(match classify_error(&error) {
-                SendFailure::Garbled => SendFailure::Garbled,
-                _ => SendFailure::BrokenOff,
-            }),
+            Ok(Err(error)) => Err(classify_body_error(&error)),
             Err(_) => Err(SendFailure::Stalled),
         }
     }
@@ -199,8 +229,12 @@
         }
     }
 
-    fn remaining_ms(&self) -> Millis {
-        self.attempt.policy().give_up_at_ms.saturating_sub(self.gateway.now_ms()).max(1)
+    /// Returns how much of the request's time is left.
+    fn remaining_ms(&self) -> Result<Millis, SendFailure> {
+        match self.attempt.policy().give_up_at_ms.saturating_sub(self.gateway.now_ms()) {
+            0 => Err(SendFailure::Stalled),
+            remaining_ms => Ok(remaining_ms),
+        }
     }
 
     fn finish(&mut self) {
@@ -213,3 +247,10 @@
         }
     }
 }
+
+fn classify_body_error(error: &ExchangeError) -> SendFailure {
+    match classify_error(error) {
+        SendFailure::Garbled => SendFailure::Garbled,
+        _ => SendFailure::BrokenOff,
+    }
+}
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -16,6 +16,7 @@
 use slots::SlotRequest;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
+use upstream::Connection;
 use upstream::EventSplitter;
 use wire::Millis;
 use wire::ReplicaName;
@@ -180,26 +181,17 @@
         let mut splitter = EventSplitter::default();
         let mut reported_events = progress.events;
         loop {
-            match pause_tolerant::timeout(STALL_TIMEOUT, answer.connection.read_body()).await {
-                Ok(Ok(Some(bytes))) => {
-                    if splitter.push(&bytes).is_err() {
-                        return self.record_replica_failure(lease, SendFailure::Garbled);
-                    }
-                }
-                Ok(Ok(None)) if splitter.has_partial() => {
-                    return self.record_replica_failure(lease, SendFailure::BrokenOff);
-                }
-                Ok(Ok(None)) => {
+            let reading = read_progress(&mut answer.connection, &mut splitter, progress);
+            match pause_tolerant::timeout(STALL_TIMEOUT, reading).await {
+                Ok(Ok(true)) => {}
+                Ok(Ok(false)) => {
                     pool.put(answer.connection);
                     self.deps.slots.record_success(&lease.replica.name);
                     return (ItemRunEnd::Completed, "whole");
                 }
-                Ok(Err(_)) => return self.record_replica_failure(lease, SendFailure::BrokenOff),
+                Ok(Err(failure)) => return self.record_replica_failure(lease, failure),
                 Err(_) => return self.record_replica_failure(lease, SendFailure::Stalled),
             }
-            while let Some(event) = splitter.next_event() {
-                progress.append(&event);
-            }
             if progress.events >= reported_events + EVENTS_PER_PROGRESS_UPDATE {
                 reported_events = progress.events;
                 handle.job.borrow_mut().record_progress(self.now_ms(), run.index, progress);
@@ -265,6 +257,29 @@
     }
 }
 
+/// Reads events until `progress` has grown; returns false at the end of the stream.
+async fn read_progress(
+    connection: &mut Connection,
+    splitter: &mut EventSplitter,
+    progress: &mut Progress,
+) -> Result<bool, SendFailure> {
+    let before = (progress.events, progress.last_event);
+    loop {
+        while let Some(event) = splitter.next_event() {
+            progress.append(&event);
+        }
+        if (progress.events, progress.last_event) != before {
+            return Ok(true);
+        }
+        match connection.read_body().await {
+            Ok(Some(bytes)) => splitter.push(&bytes).map_err(|_| SendFailure::Garbled)?,
+            Ok(None) if splitter.has_partial() => return Err(SendFailure::BrokenOff),
+            Ok(None) => return Ok(false),
+            Err(_) => return Err(SendFailure::BrokenOff),
+        }
+    }
+}
+
 /// The log fields of a run that had a slot.
 struct RunSummary {
     item: Arc<str>,
