Break off every stream that ends inside an event

A client got a stream as complete that its replica had broken off inside an event, on a route that may not be resumed, if the answer had neither a length nor chunks.

Cause: only resumable streams were split into events; the bytes of the others were passed on as they came, and the end of the connection ends such a body.

Evidence: stream_that_ends_inside_an_event_does_not_look_complete failed before ("the stream looks complete"). Its parts for resumed streams and items passed before too.

Every success on a streaming route is now split into events, which are passed on as each is complete; one that ends inside an event aborts the client's connection. An answer that is no success is passed on as it is, also on a resumable route.

--- a/crates/daemon/tests/platform_answers.rs
+++ b/crates/daemon/tests/platform_answers.rs
@@ -309,3 +309,27 @@
         assert_eq!(results[0].text, expected_text("j-0", EVENTS));
     });
 }
+
+#[test]
+fn stream_that_ends_inside_an_event_does_not_look_complete() {
+    run_local("cut-event", |folder| async move {
+        let requests = Requests::default();
+        let answer = faulty_at_first(&requests, |id, stream| async move {
+            let mut body = events(&id);
+            body.truncate(body.len() - 10);
+            // The connection ends with the answer.
+            raw_replica::write(stream, success_head(&id, "") + &body).await?;
+            None
+        });
+        let fleet = start_with_raw_engines(folder, 2, answer).await;
+        let daemon = fleet.ingress(0);
+        let cut = Client.stream(daemon, STREAM, "cut", EVENTS).await;
+        assert!(cut.is_err(), "the stream looks complete");
+        let resumed = Client.stream(daemon, RESUMABLE, "resumed", EVENTS).await;
+        assert!(is_complete_stream("resumed", EVENTS, &resumed.expect("an answer").body));
+        let job = items("j", 1, EVENTS);
+        Client.submit_job(daemon, JOBS, "j", &job).await.expect("an answer");
+        let results = read_all_results(daemon, "j", Duration::from_secs(8)).await;
+        assert_eq!(results[0].text, expected_text("j-0", EVENTS));
+    });
+}
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -123,6 +123,7 @@
                         report,
                         last_event,
                         splitter: EventSplitter::default(),
+                        is_event_stream: answer.head.status.is_success(),
                     };
                     return relay.into_answer(answer.head);
                 }
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -61,8 +61,10 @@
     pub report: RequestReport,
     /// The last event that was passed on to the client.
     pub last_event: Option<u64>,
-    /// Splits a resumable stream into events.
+    /// Splits the stream into events.
     pub splitter: EventSplitter,
+    /// Whether the answer is a stream of events, as every success is.
+    pub is_event_stream: bool,
 }
 
 impl StreamRelay {
@@ -101,14 +103,12 @@
     }
 
     async fn next_part(&mut self) -> Result<Option<Bytes>, SendFailure> {
-        if !self.attempt.policy().is_resumable {
-            let part = self.read_part().await?;
-            self.report.events += u32::from(part.is_some());
-            return Ok(part);
+        if !self.is_event_stream {
+            return self.read_part().await;
         }
         loop {
             match self.read_events().await {
-                Err(failure) => self.resume(failure).await?,
+                Err(failure) if self.attempt.policy().is_resumable => self.resume(failure).await?,
                 finished => return finished,
             }
         }
@@ -157,6 +157,9 @@
 
     /// Returns how long the stream may go without a complete event.
     fn stall_ms(&self) -> Millis {
+        if !self.attempt.policy().is_resumable {
+            return Millis::MAX;
+        }
         self.route.gap_objective_ms.map_or(DEFAULT_STALL_MS, |gap_ms| gap_ms * STALL_GAP_OBJECTIVES)
     }
 
@@ -168,7 +171,7 @@
                 (Some(id), Some(last)) => id <= last,
                 _ => false,
             };
-            if is_repeated {
+            if is_repeated && self.attempt.policy().is_resumable {
                 self.gateway.counters.count("stream_events_repeated");
                 continue;
             }
@@ -179,7 +182,7 @@
         (!events.is_empty()).then(|| events.freeze())
     }
 
-    /// Waits for the next part of a stream that may not be resumed.
+    /// Waits for the next part of an answer that is not a stream of events.
     async fn read_part(&mut self) -> Result<Option<Bytes>, SendFailure> {
         let limit_ms = self.remaining_ms()?;
         let (Some(connection), Some(lease)) = (&mut self.connection, &self.lease) else {
