Bound the refusals that the engine path reads

A backend server that refused a request with a body without end made the daemon buffer all that came until the request's time was over.

Cause: the body of the refusal was collected without a limit, for its text.

The body is now limited to MAX_REFUSAL_BYTES.

--- a/crates/engine/src/http_backend.rs
+++ b/crates/engine/src/http_backend.rs
@@ -11,6 +11,7 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
+use http_body_util::Limited;
 use kernel::http_client::CallError;
 use kernel::http_client::HttpClient;
 use kernel::http_client::json_request;
@@ -33,6 +34,8 @@
 
 /// The longest wait for the answer to a cancel request.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The largest body of a refusal that is read for its text.
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
 /// The data of the event that ends a complete answer.
 const END_OF_STREAM: &str = "[DONE]";
 
@@ -74,7 +77,8 @@
         time_limit: Duration,
     ) -> BackendError {
         let status = response.status();
-        let body = timeout(time_limit, response.into_body().collect()).await;
+        let body = Limited::new(response.into_body(), MAX_REFUSAL_BYTES).collect();
+        let body = timeout(time_limit, body).await;
         let text = match body {
             Ok(Ok(collected)) => String::from_utf8_lossy(&collected.to_bytes()).into_owned(),
             _ => String::new(),
