Split events and parse heads the same however their bytes arrive

A stream failed as garbled if more than 1 MiB of complete events arrived before they were taken, and a slow sender of a long event made the daemon search all of it again at each part. A head was over its limit or no answer depending on how much of the bytes after it had arrived.

Cause: the splitter compared all buffered bytes with the limit of one event and searched from the start; the parser saw more than a head may have.

The splitter finds the ends of events as bytes arrive, and the limit holds for each event. A head is parsed from the same bytes in any case.

--- a/crates/upstream/src/events.rs
+++ b/crates/upstream/src/events.rs
@@ -1,13 +1,14 @@
 //! Splits a byte stream into server-sent events.
 
+use std::collections::VecDeque;
 use std::fmt;
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use memchr::memmem;
+use memchr::memchr;
 
 /// The longest accepted event, so that a replica cannot exhaust the memory of the daemon.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// One complete event, including the empty line that ends it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -61,22 +62,32 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     pending: BytesMut,
+    // The lengths of the complete events at the start of `pending`.
+    complete: VecDeque<usize>,
+    // Where the incomplete event starts in `pending`.
+    partial_start: usize,
+    // How much of `pending` has been searched for the end of an event.
+    searched: usize,
+    is_too_long: bool,
 }
 
 impl EventSplitter {
-    /// Appends received bytes to the buffer.
+    /// Appends received bytes to the buffer; fails from the first event on that is over the length
+    /// limit.
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), EventTooLong> {
-        if self.pending.len() + bytes.len() > MAX_EVENT_BYTES {
-            return Err(EventTooLong);
+        if !self.is_too_long {
+            self.pending.extend_from_slice(bytes);
+            self.is_too_long = self.find_ends().is_err();
         }
-        self.pending.extend_from_slice(bytes);
-        Ok(())
+        if self.is_too_long { Err(EventTooLong) } else { Ok(()) }
     }
 
     /// Takes the next complete event, or returns `None` if more bytes are needed.
     pub fn next_event(&mut self) -> Option<Event> {
-        let end = event_end(&self.pending)?;
-        let raw = self.pending.split_to(end).freeze();
+        let length = self.complete.pop_front()?;
+        let raw = self.pending.split_to(length).freeze();
+        self.partial_start -= length;
+        self.searched -= length;
         let id = raw
             .split(|byte| *byte == b'\n')
             .find_map(|line| field_value(line, b"id"))
@@ -86,22 +97,41 @@
 
     /// Returns whether the buffer holds bytes of an incomplete event.
     pub fn has_partial(&self) -> bool {
-        !self.pending.is_empty()
+        self.partial_start < self.pending.len()
     }
 
     /// Discards the buffered bytes.
     pub fn clear(&mut self) {
-        self.pending.clear();
+        *self = Self::default();
+    }
+
+    /// Records the complete events that have arrived.
+    fn find_ends(&mut self) -> Result<(), EventTooLong> {
+        while let Some(offset) = memchr(b'\n', &self.pending[self.searched..]) {
+            let after_line = self.searched + offset + 1;
+            let end = match &self.pending[after_line..] {
+                [b'\n', ..] => after_line + 1,
+                [b'\r', b'\n', ..] => after_line + 2,
+                [] | [b'\r'] => {
+                    self.searched = after_line - 1;
+                    return self.check_length(self.pending.len());
+                }
+                _ => {
+                    self.searched = after_line;
+                    continue;
+                }
+            };
+            self.check_length(end)?;
+            self.complete.push_back(end - self.partial_start);
+            self.partial_start = end;
+            self.searched = end;
+        }
+        self.searched = self.pending.len();
+        self.check_length(self.pending.len())
     }
-}
 
-/// Returns the length of the first event, including the empty line that ends it.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let lf_end = memmem::find(bytes, b"\n\n").map(|at| at + 2);
-    let crlf_end = memmem::find(bytes, b"\r\n\r\n").map(|at| at + 4);
-    match (lf_end, crlf_end) {
-        (Some(lf_end), Some(crlf_end)) => Some(lf_end.min(crlf_end)),
-        (lf_end, crlf_end) => lf_end.or(crlf_end),
+    fn check_length(&self, end: usize) -> Result<(), EventTooLong> {
+        if end - self.partial_start > MAX_EVENT_BYTES { Err(EventTooLong) } else { Ok(()) }
     }
 }
 
--- a/crates/upstream/src/head.rs
+++ b/crates/upstream/src/head.rs
@@ -32,9 +32,11 @@
     pub fn parse(buffer: &mut BytesMut) -> Result<Option<Self>, ExchangeError> {
         let mut header_slots = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut parsed = httparse::Response::new(&mut header_slots);
-        let length = match parsed.parse(buffer) {
+        // The same bytes are parsed whether or not more of them have arrived.
+        let visible_bytes = buffer.len().min(MAX_HEAD_BYTES + 1);
+        let length = match parsed.parse(&buffer[..visible_bytes]) {
             Ok(httparse::Status::Complete(length)) if length <= MAX_HEAD_BYTES => length,
-            Ok(httparse::Status::Partial) if buffer.len() <= MAX_HEAD_BYTES => return Ok(None),
+            Ok(httparse::Status::Partial) if visible_bytes <= MAX_HEAD_BYTES => return Ok(None),
             Ok(_) => return Err(ExchangeError::OverLimit("the head is too large")),
             Err(_) => return Err(ExchangeError::Malformed("the bytes are no answer")),
         };
