Bound the output of an item

A replica that streamed events without end for an item occupied the item and its slot, and the memory of the item's home, until the replica stopped.

Cause: an item has no time limit, and its output had no limit of bytes.

An output over MAX_OUTPUT_BYTES is discarded, its replica's connection is closed with answer_over_limit in the log, and the item runs again from what it had before.

--- a/crates/daemon/tests/platform_answers.rs
+++ b/crates/daemon/tests/platform_answers.rs
@@ -2,12 +2,14 @@
 
 mod platform_fleet;
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures::FutureExt;
+use futures::future::join_all;
 use http::StatusCode;
 use platform_stub::Client;
 use platform_stub::client::expected_text;
@@ -25,6 +27,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use upstream::events::MAX_EVENT_BYTES;
+use upstream::head::MAX_HEAD_BYTES;
 
 use crate::platform_fleet::Fleet;
 use crate::platform_fleet::items;
@@ -34,6 +38,11 @@
 /// The number of events of each stream.
 const EVENTS: u64 = 4;
 
+/// The number of replicas with endless answers.
+const REPLICAS: usize = 20;
+/// The number of slots of a replica.
+const SLOTS: usize = 8;
+
 /// The requests that a raw replica has read.
 type Requests = Rc<RefCell<Vec<RawRequest>>>;
 
@@ -310,6 +319,30 @@
     });
 }
 
+#[test]
+fn output_without_end_is_not_kept_for_the_item() {
+    run_local("endless-output", |folder| async move {
+        let requests = Requests::default();
+        let answer = faulty_at_first(&requests, |id, stream| async move {
+            let mut stream = raw_replica::write(stream, success_head(&id, "")).await?;
+            let data = "x".repeat(64 << 10);
+            for event in 1_u64.. {
+                stream =
+                    raw_replica::write(stream, format!("id: {event}\ndata: {data}\n\n")).await?;
+                sleep(Duration::from_millis(5)).await;
+            }
+            Some(stream)
+        });
+        let fleet = start_with_raw_engines(folder, 2, answer).await;
+        let daemon = fleet.ingress(0);
+        let job = items("j", 1, EVENTS);
+        Client.submit_job(daemon, JOBS, "j", &job).await.expect("an answer");
+        let results = read_all_results(daemon, "j", Duration::from_secs(8)).await;
+        assert_eq!(results.len(), 1, "the item did not end");
+        assert_eq!(results[0].text, expected_text("j-0", EVENTS));
+    });
+}
+
 #[test]
 fn stream_that_ends_inside_an_event_does_not_look_complete() {
     run_local("cut-event", |folder| async move {
@@ -333,3 +366,51 @@
         assert_eq!(results[0].text, expected_text("j-0", EVENTS));
     });
 }
+
+#[test]
+fn memory_of_daemon_is_bounded_under_twenty_replicas_with_endless_answers() {
+    run_local("endless-memory", |folder| async move {
+        let requests = Requests::default();
+        let kinds = Cell::new(0_usize);
+        let answer = recorded(&requests, move |request, stream| {
+            let id = request.id;
+            let kind = kinds.replace(kinds.get() + 1) % 6;
+            let part = vec![b'x'; 32 << 10];
+            let lines = b"a: b\r\n".repeat(2_000);
+            let (head, bytes) = match kind {
+                0 => ("HTTP/1.1 200 OK\r\nx-long: ".to_owned(), part),
+                1 => (String::new(), b"HTTP/1.1 100 Continue\r\n\r\n".repeat(1_000)),
+                2 => (success_head(&id, "transfer-encoding: chunked\r\n") + "0\r\n", lines),
+                3 => (success_head(&id, "") + "data: ", part),
+                4 => (refusal(Some(&id)).replace("content-length: 0\r\n", ""), part),
+                _ => (success_head(&id, ""), b"id: 1\ndata: a\n\n".repeat(1_000)),
+            };
+            write_without_end(stream, head, bytes, Duration::from_millis(1))
+        });
+        let fleet = start_with_raw_engines(folder, REPLICAS, answer).await;
+        let daemon = fleet.ingress(0);
+        let process = fleet.daemons[0].id();
+        let before_kib = peak_memory_kib(process);
+        Client.submit_job(daemon, JOBS, "j", &items("j", 40, EVENTS)).await.expect("an answer");
+        let streams = (0..40).map(|number| async move {
+            let prefix = if number % 2 == 0 { STREAM } else { RESUMABLE };
+            let answer = Client.stream(daemon, prefix, &format!("r{number}"), EVENTS).await;
+            answer.is_ok_and(|answer| answer.status.is_success())
+        });
+        let complete = join_all(streams).await;
+        let grown_kib = peak_memory_kib(process) - before_kib;
+        println!("the peak memory of the daemon grew by {grown_kib} KiB");
+        assert!(!complete.contains(&true), "an endless stream looks complete");
+        let bound_kib = REPLICAS * SLOTS * (MAX_EVENT_BYTES + MAX_HEAD_BYTES) / 1024;
+        assert!(grown_kib < bound_kib, "{grown_kib} KiB, over {bound_kib} KiB");
+        let lookup = Client.lookup(daemon, LOOKUP, "l").await.expect("an answer");
+        assert_eq!(lookup.status, StatusCode::OK);
+    });
+}
+
+/// Returns the most memory that a process has had resident.
+fn peak_memory_kib(process: u32) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).expect("it runs");
+    let line = status.lines().find(|line| line.starts_with("VmHWM:")).expect("the line is there");
+    line.split_whitespace().nth(1).and_then(|kib| kib.parse().ok()).expect("a number")
+}
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -11,6 +11,7 @@
 use http::StatusCode;
 use kernel::pause_tolerant;
 use log::info;
+use log::warn;
 use slots::Class;
 use slots::SlotLease;
 use slots::SlotRequest;
@@ -42,6 +43,8 @@
 const HEAD_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How long a stream may be silent before its replica counts as lost.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The longest output of an item, so that a replica cannot exhaust the memory of the daemon.
+const MAX_OUTPUT_BYTES: usize = 1 << 20;
 /// The number of events after which a running item's output is copied into the job.
 const EVENTS_PER_PROGRESS_UPDATE: u32 = 16;
 
@@ -192,6 +195,15 @@
                 Ok(Err(failure)) => return self.record_replica_failure(lease, failure),
                 Err(_) => return self.record_replica_failure(lease, SendFailure::Stalled),
             }
+            if progress.text.len() > MAX_OUTPUT_BYTES {
+                warn!(
+                    "event=answer_over_limit id={} peer={} reason=\"the output is too long\"",
+                    run.item.id,
+                    answer.connection.peer()
+                );
+                progress.clone_from(&run.progress);
+                return self.record_replica_failure(lease, SendFailure::Garbled);
+            }
             if progress.events >= reported_events + EVENTS_PER_PROGRESS_UPDATE {
                 reported_events = progress.events;
                 handle.job.borrow_mut().record_progress(self.now_ms(), run.index, progress);
