Refuse a request at once when all replicas of its service drain

A client whose request could not be served, since every replica of its service was draining, got its 503 only after a third of its deadline: 1.7 s of 5 s.

Cause: Search::request_next finds no replica to ask and Slots::acquire then waits as it does before the first record of a service has arrived, although the records are there and say that none takes requests.

Change: an online request that certainly has not run is refused at once, with the usual time to come back, when its service has replicas and none of them may get requests. A request that may have run, a stream that broke off and an item still wait for the record of a new replica, and so does every request while the service has no record at all.

Evidence: request_is_refused_at_once_when_all_replicas_drain failed without the check ("the request is refused at once: Elapsed") and passes with it; the tests beside it hold what is to stay.

--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -138,6 +138,11 @@
         self.runs
     }
 
+    /// Returns whether a replica may have run the request or its answer has started.
+    pub fn may_have_run(&self) -> bool {
+        self.runs > 0 || self.has_answer_started
+    }
+
     /// Records that the client receives the first bytes of an answer.
     pub fn record_answer_start(&mut self) {
         self.has_answer_started = true;
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -161,6 +161,7 @@
             on_time_at_ms,
             order_at_ms: on_time_at_ms,
             give_up_at_ms: policy.slot_deadline_ms(slot_asked_ms).min(latest_send_ms),
+            waits_for_replica: attempt.may_have_run(),
             excluded: &report.tried,
         };
         let lease = self.acquire_slot(&slot_request).await;
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -136,6 +136,7 @@
             on_time_at_ms: urgency.on_time_at_ms,
             order_at_ms: urgency.order_at_ms,
             give_up_at_ms: self.now_ms() + SLOT_WAIT_MS,
+            waits_for_replica: true,
             excluded: &[],
         };
         self.deps.slots.acquire(&slot_request).await.ok()
--- a/crates/slots/src/client.rs
+++ b/crates/slots/src/client.rs
@@ -25,6 +25,7 @@
 use wire::ReplicaName;
 use wire::ReplicaRecord;
 use wire::ReplicaState;
+use wire::ServiceName;
 
 use crate::balancer::Balancer;
 use crate::lease::HeldRun;
@@ -132,6 +133,9 @@
             if search.is_refused() {
                 return Err(NoSlot::Full);
             }
+            if search.has_only_leaving_replicas() {
+                return Err(NoSlot::NoReplica);
+            }
             search.wait(now_ms).await;
             if let Some(lease) = search.take_granted() {
                 return Ok(lease);
@@ -288,6 +292,14 @@
         self.replicas.borrow().get(replica).is_some_and(|record| !record.is_draining)
     }
 
+    /// Returns whether a service has replicas and none of them may get new requests.
+    pub(crate) fn has_only_leaving_replicas(&self, service: &ServiceName) -> bool {
+        let replicas = self.replicas.borrow();
+        let mut of_service =
+            replicas.records().filter(|replica| replica.service == *service).peekable();
+        of_service.peek().is_some() && of_service.all(|replica| replica.is_draining)
+    }
+
     pub(crate) fn has_capacity(&self, replica: &ReplicaRecord, class: Class) -> bool {
         self.inner.borrow().balancer.has_capacity(replica, class)
     }
--- a/crates/slots/src/request.rs
+++ b/crates/slots/src/request.rs
@@ -19,6 +19,9 @@
     pub order_at_ms: Millis,
     /// When the request stops waiting for a slot.
     pub give_up_at_ms: Millis,
+    /// Whether the request waits for another replica when all those of the service leave; otherwise
+    /// it is refused at once.
+    pub waits_for_replica: bool,
     /// Replicas that were tried before; one is chosen again only if no other replica is left.
     pub excluded: &'a [ReplicaName],
 }
--- a/crates/slots/src/search.rs
+++ b/crates/slots/src/search.rs
@@ -120,6 +120,13 @@
         self.requests.is_empty() && self.refused.len() >= self.max_queues()
     }
 
+    /// Returns whether the request is to be refused because all replicas of its service leave.
+    pub(crate) fn has_only_leaving_replicas(&self) -> bool {
+        self.requests.is_empty()
+            && !self.slot_request.waits_for_replica
+            && self.slots.has_only_leaving_replicas(self.slot_request.service)
+    }
+
     /// Returns why no slot was acquired.
     pub(crate) fn no_slot(&self) -> NoSlot {
         if self.has_found_replica { NoSlot::Full } else { NoSlot::NoReplica }
--- /dev/null
+++ b/crates/slots/tests/leaving.rs
@@ -0,0 +1,121 @@
+//! Tests of slots at replicas that leave.
+
+use std::cell::RefCell;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::rc::Rc;
+use std::time::Duration;
+
+use catalog::ReplicaSet;
+use kernel::BootClock;
+use kernel::Counters;
+use peers::Membership;
+use peers::Transport;
+use peers::heartbeat::Identity;
+use peers::heartbeat::Readiness;
+use slots::Class;
+use slots::NoSlot;
+use slots::SlotLease;
+use slots::SlotRequest;
+use slots::Slots;
+use tokio::task::LocalSet;
+use tokio::time::timeout;
+use wire::ReplicaRecord;
+
+/// Less than the time after which a search looks for another replica by itself.
+const AT_ONCE: Duration = Duration::from_millis(30);
+const SHORT_WAIT: Duration = Duration::from_millis(300);
+
+fn replica(name: &str, host: u8) -> ReplicaRecord {
+    ReplicaRecord {
+        name: name.into(),
+        service: "engines".into(),
+        address: SocketAddr::from(([127, 0, 0, host], 80)),
+        data_centre: "a".into(),
+        slots: 1,
+        is_draining: false,
+        cold_left_ms: 0,
+        started_unix_ms: 1,
+    }
+}
+
+/// Starts slot scheduling for a single daemon, which therefore owns every replica.
+async fn start_single_daemon(records: Vec<ReplicaRecord>) -> Rc<Slots> {
+    let ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
+    let free = UdpSocket::bind((ip, 0)).and_then(|socket| socket.local_addr());
+    let port = free.expect("a port is free").port();
+    let own = Identity {
+        name: "own".into(),
+        incarnation: 1,
+        ip,
+        data_centre: "a".into(),
+        ingress: None,
+        control: None,
+        cpu_millis: 250,
+    };
+    let counters = Counters::new(None).expect("counters need no address");
+    let transport = Transport::bind(ip, port, own.name.clone(), 1, counters.clone());
+    let transport = Rc::new(transport.await.expect("the port is free"));
+    let mut membership = Membership::new(own, Vec::new());
+    membership.set_own_readiness(Readiness::Ready);
+    let mut replicas = ReplicaSet::default();
+    replicas.replace(0, 1, records);
+    Slots::start(
+        BootClock::start(),
+        counters,
+        transport,
+        Rc::new(RefCell::new(membership)),
+        Rc::new(RefCell::new(replicas)),
+    )
+}
+
+async fn acquire(slots: &Rc<Slots>, class: Class, waits: bool) -> Result<SlotLease, NoSlot> {
+    let service = "engines".into();
+    let request = SlotRequest {
+        service: &service,
+        class,
+        on_time_at_ms: u64::MAX / 4,
+        order_at_ms: u64::MAX / 4,
+        give_up_at_ms: u64::MAX / 4,
+        waits_for_replica: waits,
+        excluded: &[],
+    };
+    slots.acquire(&request).await
+}
+
+fn run(test: impl AsyncFnOnce()) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    LocalSet::new().block_on(&runtime.expect("a runtime starts"), test());
+}
+
+#[test]
+fn request_is_refused_at_once_when_all_replicas_drain() {
+    run(async || {
+        let draining = ReplicaRecord { is_draining: true, ..replica("engine", 1) };
+        let slots = start_single_daemon(vec![draining]).await;
+        let refused = timeout(AT_ONCE, acquire(&slots, Class::Online, false)).await;
+        let refusal = refused.expect("the request is refused at once").err();
+        assert_eq!(refusal, Some(NoSlot::NoReplica));
+    });
+}
+
+#[test]
+fn request_waits_for_the_first_record_of_its_service() {
+    run(async || {
+        let slots = start_single_daemon(Vec::new()).await;
+        assert!(timeout(SHORT_WAIT, acquire(&slots, Class::Online, false)).await.is_err());
+    });
+}
+
+#[test]
+fn item_and_resumed_request_wait_while_all_replicas_drain() {
+    run(async || {
+        let draining = ReplicaRecord { is_draining: true, ..replica("engine", 1) };
+        let slots = start_single_daemon(vec![draining]).await;
+        for class in [Class::Batch, Class::Online] {
+            assert!(timeout(SHORT_WAIT, acquire(&slots, class, true)).await.is_err());
+        }
+    });
+}
--- a/crates/slots/tests/probe.rs
+++ b/crates/slots/tests/probe.rs
@@ -97,6 +97,7 @@
         on_time_at_ms: u64::MAX / 4,
         order_at_ms: u64::MAX / 4,
         give_up_at_ms: u64::MAX / 4,
+        waits_for_replica: true,
         excluded: &[],
     };
     timeout(wait, slots.acquire(&request)).await.is_ok_and(|lease| lease.is_ok())
