Send nothing more to a replica that announces its leaving

A replica that leaves says `Server-Leaving: 1` in all its answers, some of them without ever writing `draining` to the store. Requests, items, resumed streams and requests that waited for a slot went on reaching it until it was gone.

Cause: the header was not read, and only the record in the store could take a replica out of the choice.

Change: the codec decodes the header into AnswerMeta, for answers and for reports of a replica's state. From the head of the answer on, ReplicaSet keeps the announcement for the incarnation (name, start time, address), whatever records and views say later; another start time or name starts clean, and without a start time the removal of the record ends it. It is looked at where a replica is chosen, where a grant arrives, and once more after the connection was got, right before the request is written. A send that is given up there ran nowhere, and counts neither against the replica nor against the request. Waiting requests are woken. A 421 comes from another incarnation than the addressed one, so it counts for all that are listed at the address; the addressed one has ended.

Test changes: the probes of crates/slots/tests/probe.rs return the new type.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -3,10 +3,13 @@
 //! Both parts do no I/O: they are given the time and the received updates, and return what changed.
 
 pub mod configuration;
+pub mod leaving;
 pub mod replicas;
 pub mod view;
 
 pub use configuration::ConfigurationInForce;
+pub use leaving::Incarnation;
+pub use leaving::LeavingReplicas;
 pub use replicas::ReplicaChange;
 pub use replicas::ReplicaSet;
 pub use view::ReplicaView;
--- a/crates/catalog/src/replicas.rs
+++ b/crates/catalog/src/replicas.rs
@@ -8,6 +8,8 @@
 use wire::ReplicaName;
 use wire::ReplicaRecord;
 
+use crate::leaving::Incarnation;
+use crate::leaving::LeavingReplicas;
 use crate::view::ReplicaView;
 use crate::view::ViewEntry;
 use crate::view::digest;
@@ -49,6 +51,7 @@
     generation: u64,
     is_store_unreachable: bool,
     hold_until_ms: Millis,
+    leaving: LeavingReplicas,
 }
 
 impl ReplicaSet {
@@ -73,6 +76,38 @@
         self.entries.get(name).map(|entry| &entry.record)
     }
 
+    /// Returns the records of the replicas that may get new requests.
+    pub fn usable_records(&self) -> impl Iterator<Item = &ReplicaRecord> {
+        self.records().filter(|record| self.accepts_requests(record))
+    }
+
+    /// Returns whether the replica of a record is in use and may get new requests.
+    pub fn is_usable(&self, replica: &ReplicaRecord) -> bool {
+        self.is_listed(&Incarnation::from(replica))
+            && self.get(&replica.name).is_some_and(|listed| self.accepts_requests(listed))
+    }
+
+    /// Records that a replica has announced that it leaves; returns whether that is new.
+    ///
+    /// No record undoes it except that of another incarnation.
+    pub fn record_leaving(&mut self, now_ms: Millis, incarnation: Incarnation) -> bool {
+        self.leaving.insert(now_ms, incarnation)
+    }
+
+    /// Returns whether an incarnation is in use.
+    pub fn is_listed(&self, incarnation: &Incarnation) -> bool {
+        self.get(&incarnation.name).is_some_and(|record| Incarnation::from(record) == *incarnation)
+    }
+
+    /// Returns whether the replica of a record has announced that it leaves.
+    pub fn is_leaving(&self, replica: &ReplicaRecord) -> bool {
+        self.leaving.contains(replica)
+    }
+
+    fn accepts_requests(&self, record: &ReplicaRecord) -> bool {
+        !record.is_draining && !self.is_leaving(record)
+    }
+
     /// Sets the store as unreachable; records that go missing now may only have expired.
     pub fn set_store_unreachable(&mut self) {
         self.is_store_unreachable = true;
@@ -215,7 +250,10 @@
         for change in changes {
             let name = match change {
                 ReplicaChange::Set(record) => record.name.clone(),
-                ReplicaChange::Gone(name) => name.clone(),
+                ReplicaChange::Gone(name) => {
+                    self.leaving.record_removal(name);
+                    name.clone()
+                }
             };
             self.recent_changes.push_back((self.revision, name));
         }
@@ -228,6 +266,11 @@
 
     /// Removes the records whose hold has ended, unless the store is unreachable.
     pub fn tick(&mut self, now_ms: Millis) -> Vec<ReplicaChange> {
+        let entries = &self.entries;
+        self.leaving.tick(now_ms, |incarnation| {
+            let entry = entries.get(&incarnation.name);
+            entry.is_some_and(|entry| Incarnation::from(&entry.record) == *incarnation)
+        });
         if self.is_store_unreachable {
             return Vec::new();
         }
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -23,8 +23,14 @@
 const ID_FIELDS: [&str; 3] = ["id", "item", "job"];
 /// Replica events that explain what happened to a request. `replica_listed` is left out: every
 /// daemon logs the whole list of replicas, which would bury the other lines.
-const REPLICA_EVENTS: [&str; 5] =
-    ["replica_suspect", "replica_trusted", "replica_gone", "replica_ejected", "replica_silent"];
+const REPLICA_EVENTS: [&str; 6] = [
+    "replica_suspect",
+    "replica_trusted",
+    "replica_gone",
+    "replica_leaving",
+    "replica_ejected",
+    "replica_silent",
+];
 
 /// One parsed log line.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -65,6 +65,8 @@
 pub enum SendFailure {
     /// The replica could not be reached, so it received nothing.
     Unreachable,
+    /// The replica leaves or is gone, so nothing was sent to it.
+    ReplicaLeaving,
     /// The replica stated that it did not run the request: it is full or not the addressed
     /// incarnation.
     TurnedAway,
@@ -87,6 +89,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Unreachable => "unreachable",
+            Self::ReplicaLeaving => "replica_leaving",
             Self::TurnedAway => "turned_away",
             Self::NoAnswer => "no_answer",
             Self::Garbled => "garbled",
@@ -98,7 +101,7 @@
     }
 
     fn may_have_run(self) -> bool {
-        !matches!(self, Self::Unreachable | Self::TurnedAway)
+        !matches!(self, Self::Unreachable | Self::ReplicaLeaving | Self::TurnedAway)
     }
 }
 
@@ -159,7 +162,7 @@
     pub fn record_failure(&mut self, now_ms: Millis, failure: SendFailure) -> NextAction {
         if failure.may_have_run() {
             self.runs += 1;
-        } else {
+        } else if failure != SendFailure::ReplicaLeaving {
             self.not_run_sends += 1;
         }
         if now_ms >= self.policy.give_up_at_ms {
--- a/crates/gate/src/codec.rs
+++ b/crates/gate/src/codec.rs
@@ -49,6 +49,10 @@
     pub is_not_run: bool,
     /// Whether the answer is signed by a replica.
     pub is_signed: bool,
+    /// Whether the sender of the answer announces that it leaves and must get no new requests.
+    pub is_leaving: bool,
+    /// Whether the request was addressed to another incarnation than the sender of the answer.
+    pub is_misdirected: bool,
 }
 
 /// A call of the job API other than a submission.
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -82,6 +82,10 @@
             return Err(SendFailure::Unreachable);
         }
     };
+    if !outbound.lease.is_usable() {
+        pool.put(connection);
+        return Err(SendFailure::ReplicaLeaving);
+    }
     let forward = ForwardMeta {
         replica: &replica.name,
         deadline_left_ms: outbound.deadline_left_ms,
@@ -90,7 +94,7 @@
     let mut writer = RequestWriter::new(request.method.as_str(), &request.target);
     codec.write_forwarded_headers(&mut writer, &request.headers, &forward);
     connection.queue_request(writer.finish(&request.body));
-    let exchange = read_own_head(&mut connection, codec, request);
+    let exchange = read_own_head(&mut connection, codec, outbound);
     let (head, meta) = match pause_tolerant::timeout(limit, exchange).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(error)) => {
@@ -116,11 +120,15 @@
 async fn read_own_head(
     connection: &mut Connection,
     codec: &dyn IngressCodec,
-    request: &ClientRequest,
+    outbound: &OutboundRequest<'_>,
 ) -> Result<(AnswerHead, AnswerMeta), ExchangeError> {
+    let request = outbound.request;
     for _ in 0..MAX_STALE_ANSWERS {
         let head = connection.read_head(&request.method).await?;
         let meta = codec.decode_answer_head(head.status, &head.headers);
+        if meta.is_leaving {
+            outbound.lease.record_leaving(meta.is_misdirected);
+        }
         let is_own = meta.request_id.as_ref().is_none_or(|id| *id == request.id);
         if is_own {
             return Ok((head, meta));
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -279,7 +279,10 @@
         report: &mut RequestReport,
     ) {
         let replica = &lease.replica;
-        if !matches!(failure, SendFailure::TurnedAway | SendFailure::TimedOut) {
+        if !matches!(
+            failure,
+            SendFailure::TurnedAway | SendFailure::ReplicaLeaving | SendFailure::TimedOut
+        ) {
             self.slots.record_failure(&replica.name, failure.as_str());
             self.pool.close_idle(replica.address);
         }
--- a/crates/gate/tests/attempt.rs
+++ b/crates/gate/tests/attempt.rs
@@ -42,6 +42,18 @@
     assert_eq!(refusal(last).1, Ran::No);
 }
 
+#[test]
+fn a_replica_that_leaves_before_the_send_uses_up_no_send() {
+    let mut attempt = Attempt::new(RetryPolicy { max_runs: 1, ..policy() });
+    for now_ms in 0..20 {
+        let next = attempt.record_failure(now_ms, SendFailure::ReplicaLeaving);
+        assert_eq!(next, NextAction::TryAnother);
+    }
+    assert!(!attempt.may_have_run());
+    let late = attempt.record_failure(policy().give_up_at_ms, SendFailure::ReplicaLeaving);
+    assert_eq!(refusal(late), (Reason::NoBackend, Ran::No));
+}
+
 #[test]
 fn a_refusal_after_a_send_never_claims_not_run() {
     let mut attempt = Attempt::new(RetryPolicy { is_repeatable: true, max_runs: 3, ..policy() });
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -215,6 +215,9 @@
         failure: SendFailure,
     ) -> (ItemRunEnd, &'static str) {
         let replica = &lease.replica;
+        if failure == SendFailure::ReplicaLeaving {
+            return (ItemRunEnd::Interrupted, failure.as_str());
+        }
         if failure == SendFailure::Stalled || failure == SendFailure::NoAnswer {
             self.deps.slots.report_suspect(&replica.name);
         }
--- a/crates/slots/src/client.rs
+++ b/crates/slots/src/client.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::rc::Weak;
 
+use catalog::Incarnation;
 use catalog::ReplicaSet;
 use futures::future::LocalBoxFuture;
 use kernel::BootClock;
@@ -76,15 +77,25 @@
     pub(crate) inner: RefCell<Inner>,
 }
 
+/// What a query of a replica's state returned.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ProbeResult {
+    /// The state, if the replica answered in time.
+    pub state: Option<ReplicaState>,
+    /// Whether the head of the answer announced that its sender leaves.
+    pub is_leaving: bool,
+    /// Whether another incarnation than the addressed one answered.
+    pub is_misdirected: bool,
+}
+
 /// Queries the state of a replica.
 pub trait Probe {
-    /// Returns the replica's state if it answered in time; `use_new_connection` avoids idle
-    /// connections, which may be dead.
+    /// Queries a replica's state; `use_new_connection` avoids idle connections, which may be dead.
     fn fetch_state(
         &self,
         replica: &ReplicaRecord,
         use_new_connection: bool,
-    ) -> LocalBoxFuture<'static, Option<ReplicaState>>;
+    ) -> LocalBoxFuture<'static, ProbeResult>;
 }
 
 impl Slots {
@@ -165,6 +176,38 @@
         }
     }
 
+    /// Handles the announcement of an answer that its sender leaves.
+    ///
+    /// A misdirected request was answered by another incarnation at the address of the addressed
+    /// one, which has therefore ended.
+    pub fn record_leaving_answer(&self, addressed: &ReplicaRecord, is_misdirected: bool) {
+        let mut incarnations = vec![Incarnation::from(addressed)];
+        if is_misdirected {
+            let replicas = self.replicas.borrow();
+            let others = replicas.records().filter(|record| {
+                record.address == addressed.address && record.name != addressed.name
+            });
+            incarnations.extend(others.map(Incarnation::from));
+        }
+        for incarnation in incarnations {
+            self.record_leaving(&incarnation);
+        }
+    }
+
+    /// Records that a replica leaves and wakes the requests that may wait for it.
+    fn record_leaving(&self, incarnation: &Incarnation) {
+        let now_ms = self.clock.now_ms();
+        if !self.replicas.borrow_mut().record_leaving(now_ms, incarnation.clone()) {
+            return;
+        }
+        self.counters.count_tagged("replicas_leaving", "said_by", "answer");
+        info!(
+            "event=replica_leaving replica={} address={} started_unix_ms={} said_by=answer",
+            incarnation.name, incarnation.address, incarnation.started_unix_ms
+        );
+        self.inner.borrow().pending.values().for_each(|pending| pending.wake());
+    }
+
     /// Sets the probe that queries the state of replicas.
     pub fn set_probe(&self, probe: Rc<dyn Probe>) {
         *self.probe.borrow_mut() = Some(probe);
@@ -229,8 +272,8 @@
     ) -> Option<ReplicaRecord> {
         let replicas = self.replicas.borrow();
         let mut candidates: Vec<&ReplicaRecord> = replicas
-            .records()
-            .filter(|replica| replica.service == *request.service && !replica.is_draining)
+            .usable_records()
+            .filter(|replica| replica.service == *request.service)
             .filter(|replica| !is_requested(&replica.name))
             .collect();
         let is_untried = |replica: &&ReplicaRecord| !request.excluded.contains(&replica.name);
@@ -277,8 +320,8 @@
         let replicas = self.replicas.borrow();
         let balancer = &self.inner.borrow().balancer;
         replicas
-            .records()
-            .filter(|replica| replica.service == *request.service && !replica.is_draining)
+            .usable_records()
+            .filter(|replica| replica.service == *request.service)
             .filter(|replica| {
                 !is_requested(&replica.name) && !request.excluded.contains(&replica.name)
             })
@@ -288,16 +331,15 @@
             })
     }
 
-    pub(crate) fn is_usable(&self, replica: &ReplicaName) -> bool {
-        self.replicas.borrow().get(replica).is_some_and(|record| !record.is_draining)
+    pub(crate) fn is_usable(&self, replica: &ReplicaRecord) -> bool {
+        self.replicas.borrow().is_usable(replica)
     }
 
     /// Returns whether a service has replicas and none of them may get new requests.
     pub(crate) fn has_only_leaving_replicas(&self, service: &ServiceName) -> bool {
         let replicas = self.replicas.borrow();
-        let mut of_service =
-            replicas.records().filter(|replica| replica.service == *service).peekable();
-        of_service.peek().is_some() && of_service.all(|replica| replica.is_draining)
+        let has_replica = replicas.records().any(|replica| replica.service == *service);
+        has_replica && !replicas.usable_records().any(|replica| replica.service == *service)
     }
 
     pub(crate) fn has_capacity(&self, replica: &ReplicaRecord, class: Class) -> bool {
--- a/crates/slots/src/lease.rs
+++ b/crates/slots/src/lease.rs
@@ -57,6 +57,20 @@
     pub(crate) slots: Rc<Slots>,
 }
 
+impl SlotLease {
+    /// Returns whether the replica is still in use and has not announced that it leaves.
+    pub fn is_usable(&self) -> bool {
+        self.slots.is_usable(&self.replica)
+    }
+
+    /// Records that an answer to a request with this slot announced that its sender leaves.
+    ///
+    /// A misdirected request was answered by another incarnation than the addressed one.
+    pub fn record_leaving(&self, is_misdirected: bool) {
+        self.slots.record_leaving_answer(&self.replica, is_misdirected);
+    }
+}
+
 impl Drop for SlotLease {
     fn drop(&mut self) {
         self.slots.release(&self.replica.name, self.ticket);
--- a/crates/slots/src/owner.rs
+++ b/crates/slots/src/owner.rs
@@ -146,7 +146,11 @@
             if !is_suspect {
                 since_ms = self.clock.now_ms();
             }
-            let state = probe.fetch_state(&record, is_suspect).await;
+            let result = probe.fetch_state(&record, is_suspect).await;
+            if result.is_leaving {
+                self.record_leaving_answer(&record, result.is_misdirected);
+            }
+            let state = result.state;
             let now_ms = self.clock.now_ms();
             let is_timed_out = now_ms >= since_ms + MAX_SUSPECT_MS;
             if let Some(state) = state {
--- a/crates/slots/src/search.rs
+++ b/crates/slots/src/search.rs
@@ -65,6 +65,11 @@
             self.changed.notify_one();
         }
     }
+
+    /// Makes the search check its requests.
+    pub(crate) fn wake(&self) {
+        self.changed.notify_one();
+    }
 }
 
 /// A request of a search to one owner; dropping it releases the slot, or the place in the queue.
@@ -192,12 +197,12 @@
         let _ = timeout(Duration::from_millis(wait_ms), self.changed.notified()).await;
     }
 
-    /// Takes the first granted slot and drops the other requests.
+    /// Takes the first slot granted at a usable replica and drops the other requests.
     pub(crate) fn take_granted(&mut self) -> Option<SlotLease> {
-        let granted = self
-            .requests
-            .iter()
-            .position(|request| request.pending.state.get() == GrantState::Granted)?;
+        let granted = self.requests.iter().position(|request| {
+            request.pending.state.get() == GrantState::Granted
+                && self.slots.is_usable(&request.replica)
+        })?;
         let mut request = self.requests.swap_remove(granted);
         self.requests.clear();
         request.is_leased = true;
@@ -245,7 +250,7 @@
                 refused.push(request.replica.name.clone());
             }
             !matches!(state, GrantState::NotOwner | GrantState::Refused)
-                && slots.is_usable(&request.replica.name)
+                && slots.is_usable(&request.replica)
         });
     }
 
--- a/crates/slots/tests/leaving.rs
+++ b/crates/slots/tests/leaving.rs
@@ -1,4 +1,4 @@
-//! Tests of slots at replicas that leave.
+//! Tests of slots at replicas that have announced that they leave.
 
 use std::cell::RefCell;
 use std::net::IpAddr;
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use catalog::ReplicaSet;
+use futures::future::LocalBoxFuture;
 use kernel::BootClock;
 use kernel::Counters;
 use peers::Membership;
@@ -20,7 +21,11 @@
 use slots::SlotLease;
 use slots::SlotRequest;
 use slots::Slots;
+use slots::client::Probe;
+use slots::client::ProbeResult;
 use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
 use tokio::time::timeout;
 use wire::ReplicaRecord;
 
@@ -28,6 +33,20 @@
 const AT_ONCE: Duration = Duration::from_millis(30);
 const SHORT_WAIT: Duration = Duration::from_millis(300);
 
+/// A probe whose answers announce that the replica leaves and have no readable state.
+struct LeavingProbe;
+
+impl Probe for LeavingProbe {
+    fn fetch_state(
+        &self,
+        _replica: &ReplicaRecord,
+        _use_new_connection: bool,
+    ) -> LocalBoxFuture<'static, ProbeResult> {
+        let result = ProbeResult { is_leaving: true, ..ProbeResult::default() };
+        Box::pin(std::future::ready(result))
+    }
+}
+
 fn replica(name: &str, host: u8) -> ReplicaRecord {
     ReplicaRecord {
         name: name.into(),
@@ -85,6 +104,11 @@
     slots.acquire(&request).await
 }
 
+async fn acquire_now(slots: &Rc<Slots>) -> SlotLease {
+    let lease = timeout(SHORT_WAIT, acquire(slots, Class::Online, false)).await;
+    lease.expect("a slot is free").expect("a slot is free")
+}
+
 fn run(test: impl AsyncFnOnce()) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     LocalSet::new().block_on(&runtime.expect("a runtime starts"), test());
@@ -119,3 +143,74 @@
         }
     });
 }
+
+#[test]
+fn waiting_request_is_refused_as_soon_as_the_last_replica_announces_its_leaving() {
+    run(async || {
+        let slots = start_single_daemon(vec![replica("engine", 1)]).await;
+        let lease = acquire_now(&slots).await;
+        let waiting_slots = slots.clone();
+        let waiting =
+            spawn_local(async move { acquire(&waiting_slots, Class::Online, false).await.err() });
+        sleep(Duration::from_millis(5)).await;
+        lease.record_leaving(false);
+        assert!(!lease.is_usable());
+        let refusal = timeout(AT_ONCE, waiting).await.expect("the request is refused at once");
+        assert_eq!(refusal.expect("the task ends"), Some(NoSlot::NoReplica));
+    });
+}
+
+#[test]
+fn slot_granted_at_a_leaving_replica_is_not_used() {
+    run(async || {
+        let slots = start_single_daemon(vec![replica("a", 1), replica("b", 2)]).await;
+        let (first, second) = (acquire_now(&slots).await, acquire_now(&slots).await);
+        let waiting_slots = slots.clone();
+        let waiting = spawn_local(async move {
+            let lease = acquire(&waiting_slots, Class::Online, false).await.expect("a slot");
+            lease.replica.name.clone()
+        });
+        sleep(Duration::from_millis(5)).await;
+        let remaining = second.replica.name.clone();
+        // The grant of the freed slot and the announcement arrive before the waiting request runs.
+        first.record_leaving(false);
+        drop(first);
+        sleep(AT_ONCE).await;
+        drop(second);
+        assert_eq!(waiting.await.expect("the task ends"), remaining);
+    });
+}
+
+#[test]
+fn item_and_resumed_request_wait_while_all_replicas_leave() {
+    run(async || {
+        let slots = start_single_daemon(vec![replica("engine", 1)]).await;
+        acquire_now(&slots).await.record_leaving(false);
+        for class in [Class::Batch, Class::Online] {
+            assert!(timeout(SHORT_WAIT, acquire(&slots, class, true)).await.is_err());
+        }
+    });
+}
+
+#[test]
+fn announcement_in_a_misdirected_answer_counts_for_all_at_the_address() {
+    run(async || {
+        let records = vec![replica("old", 1), replica("new", 1), replica("other", 2)];
+        let slots = start_single_daemon(records.clone()).await;
+        slots.record_leaving_answer(&records[0], true);
+        let lease = acquire_now(&slots).await;
+        assert_eq!(lease.replica.name.as_str(), "other");
+    });
+}
+
+#[test]
+fn announcement_in_the_answer_to_a_probe_counts() {
+    run(async || {
+        let slots = start_single_daemon(vec![replica("engine", 1)]).await;
+        slots.set_probe(Rc::new(LeavingProbe));
+        let lease = acquire_now(&slots).await;
+        slots.report_suspect(&"engine".into());
+        sleep(Duration::from_millis(5)).await;
+        assert!(!lease.is_usable());
+    });
+}
--- a/crates/slots/tests/probe.rs
+++ b/crates/slots/tests/probe.rs
@@ -21,6 +21,7 @@
 use slots::SlotRequest;
 use slots::Slots;
 use slots::client::Probe;
+use slots::client::ProbeResult;
 use tokio::task::LocalSet;
 use tokio::time::timeout;
 use wire::ReplicaRecord;
@@ -38,9 +39,9 @@
         &self,
         _replica: &ReplicaRecord,
         _use_new_connection: bool,
-    ) -> LocalBoxFuture<'static, Option<ReplicaState>> {
+    ) -> LocalBoxFuture<'static, ProbeResult> {
         let state = self.0.get().map(|running| ReplicaState { running, waiting: 0 });
-        Box::pin(std::future::ready(state))
+        Box::pin(std::future::ready(ProbeResult { state, ..ProbeResult::default() }))
     }
 }
 
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -11,6 +11,7 @@
 
 use crate::connection::Connection;
 use crate::connection::ExchangeError;
+use crate::head::AnswerHead;
 
 /// A connection is not reused this long before its keep-alive time ends: longer than a round trip
 /// and a delayed wake-up of this process together.
@@ -48,6 +49,18 @@
         method: &Method,
         request: Bytes,
         max_bytes: usize,
+    ) -> Result<(StatusCode, Bytes), ExchangeError> {
+        self.call_with_head(peer, method, request, max_bytes, |_| ()).await
+    }
+
+    /// Like [`Self::call`], and passes the head of the answer to `on_head` before it reads the body.
+    pub async fn call_with_head(
+        &self,
+        peer: SocketAddr,
+        method: &Method,
+        request: Bytes,
+        max_bytes: usize,
+        on_head: impl FnOnce(&AnswerHead),
     ) -> Result<(StatusCode, Bytes), ExchangeError> {
         let mut connection = self.get(peer).await?;
         connection.queue_request(request.clone());
@@ -59,6 +72,7 @@
             }
             head => head?,
         };
+        on_head(&head);
         let body = connection.read_whole_body(max_bytes).await?;
         self.put(connection);
         Ok((head.status, body))
