Tell peers which replicas announced their leaving

Each daemon had to hear from a leaving replica itself, so that one that leaves got a last request from every daemon of the fleet.

A peer applies it if it lists that incarnation, and does not pass it on. An owner that is asked for a slot of such a replica answers with the announcement instead of a grant.

--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -93,6 +93,24 @@
     });
 }
 
+#[test]
+fn peers_of_a_daemon_that_heard_the_announcement_send_nothing_more() {
+    run_local("leave-peers", |folder| async move {
+        let fleet = Fleet::start(folder, 3).await;
+        set_leaving(&fleet, &["engine-0"]);
+        stream_until_arrival(&fleet, "engine-0").await;
+        sleep(Duration::from_millis(400)).await;
+        for number in 0..60 {
+            let id = format!("peer-{number}");
+            let answer = Client.stream(fleet.ingress(1 + number % 2), STREAM, &id, 2).await;
+            assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+        }
+        let arrivals = arrivals_at(&fleet, "engine-0");
+        let from_peers = arrivals.iter().filter(|arrival| arrival.id.starts_with("peer-")).count();
+        assert_eq!(from_peers, 0);
+    });
+}
+
 #[test]
 fn items_stop_after_a_replica_announced_its_leaving() {
     run_local("leave-items", |folder| async move {
--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -1,9 +1,11 @@
 //! Heartbeats: sends those that are due, handles received ones and acts on membership changes.
 
+use std::cell::RefCell;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use catalog::Incarnation;
 use catalog::ReplicaView;
 use jobs::JobManager;
 use jobs::message::JobMessage;
@@ -24,6 +26,7 @@
 use wire::DaemonName;
 use wire::Millis;
 
+use crate::leaving_notices::LeavingNotices;
 use crate::platform_state::PlatformState;
 use crate::platform_state::Source;
 
@@ -47,6 +50,8 @@
     pub job_manager: Rc<JobManager>,
     /// The client of the store.
     pub store: Rc<ObjectClient>,
+    /// The announcements of replicas that are sent to peers.
+    pub leaving_notices: RefCell<LeavingNotices>,
 }
 
 impl HeartbeatService {
@@ -57,6 +62,7 @@
         self.register(Topic::Jobs, Self::handle_job_message);
         self.register(Topic::Replicas, Self::handle_replica_view);
         self.register(Topic::Lost, Self::handle_loss_report);
+        self.register(Topic::Leaving, Self::handle_leaving_notices);
     }
 
     fn register(self: &Rc<Self>, topic: Topic, handle: fn(&Self, &Datagram)) {
@@ -84,6 +90,7 @@
             let gone = self.state.replicas.borrow_mut().tick(now_ms);
             self.state.handle_replica_changes(&gone, Source::Hold);
             self.slots.tick();
+            self.send_leaving_notices(now_ms);
             let actions = self.state.membership.borrow_mut().tick(now_ms);
             self.perform(actions);
             if now_ms >= searched_ms + ORPHAN_SEARCH_INTERVAL_MS {
@@ -103,6 +110,30 @@
         }
     }
 
+    /// Sends the new announcements of replicas to all peers.
+    fn send_leaving_notices(&self, now_ms: Millis) {
+        let new = self.slots.take_unshared_leaving();
+        if new.is_empty() {
+            return;
+        }
+        let new = self.leaving_notices.borrow_mut().record(now_ms, new);
+        for peer in self.state.membership.borrow().alive() {
+            self.transport.send(peer.identity.ip, Topic::Leaving, &new);
+        }
+    }
+
+    /// Returns the recent announcements to send with a heartbeat, or `None` if there are none.
+    fn recent_leaving_notices(&self) -> Option<Vec<Incarnation>> {
+        let recent = self.leaving_notices.borrow_mut().recent(self.state.clock.now_ms());
+        (!recent.is_empty()).then_some(recent)
+    }
+
+    fn handle_leaving_notices(&self, datagram: &Datagram) {
+        if let Some(notices) = decode::<Vec<Incarnation>>(Topic::Leaving, &datagram.payload) {
+            self.slots.apply_leaving_report(&notices);
+        }
+    }
+
     fn adopt_orphans(&self) {
         if self.job_manager.is_leaving() {
             return;
@@ -140,6 +171,7 @@
             actions.iter().any(|action| matches!(action, MemberAction::SendHeartbeat(_)));
         let heartbeat = sends_heartbeat.then(|| self.heartbeat());
         let changes = sends_heartbeat.then(|| self.state.recent_replica_changes()).flatten();
+        let leaving = sends_heartbeat.then(|| self.recent_leaving_notices()).flatten();
         if sends_heartbeat {
             self.slots.send_run_lists();
         }
@@ -151,6 +183,9 @@
                     if let Some(changes) = &changes {
                         self.transport.send(ip, Topic::Replicas, changes);
                     }
+                    if let Some(leaving) = &leaving {
+                        self.transport.send(ip, Topic::Leaving, leaving);
+                    }
                     if let Some(heartbeat) = &heartbeat {
                         self.transport.send(ip, Topic::Heartbeat, heartbeat);
                     }
@@ -237,7 +272,11 @@
                         &attachment.payload,
                     );
                 }
-                Topic::Heartbeat | Topic::Members | Topic::Replicas | Topic::Lost => {}
+                Topic::Heartbeat
+                | Topic::Members
+                | Topic::Replicas
+                | Topic::Lost
+                | Topic::Leaving => {}
             }
         }
         let Some(address) = heartbeat.identity.control else { return };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod control;
 pub mod directory;
 pub mod heartbeats;
+pub mod leaving_notices;
 pub mod metrics;
 pub mod node;
 pub mod platform_state;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -232,6 +232,7 @@
         slots,
         job_manager: job_manager.clone(),
         store: store.clone(),
+        leaving_notices: RefCell::default(),
     });
     heartbeats.listen();
     spawn_local(transport.clone().run());
--- a/crates/peers/src/heartbeat.rs
+++ b/crates/peers/src/heartbeat.rs
@@ -23,6 +23,8 @@
     Replicas,
     /// A report that a daemon is lost.
     Lost,
+    /// Replicas that have announced that they leave.
+    Leaving,
 }
 
 /// The envelope of every datagram.
--- a/crates/slots/src/client.rs
+++ b/crates/slots/src/client.rs
@@ -61,6 +61,8 @@
     last_run_at_ms: HashMap<ReplicaName, Millis>,
     unresponsive_until_ms: HashMap<DaemonName, Millis>,
     pub(crate) probing: HashSet<ReplicaName>,
+    /// The incarnations whose answers announced that they leave and of which peers do not know yet.
+    unshared_leaving: Vec<Incarnation>,
     /// The fingerprint of the ownership inputs at the last check.
     pub(crate) ownership_fingerprint: Option<u64>,
 }
@@ -190,22 +192,42 @@
             incarnations.extend(others.map(Incarnation::from));
         }
         for incarnation in incarnations {
-            self.record_leaving(&incarnation);
+            if self.record_leaving(&incarnation, "answer") {
+                self.inner.borrow_mut().unshared_leaving.push(incarnation);
+            }
         }
     }
 
-    /// Records that a replica leaves and wakes the requests that may wait for it.
-    fn record_leaving(&self, incarnation: &Incarnation) {
+    /// Handles the report of a peer that replicas have announced that they leave; those that are
+    /// not in use here are ignored.
+    pub fn apply_leaving_report(&self, report: &[Incarnation]) {
+        for incarnation in report {
+            if self.replicas.borrow().is_listed(incarnation) {
+                self.record_leaving(incarnation, "peer");
+            }
+            self.inner.borrow_mut().unshared_leaving.retain(|unshared| unshared != incarnation);
+        }
+    }
+
+    /// Takes the incarnations whose answers announced since the last call that they leave.
+    pub fn take_unshared_leaving(&self) -> Vec<Incarnation> {
+        std::mem::take(&mut self.inner.borrow_mut().unshared_leaving)
+    }
+
+    /// Records that a replica leaves and wakes the requests that may wait for it; returns whether
+    /// it was not known.
+    fn record_leaving(&self, incarnation: &Incarnation, said_by: &str) -> bool {
         let now_ms = self.clock.now_ms();
         if !self.replicas.borrow_mut().record_leaving(now_ms, incarnation.clone()) {
-            return;
+            return false;
         }
-        self.counters.count_tagged("replicas_leaving", "said_by", "answer");
+        self.counters.count_tagged("replicas_leaving", "said_by", said_by);
         info!(
-            "event=replica_leaving replica={} address={} started_unix_ms={} said_by=answer",
+            "event=replica_leaving replica={} address={} started_unix_ms={} said_by={said_by}",
             incarnation.name, incarnation.address, incarnation.started_unix_ms
         );
         self.inner.borrow().pending.values().for_each(|pending| pending.wake());
+        true
     }
 
     /// Sets the probe that queries the state of replicas.
@@ -331,6 +353,20 @@
             })
     }
 
+    /// Returns the incarnation in use of a replica if it has announced that it leaves.
+    pub(crate) fn leaving_incarnation(&self, replica: &ReplicaName) -> Option<Incarnation> {
+        let replicas = self.replicas.borrow();
+        let record = replicas.get(replica).filter(|record| replicas.is_leaving(record))?;
+        Some(Incarnation::from(record))
+    }
+
+    /// Tells a daemon that a replica leaves.
+    pub(crate) fn send_leaving(&self, to: &DaemonName, incarnation: Incarnation) {
+        if let Some(peer) = self.membership.borrow().peer(to) {
+            self.transport.send(peer.identity.ip, Topic::Leaving, &vec![incarnation]);
+        }
+    }
+
     pub(crate) fn is_usable(&self, replica: &ReplicaRecord) -> bool {
         self.replicas.borrow().is_usable(replica)
     }
--- a/crates/slots/src/owner.rs
+++ b/crates/slots/src/owner.rs
@@ -85,6 +85,11 @@
             | ToOwner::Held { replica, .. }
             | ToOwner::Suspect { replica } => (replica.clone(), None),
         };
+        if let (Some(ticket), Some(incarnation)) = (ticket, self.leaving_incarnation(&replica)) {
+            self.send_leaving(holder, incarnation);
+            self.send_to_holder(holder, &replica, ToHolder::NotOwner { ticket });
+            return;
+        }
         if !self.ensure_table(now_ms, &replica) {
             if let Some(ticket) = ticket {
                 self.send_to_holder(holder, &replica, ToHolder::NotOwner { ticket });
--- a/crates/slots/tests/leaving.rs
+++ b/crates/slots/tests/leaving.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use catalog::Incarnation;
 use catalog::ReplicaSet;
 use futures::future::LocalBoxFuture;
 use kernel::BootClock;
@@ -200,6 +201,24 @@
         slots.record_leaving_answer(&records[0], true);
         let lease = acquire_now(&slots).await;
         assert_eq!(lease.replica.name.as_str(), "other");
+        let shared = slots.take_unshared_leaving();
+        let expected: Vec<Incarnation> = records[..2].iter().map(Incarnation::from).collect();
+        assert_eq!(shared, expected);
+        assert!(slots.take_unshared_leaving().is_empty());
+    });
+}
+
+#[test]
+fn report_of_a_peer_counts_for_the_listed_incarnation_and_is_not_passed_on() {
+    run(async || {
+        let record = replica("engine", 1);
+        let slots = start_single_daemon(vec![record.clone()]).await;
+        let restarted = ReplicaRecord { started_unix_ms: 2, ..record.clone() };
+        slots.apply_leaving_report(&[Incarnation::from(&restarted)]);
+        assert!(acquire_now(&slots).await.is_usable());
+        slots.apply_leaving_report(&[Incarnation::from(&record)]);
+        assert_eq!(acquire(&slots, Class::Online, false).await.err(), Some(NoSlot::NoReplica));
+        assert!(slots.take_unshared_leaving().is_empty());
     });
 }
 
