Let replicas of the soak announce their leaving

The soak knew only replicas that drain by their record. A new fault, drawn from a generator of its own so that earlier seeds keep their other faults, makes a replica announce its leaving in its answers while its record says that it is ready. The check: no daemon passes a request on to it later than 2 s after it passed on an answer that came from there, unless it was stopped, killed or paused in between.

Test changes: crates/soak/tests/plan.rs expects 21 kinds of faults instead of 20.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -25,6 +25,9 @@
 /// How long after the end of a job its items may still start, in milliseconds; the settings'
 /// `cancel_ms`.
 const MAX_CANCEL_DELAY_MS: u64 = 3_000;
+/// How long after the first passed-on announcement a leaving replica may get requests, in
+/// milliseconds; the settings' `drain_ms`.
+const DRAIN_MS: u64 = 2_000;
 /// The number of valid requests that may be denied in every run, and the number of requests of a
 /// run that allows one further denial.
 const ALLOWED_DENIALS: (usize, usize) = (5, 500);
@@ -73,6 +76,7 @@
     check_counts(evidence, &mut found);
     check_unrequested_runs(evidence, &mut found);
     check_drained_replicas(evidence, &mut found);
+    check_leaving_replicas(evidence, &mut found);
     check_routes(evidence, &mut found);
     for (id, job) in &evidence.observation.jobs {
         check_job(evidence, id, job, &mut found);
@@ -222,6 +226,42 @@
     }
 }
 
+/// Checks that no daemon sent a request to a replica later than the drain period after it had
+/// passed on an answer that announced the replica's leaving.
+fn check_leaving_replicas(evidence: &Evidence<'_>, found: &mut Vec<Violation>) {
+    let requests: BTreeMap<&str, &ClientRequest> = evidence
+        .observation
+        .requests
+        .iter()
+        .map(|request| (request.id.as_str(), request))
+        .collect();
+    let mut passed_on_ms: BTreeMap<(&str, usize), u64> = BTreeMap::new();
+    for arrival in &evidence.run_log.leaving_arrivals {
+        let Some(request) = requests.get(arrival.id.as_str()) else { continue };
+        // A request that ran only there got its answer from there.
+        let is_passed_on = matches!(request.outcome, RequestOutcome::Answered { status: 200, .. })
+            && matches!(evidence.run_log.runs_of(&request.id),
+                [run] if run.replica == arrival.replica);
+        if is_passed_on {
+            let known = passed_on_ms.entry((arrival.replica.as_str(), request.daemon));
+            let known_ms = known.or_insert(request.ended_ms);
+            *known_ms = request.ended_ms.min(*known_ms);
+        }
+    }
+    for arrival in &evidence.run_log.leaving_arrivals {
+        let Some(request) = requests.get(arrival.id.as_str()) else { continue };
+        let known = passed_on_ms.get(&(arrival.replica.as_str(), request.daemon)).copied();
+        let Some(known_ms) = known.filter(|ms| request.sent_ms > ms + DRAIN_MS) else { continue };
+        if evidence.timeline.has_run_throughout(request.daemon, known_ms, arrival.at_ms) {
+            let detail = format!(
+                "{} was sent to daemon-{} at {} ms and reached {} at {} ms, known since {known_ms} ms",
+                request.id, request.daemon, request.sent_ms, arrival.replica, arrival.at_ms
+            );
+            add_violation(found, "leaving replicas get nothing", detail);
+        }
+    }
+}
+
 fn check_routes(evidence: &Evidence<'_>, found: &mut Vec<Violation>) {
     let mut known_routes: BTreeMap<(usize, u32), u64> = BTreeMap::new();
     for query in &evidence.observation.route_queries {
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -259,6 +259,11 @@
                 self.deployment.drain_replica(&name);
                 self.add_replica(service_of(&name)).map_err(io::Error::other)
             }
+            Fault::ReplicaLeave { replica } => {
+                let name = self.replica_name(replica);
+                self.deployment.leave_replica(&name);
+                self.add_replica(service_of(&name)).map_err(io::Error::other)
+            }
             Fault::ClockStep { daemon, by_ms } => {
                 self.daemons[daemon].step_clock(by_ms)?;
                 sleep(duration).await;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -29,6 +29,15 @@
 /// Combined with the seed of the run, so that clock steps use other random numbers than the faults.
 const CLOCK_SEED: u64 = 0x636c_6f63_6b73;
 
+/// The maximum number of replicas that announce their leaving in a run, without the extra ones of
+/// larger fleets.
+const MAX_ANNOUNCED_LEAVES: usize = 2;
+/// The number of daemons for which a run may have one more replica that announces its leaving.
+const DAEMONS_PER_EXTRA_LEAVE: usize = 20;
+/// Combined with the seed of the run, so that announced leaves use other random numbers than the
+/// other faults.
+const LEAVE_SEED: u64 = 0x6c65_6176_6573;
+
 /// A fault of the connections through a proxy.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LinkFault {
@@ -126,6 +135,12 @@
         /// Selects one of the running replicas: its index in their list, modulo their number.
         replica: usize,
     },
+    /// A replica announces in its answers that it leaves, while its record says that it is ready, and
+    /// another one is started.
+    ReplicaLeave {
+        /// Selects one of the running replicas: its index in their list, modulo their number.
+        replica: usize,
+    },
     /// The operator adds a route.
     Configure,
     /// A daemon's wall clock steps, and steps back when the fault ends.
@@ -142,14 +157,35 @@
     pub fn is_planned(self) -> bool {
         matches!(
             self,
-            Self::Stop { .. } | Self::Reload { .. } | Self::ReplicaDrain { .. } | Self::Configure
+            Self::Stop { .. }
+                | Self::Reload { .. }
+                | Self::ReplicaDrain { .. }
+                | Self::ReplicaLeave { .. }
+                | Self::Configure
         )
     }
 
-    /// Returns whether clients must not notice the fault: a configuration change, a drain or a clock
-    /// step.
+    /// Returns whether clients must not notice the fault: a configuration change, a replica that
+    /// drains or leaves, or a clock step.
     pub fn is_harmless(self) -> bool {
-        matches!(self, Self::Configure | Self::ReplicaDrain { .. } | Self::ClockStep { .. })
+        matches!(
+            self,
+            Self::Configure
+                | Self::ReplicaDrain { .. }
+                | Self::ReplicaLeave { .. }
+                | Self::ClockStep { .. }
+        )
+    }
+
+    /// Returns whether a daemon is stopped, killed or paused.
+    pub fn interrupts(self, interrupted: usize) -> bool {
+        match self {
+            Self::Kill { daemon } | Self::Stop { daemon } | Self::Pause { daemon } => {
+                daemon == interrupted
+            }
+            Self::KillAll => true,
+            _ => false,
+        }
     }
 
     fn draw(random: &mut StdRng, daemons: usize) -> Self {
@@ -213,6 +249,7 @@
         })
         .collect();
     faults.extend(draw_clock_steps(seed, daemons));
+    faults.extend(draw_announced_leaves(seed, daemons));
     faults.sort_by_key(|planned| planned.start_ms);
     faults
 }
@@ -235,6 +272,20 @@
         .collect()
 }
 
+/// Returns the replicas of a run that announce their leaving; a separate generator keeps the other
+/// faults of earlier seeds.
+fn draw_announced_leaves(seed: u64, daemons: usize) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed ^ LEAVE_SEED);
+    let count = random.gen_range(0..=MAX_ANNOUNCED_LEAVES) + daemons / DAEMONS_PER_EXTRA_LEAVE;
+    (0..count)
+        .map(|_| PlannedFault {
+            start_ms: WARM_UP_MS + random.gen_range(0..FAULT_WINDOW_MS),
+            duration_ms: random.gen_range(MIN_DURATION_MS..MAX_DURATION_MS),
+            fault: Fault::ReplicaLeave { replica: random.gen_range(0..64) },
+        })
+        .collect()
+}
+
 fn draw_link(random: &mut StdRng) -> LinkFault {
     match random.gen_range(0..5) {
         0 => LinkFault::Delay(random.gen_range(5..200)),
--- a/crates/soak/src/timeline.rs
+++ b/crates/soak/src/timeline.rs
@@ -66,6 +66,14 @@
         !self.spans.iter().any(|span| is_unplanned(span.fault) && span.overlaps(from_ms, until_ms))
     }
 
+    /// Returns whether a daemon was neither stopped nor paused in a period.
+    pub fn has_run_throughout(&self, daemon: usize, from_ms: u64, until_ms: u64) -> bool {
+        !self
+            .spans
+            .iter()
+            .any(|span| span.fault.interrupts(daemon) && span.overlaps(from_ms, until_ms))
+    }
+
     /// Returns when the last fault ended, in milliseconds of the run.
     pub fn last_end_ms(&self) -> u64 {
         self.spans.iter().filter_map(|span| span.until_ms).max().unwrap_or(0)
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -5,6 +5,7 @@
 use platform_stub::client::ItemResult;
 use platform_stub::client::expected_text;
 use platform_stub::run_log::LateArrival;
+use platform_stub::run_log::LeavingArrival;
 use platform_stub::run_log::Run;
 use soak::check::Evidence;
 use soak::check::violations;
@@ -166,6 +167,25 @@
     assert_eq!(run.broken_promises(), Vec::<&str>::new());
 }
 
+#[test]
+fn request_at_replica_that_announced_its_leaving_is_reported() {
+    let mut run = TestRun::new();
+    // The answer to the first request is complete at 1,300 ms.
+    for (id, sent_ms) in [("first", 1_000), ("second", 3_300), ("late", 3_301)] {
+        run.add_request(id, RequestKind::Stream, sent_ms, answered(200));
+        run.add_run(id, "a", sent_ms);
+        let arrival =
+            LeavingArrival { replica: "a".to_owned(), id: id.to_owned(), at_ms: sent_ms + 10 };
+        run.run_log.leaving_arrivals.push(arrival);
+        let expected: &[&str] = if id == "late" { &["leaving replicas get nothing"] } else { &[] };
+        assert_eq!(run.broken_promises(), expected);
+    }
+    run.add_fault(Fault::Pause { daemon: 1 }, 2_000, 2_500);
+    assert_eq!(run.broken_promises().len(), 1, "another daemon was paused");
+    run.add_fault(Fault::Pause { daemon: 0 }, 2_000, 2_500);
+    assert_eq!(run.broken_promises(), Vec::<&str>::new());
+}
+
 #[test]
 fn configuration_rollback_or_delay_is_reported() {
     let query = |starts: u32, sent_ms: u64, is_known: bool| RouteQuery {
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -38,5 +38,5 @@
         .flat_map(|seed| draw_faults(seed, 4))
         .map(|planned| kind(planned.fault.to_string()))
         .collect();
-    assert_eq!(kinds.len(), 20, "{kinds:?}");
+    assert_eq!(kinds.len(), 21, "{kinds:?}");
 }
