--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -88,6 +88,10 @@
             return Err(SendFailure::Unreachable);
         }
     };
+    if !outbound.lease.is_usable() {
+        pool.put(connection);
+        return Err(SendFailure::ReplicaLeaving);
+    }
     let forward = ForwardMeta {
         replica: &replica.name,
         deadline_left_ms: outbound.deadline_left_ms,
@@ -100,7 +104,7 @@
         has_same_id: connection.has_carried(request.id.as_str()),
     };
     connection.queue_request_with_id(writer.finish(&request.body), request.id.as_str());
-    let exchange = read_own_head(&mut connection, codec, request, history);
+    let exchange = read_own_head(&mut connection, codec, outbound, history);
     let (head, meta) = match pause_tolerant::timeout(limit, exchange).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(error)) => {
@@ -137,12 +141,16 @@
 async fn read_own_head(
     connection: &mut Connection,
     codec: &dyn IngressCodec,
-    request: &ClientRequest,
+    outbound: &OutboundRequest<'_>,
     history: ConnectionHistory,
 ) -> Result<(AnswerHead, AnswerMeta), ExchangeError> {
+    let request = outbound.request;
     for _ in 0..MAX_STALE_ANSWERS {
         let head = connection.read_head(&request.method).await?;
         let meta = codec.decode_answer_head(head.status, &head.headers);
+        if meta.is_leaving {
+            outbound.lease.record_leaving(meta.is_misdirected);
+        }
         match ownership::of_answer(&meta, &request.id, history) {
             Ownership::Own => return Ok((head, meta)),
             Ownership::Unknown => {
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -140,6 +140,7 @@
             on_time_at_ms: urgency.on_time_at_ms,
             order_at_ms: urgency.order_at_ms,
             give_up_at_ms: self.now_ms() + SLOT_WAIT_MS,
+            waits_for_replica: true,
             excluded: &[],
         };
         self.deps.slots.acquire(&slot_request).await.ok()
@@ -218,6 +219,9 @@
         failure: SendFailure,
     ) -> (ItemRunEnd, &'static str) {
         let replica = &lease.replica;
+        if failure == SendFailure::ReplicaLeaving {
+            return (ItemRunEnd::Interrupted, failure.as_str());
+        }
         if failure == SendFailure::Stalled || failure == SendFailure::NoAnswer {
             self.deps.slots.report_suspect(&replica.name);
         }
--- a/crates/slots/src/client.rs
+++ b/crates/slots/src/client.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::rc::Weak;
 
+use catalog::Incarnation;
 use catalog::ReplicaSet;
 use futures::future::LocalBoxFuture;
 use kernel::BootClock;
@@ -25,6 +26,7 @@
 use wire::ReplicaName;
 use wire::ReplicaRecord;
 use wire::ReplicaState;
+use wire::ServiceName;
 
 use crate::balancer::Balancer;
 use crate::lease::HeldRun;
@@ -59,6 +61,8 @@
     last_run_at_ms: HashMap<ReplicaName, Millis>,
     unresponsive_until_ms: HashMap<DaemonName, Millis>,
     pub(crate) probing: HashSet<ReplicaName>,
+    /// The incarnations whose answers announced that they leave and of which peers do not know yet.
+    unshared_leaving: Vec<Incarnation>,
     /// The fingerprint of the ownership inputs at the last check.
     pub(crate) ownership_fingerprint: Option<u64>,
 }
@@ -75,15 +79,25 @@
     pub(crate) inner: RefCell<Inner>,
 }
 
+/// What a query of a replica's state returned.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ProbeResult {
+    /// The state, if the replica answered in time.
+    pub state: Option<ReplicaState>,
+    /// Whether the head of the answer announced that its sender leaves.
+    pub is_leaving: bool,
+    /// Whether another incarnation than the addressed one answered.
+    pub is_misdirected: bool,
+}
+
 /// Queries the state of a replica.
 pub trait Probe {
-    /// Returns the replica's state if it answered in time; `use_new_connection` avoids idle
-    /// connections, which may be dead.
+    /// Queries a replica's state; `use_new_connection` avoids idle connections, which may be dead.
     fn fetch_state(
         &self,
         replica: &ReplicaRecord,
         use_new_connection: bool,
-    ) -> LocalBoxFuture<'static, Option<ReplicaState>>;
+    ) -> LocalBoxFuture<'static, ProbeResult>;
 }
 
 impl Slots {
@@ -132,6 +146,9 @@
             if search.is_refused() {
                 return Err(NoSlot::Full);
             }
+            if search.has_only_leaving_replicas() {
+                return Err(NoSlot::NoReplica);
+            }
             search.wait(now_ms).await;
             if let Some(lease) = search.take_granted() {
                 return Ok(lease);
@@ -161,6 +178,58 @@
         }
     }
 
+    /// Handles the announcement of an answer that its sender leaves.
+    ///
+    /// A misdirected request was answered by another incarnation at the address of the addressed
+    /// one, which has therefore ended.
+    pub fn record_leaving_answer(&self, addressed: &ReplicaRecord, is_misdirected: bool) {
+        let mut incarnations = vec![Incarnation::from(addressed)];
+        if is_misdirected {
+            let replicas = self.replicas.borrow();
+            let others = replicas.records().filter(|record| {
+                record.address == addressed.address && record.name != addressed.name
+            });
+            incarnations.extend(others.map(Incarnation::from));
+        }
+        for incarnation in incarnations {
+            if self.record_leaving(&incarnation, "answer") {
+                self.inner.borrow_mut().unshared_leaving.push(incarnation);
+            }
+        }
+    }
+
+    /// Handles the report of a peer that replicas have announced that they leave; those that are
+    /// not in use here are ignored.
+    pub fn apply_leaving_report(&self, report: &[Incarnation]) {
+        for incarnation in report {
+            if self.replicas.borrow().is_listed(incarnation) {
+                self.record_leaving(incarnation, "peer");
+            }
+            self.inner.borrow_mut().unshared_leaving.retain(|unshared| unshared != incarnation);
+        }
+    }
+
+    /// Takes the incarnations whose answers announced since the last call that they leave.
+    pub fn take_unshared_leaving(&self) -> Vec<Incarnation> {
+        std::mem::take(&mut self.inner.borrow_mut().unshared_leaving)
+    }
+
+    /// Records that a replica leaves and wakes the requests that may wait for it; returns whether
+    /// it was not known.
+    fn record_leaving(&self, incarnation: &Incarnation, said_by: &str) -> bool {
+        let now_ms = self.clock.now_ms();
+        if !self.replicas.borrow_mut().record_leaving(now_ms, incarnation.clone()) {
+            return false;
+        }
+        self.counters.count_tagged("replicas_leaving", "said_by", said_by);
+        info!(
+            "event=replica_leaving replica={} address={} started_unix_ms={} said_by={said_by}",
+            incarnation.name, incarnation.address, incarnation.started_unix_ms
+        );
+        self.inner.borrow().pending.values().for_each(|pending| pending.wake());
+        true
+    }
+
     /// Sets the probe that queries the state of replicas.
     pub fn set_probe(&self, probe: Rc<dyn Probe>) {
         *self.probe.borrow_mut() = Some(probe);
@@ -225,8 +294,8 @@
     ) -> Option<ReplicaRecord> {
         let replicas = self.replicas.borrow();
         let mut candidates: Vec<&ReplicaRecord> = replicas
-            .records()
-            .filter(|replica| replica.service == *request.service && !replica.is_draining)
+            .usable_records()
+            .filter(|replica| replica.service == *request.service)
             .filter(|replica| !is_requested(&replica.name))
             .collect();
         let is_untried = |replica: &&ReplicaRecord| !request.excluded.contains(&replica.name);
@@ -273,8 +342,8 @@
         let replicas = self.replicas.borrow();
         let balancer = &self.inner.borrow().balancer;
         replicas
-            .records()
-            .filter(|replica| replica.service == *request.service && !replica.is_draining)
+            .usable_records()
+            .filter(|replica| replica.service == *request.service)
             .filter(|replica| {
                 !is_requested(&replica.name) && !request.excluded.contains(&replica.name)
             })
@@ -284,8 +353,29 @@
             })
     }
 
-    pub(crate) fn is_usable(&self, replica: &ReplicaName) -> bool {
-        self.replicas.borrow().get(replica).is_some_and(|record| !record.is_draining)
+    /// Returns the incarnation in use of a replica if it has announced that it leaves.
+    pub(crate) fn leaving_incarnation(&self, replica: &ReplicaName) -> Option<Incarnation> {
+        let replicas = self.replicas.borrow();
+        let record = replicas.get(replica).filter(|record| replicas.is_leaving(record))?;
+        Some(Incarnation::from(record))
+    }
+
+    /// Tells a daemon that a replica leaves.
+    pub(crate) fn send_leaving(&self, to: &DaemonName, incarnation: Incarnation) {
+        if let Some(peer) = self.membership.borrow().peer(to) {
+            self.transport.send(peer.identity.ip, Topic::Leaving, &vec![incarnation]);
+        }
+    }
+
+    pub(crate) fn is_usable(&self, replica: &ReplicaRecord) -> bool {
+        self.replicas.borrow().is_usable(replica)
+    }
+
+    /// Returns whether a service has replicas and none of them may get new requests.
+    pub(crate) fn has_only_leaving_replicas(&self, service: &ServiceName) -> bool {
+        let replicas = self.replicas.borrow();
+        let has_replica = replicas.records().any(|replica| replica.service == *service);
+        has_replica && !replicas.usable_records().any(|replica| replica.service == *service)
     }
 
     pub(crate) fn has_capacity(&self, replica: &ReplicaRecord, class: Class) -> bool {
--- a/crates/slots/src/owner.rs
+++ b/crates/slots/src/owner.rs
@@ -85,6 +85,11 @@
             | ToOwner::Held { replica, .. }
             | ToOwner::Suspect { replica } => (replica.clone(), None),
         };
+        if let (Some(ticket), Some(incarnation)) = (ticket, self.leaving_incarnation(&replica)) {
+            self.send_leaving(holder, incarnation);
+            self.send_to_holder(holder, &replica, ToHolder::NotOwner { ticket });
+            return;
+        }
         if !self.ensure_table(now_ms, &replica) {
             if let Some(ticket) = ticket {
                 self.send_to_holder(holder, &replica, ToHolder::NotOwner { ticket });
@@ -146,7 +151,11 @@
             if !is_suspect {
                 since_ms = self.clock.now_ms();
             }
-            let state = probe.fetch_state(&record, is_suspect).await;
+            let result = probe.fetch_state(&record, is_suspect).await;
+            if result.is_leaving {
+                self.record_leaving_answer(&record, result.is_misdirected);
+            }
+            let state = result.state;
             let now_ms = self.clock.now_ms();
             let is_timed_out = now_ms >= since_ms + MAX_SUSPECT_MS;
             if let Some(state) = state {
--- a/crates/slots/src/search.rs
+++ b/crates/slots/src/search.rs
@@ -65,6 +65,11 @@
             self.changed.notify_one();
         }
     }
+
+    /// Makes the search check its requests.
+    pub(crate) fn wake(&self) {
+        self.changed.notify_one();
+    }
 }
 
 /// A request of a search to one owner; dropping it releases the slot, or the place in the queue.
@@ -120,6 +125,13 @@
         self.requests.is_empty() && self.refused.len() >= self.max_queues()
     }
 
+    /// Returns whether the request is to be refused because all replicas of its service leave.
+    pub(crate) fn has_only_leaving_replicas(&self) -> bool {
+        self.requests.is_empty()
+            && !self.slot_request.waits_for_replica
+            && self.slots.has_only_leaving_replicas(self.slot_request.service)
+    }
+
     /// Returns why no slot was acquired.
     pub(crate) fn no_slot(&self) -> NoSlot {
         if self.has_found_replica { NoSlot::Full } else { NoSlot::NoReplica }
@@ -185,12 +197,12 @@
         let _ = timeout(Duration::from_millis(wait_ms), self.changed.notified()).await;
     }
 
-    /// Takes the first granted slot and drops the other requests.
+    /// Takes the first slot granted at a usable replica and drops the other requests.
     pub(crate) fn take_granted(&mut self) -> Option<SlotLease> {
-        let granted = self
-            .requests
-            .iter()
-            .position(|request| request.pending.state.get() == GrantState::Granted)?;
+        let granted = self.requests.iter().position(|request| {
+            request.pending.state.get() == GrantState::Granted
+                && self.slots.is_usable(&request.replica)
+        })?;
         let mut request = self.requests.swap_remove(granted);
         self.requests.clear();
         request.is_leased = true;
@@ -238,7 +250,7 @@
                 refused.push(request.replica.name.clone());
             }
             !matches!(state, GrantState::NotOwner | GrantState::Refused)
-                && slots.is_usable(&request.replica.name)
+                && slots.is_usable(&request.replica)
         });
     }
 
