--- a/crates/upstream/tests/properties.rs
+++ b/crates/upstream/tests/properties.rs
@@ -89,7 +89,7 @@
 /// Generates bytes that resemble a stream of events.
 fn event_bytes() -> impl Strategy<Value = Vec<u8>> {
     let long = (MAX_EVENT_BYTES - 20..MAX_EVENT_BYTES + 20)
-        .prop_map(|length| [b"data: ".repeat(1), vec![b'x'; length]].concat());
+        .prop_map(|length| [b"data: ".to_vec(), vec![b'x'; length]].concat());
     let piece = prop_oneof![
         200 => prop::sample::select(vec![
             "id: 1\n", "id: 2\r\n", "data: a\n", "data:b\r\n", "data: c", "\n", "\r\n", "\r",
