Read a job's record again when another claim of the same daemon won

Callers could see fewer results than they had read, for good, and then other ones at the same positions: a daemon that adopts a job twice at once (a client's read beside the search for orphans) took the revision of the later claim for its own earlier one, with the results it had read before a late write of the lost home. Its next write passed the condition and replaced the newer list.

The test fails on the code before ('a result is forgotten', 0 of 1): the first claim takes effect and its answer is lost, another status of the same home with one result follows, the retry conflicts. A claim now counts as its own only if the record holds exactly the claimed status; else the job is read from the record that was found.

--- a/crates/jobs/src/adoption.rs
+++ b/crates/jobs/src/adoption.rs
@@ -175,10 +175,15 @@
         match self.deps.store.call_with_retries(CallClass::Claim, &call, store_timeout).await? {
             Reply::Object(object) => job.revision = object.revision,
             Reply::Conflict(Some(object)) => {
-                let winner = JobStatus::decode(&object.status).ok().map(|status| status.home);
-                match winner {
+                let found = JobStatus::decode(&object.status).ok();
+                let is_own_claim = found.as_ref() == Some(&claimed);
+                match found.map(|status| status.home) {
                     // An earlier attempt took effect, but its answer was lost.
-                    Some(home) if home == self.own_home => job.revision = object.revision,
+                    Some(_) if is_own_claim => job.revision = object.revision,
+                    // Another claim of this daemon took effect, on a record with more results.
+                    Some(home) if home == self.own_home => {
+                        job = self.read_job(id, &object, store_timeout).await?.job;
+                    }
                     // The winner may have written more results than were read here before.
                     Some(home) => {
                         self.note_home(id, &home);
--- a/crates/jobs/tests/handover.rs
+++ b/crates/jobs/tests/handover.rs
@@ -27,10 +27,13 @@
 use jobs::item::Item;
 use jobs::item::ItemResult;
 use jobs::item::Submission;
+use jobs::job::ItemRunEnd;
 use jobs::job::Job;
+use jobs::job::JobLimits;
 use jobs::manager::Dependencies;
 use jobs::manager::JobLocation;
 use jobs::manager::JobManager;
+use jobs::progress::Progress;
 use jobs::record;
 use jobs::record::Home;
 use jobs::record::JobRecord;
@@ -283,3 +286,27 @@
     };
     LocalSet::new().run_until(run).await;
 }
+
+#[tokio::test]
+async fn adopted_job_keeps_results_written_before_another_claim_of_its_home() {
+    let run = async {
+        let id = JobId::from("j");
+        let (mut job, store) = recorded_job(&id, home("successor"));
+        store.answers_to_lose.set(1);
+        let manager = manager("successor", store.clone(), &[]).await;
+        let write = async {
+            // The first claim has taken effect and waits to ask again for the answer.
+            tokio::time::sleep(Duration::from_millis(15)).await;
+            let limits = JobLimits { due_ms: 1, retention_ms: 1, max_attempts: 1 };
+            let next = job.start_next(0).expect("an item is ready");
+            job.end_run(0, next.index, ItemRunEnd::Completed, Progress::default(), &limits);
+            let status = job.status(&home("successor"), 1 << 20);
+            store.object.borrow_mut().revision += 1;
+            store.object.borrow_mut().status = record::to_json(&status).expect("a status");
+        };
+        let (loaded, ()) = tokio::join!(manager.load(&id, TIME_LIMIT), write);
+        let Ok(LoadedJob::Local(handle)) = loaded else { panic!("the job is not adopted") };
+        assert_eq!(handle.job.borrow().written_results().len(), 1, "a result is forgotten");
+    };
+    LocalSet::new().run_until(run).await;
+}
