--- a/crates/upstream/tests/answers.rs
+++ b/crates/upstream/tests/answers.rs
@@ -225,3 +225,12 @@
     let pushed: Result<(), _> = (0..64).try_for_each(|_| splitter.push(&part));
     assert!(pushed.is_err(), "an event of 4 MiB without an end was accepted");
 }
+
+#[test]
+fn many_events_in_one_part_are_not_one_event_over_the_limit() {
+    let mut splitter = EventSplitter::default();
+    let part = b"id: 1\ndata: a\n\n".repeat(100_000);
+    splitter.push(&part).expect("each event is within the limit");
+    assert_eq!(std::iter::from_fn(|| splitter.next_event()).count(), 100_000);
+    assert!(!splitter.has_partial());
+}
