Keep binary answers of keyed calls unchanged

A caller that sent a keyed call to a plain service again got other bytes than the first time if the answer was not UTF-8: each invalid byte came back as the replacement character.

run_claimed stored the answer as a lossy String, because the record of a claim holds its answer as JSON text. The record now has a second field, answer_base64, for answers that are not UTF-8; all others are stored as before. A daemon of the older build skips the new field and answers that the outcome is unknown, which is true and repeatable; records of older daemons are read as before. The base64 crate was a dependency of the workspace already.

resend_of_keyed_call_gets_a_binary_answer_unchanged failed before (left: b"done:\xff\0\xfe read \x80", right: the same with b"\xef\xbf\xbd") and passes now.

--- a/crates/api/src/claims.rs
+++ b/crates/api/src/claims.rs
@@ -6,6 +6,9 @@
 
 use std::sync::Arc;
 
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 use store::CallClass;
@@ -31,6 +34,36 @@
 struct ClaimRecord {
     request_digest: String,
     answer: Option<String>,
+    /// The answer in Base64 if it is not UTF-8.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    answer_base64: Option<String>,
+}
+
+impl ClaimRecord {
+    fn new(body: &[u8]) -> Self {
+        Self { request_digest: sha256_hex(body), answer: None, answer_base64: None }
+    }
+
+    fn set_answer(&mut self, answer: &[u8]) {
+        match std::str::from_utf8(answer) {
+            Ok(text) => self.answer = Some(text.to_owned()),
+            Err(_) => self.answer_base64 = Some(BASE64_STANDARD.encode(answer)),
+        }
+    }
+
+    /// Returns the answer, or `None` if none is stored or it cannot be decoded.
+    fn into_answer(self) -> Option<Bytes> {
+        if let Some(text) = self.answer {
+            return Some(Bytes::from(text));
+        }
+        match BASE64_STANDARD.decode(self.answer_base64?) {
+            Ok(answer) => Some(Bytes::from(answer)),
+            Err(error) => {
+                log::warn!("event=answer_malformed error=\"{error}\"");
+                None
+            }
+        }
+    }
 }
 
 /// Claims idempotency keys in the store.
@@ -43,7 +76,7 @@
     /// The key was free; only the holder of this claim may run the request.
     Run(Claim),
     /// The request ran before and gave this answer.
-    Answered(String),
+    Answered(Bytes),
 }
 
 /// Exclusive right to run the request with a key.
@@ -72,7 +105,7 @@
             return Err(Refusal::not_run(Reason::BadRequest, message));
         }
         let object_key = format!("claims/{org}/{}", sha256_hex(key.as_bytes()));
-        let record = ClaimRecord { request_digest: sha256_hex(body), answer: None };
+        let record = ClaimRecord::new(body);
         let put =
             self.store.put_json(CallClass::Claim, &object_key, &record, Version::ABSENT).await;
         match put.map_err(store_unavailable)? {
@@ -97,7 +130,7 @@
             let message = "the Idempotency-Key was used before with another body";
             return Err(Refusal::not_run(Reason::KeyReused, message));
         }
-        match existing.value.answer {
+        match existing.value.into_answer() {
             Some(answer) => Ok(ClaimOutcome::Answered(answer)),
             None => {
                 Err(outcome_unknown("the first request with this key runs, or its answer is lost"))
@@ -109,11 +142,11 @@
 impl Claim {
     /// Stores the answer for resends. Answers over the size limit are not stored; a resend is then
     /// told that the outcome is unknown.
-    pub async fn store_answer(mut self, answer: String) {
+    pub async fn store_answer(mut self, answer: &[u8]) {
         if answer.len() > MAX_STORED_ANSWER_BYTES {
             return;
         }
-        self.record.answer = Some(answer);
+        self.record.set_answer(answer);
         let put =
             self.store.put_json(CallClass::Claim, &self.key, &self.record, self.version).await;
         if let Err(error) = put {
--- a/crates/api/src/completions.rs
+++ b/crates/api/src/completions.rs
@@ -98,7 +98,8 @@
                 ClaimOutcome::Run(claim) => Some(claim),
                 ClaimOutcome::Answered(answer) => {
                     self.counters.count("answers_replayed");
-                    return Ok(replay_answer(&builder, &answer, body.stream));
+                    let text = String::from_utf8_lossy(&answer);
+                    return Ok(replay_answer(&builder, &text, body.stream));
                 }
             },
         };
@@ -205,7 +206,7 @@
     };
     let (result, whole) = tokio::join!(generate, forward);
     match &result {
-        Ok(()) => claim.store_answer(whole).await,
+        Ok(()) => claim.store_answer(whole.as_bytes()).await,
         Err(refusal) if refusal.ran == Ran::No => claim.release().await,
         Err(_) => {}
     }
--- a/crates/api/src/service_calls.rs
+++ b/crates/api/src/service_calls.rs
@@ -81,7 +81,7 @@
         match self.claims.claim(&caller.org.name, &scoped_key, request.body()).await? {
             ClaimOutcome::Answered(answer) => {
                 self.counters.count("answers_replayed");
-                Ok(bytes_response(200, ANSWER_CONTENT_TYPE, Bytes::from(answer)))
+                Ok(bytes_response(200, ANSWER_CONTENT_TYPE, answer))
             }
             ClaimOutcome::Run(claim) => self.run_claimed(online_call, claim, permit).await,
         }
@@ -100,11 +100,7 @@
             let _permit = permit;
             let result = online.call(&call).await;
             match &result {
-                Ok(body) => {
-                    // Stored as text: bytes that are not UTF-8 are replaced in the answer to a
-                    // resend.
-                    claim.store_answer(String::from_utf8_lossy(body).into_owned()).await;
-                }
+                Ok(body) => claim.store_answer(body).await,
                 Err(refusal) if refusal.ran == Ran::No => claim.release().await,
                 Err(_) => {}
             }
--- a/crates/bench/tests/callers.rs
+++ b/crates/bench/tests/callers.rs
@@ -24,6 +24,7 @@
 use kernel::settings::TlsFiles;
 use kernel::tls;
 use serde_json::json;
+use stub::Fault;
 use wire::Ran;
 use wire::Reason;
 use wire::Refusal;
@@ -113,6 +114,45 @@
     cluster.shut_down();
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn resend_of_keyed_call_gets_a_binary_answer_unchanged() {
+    let cluster = start_cluster().await;
+    let client = cluster.client(TOKEN);
+    let url = cluster.caller_url(0);
+    let body = Bytes::from_static(b"\xff\x00\xfe read \x80");
+    let call = || {
+        Call::post("/v1/services/meter/dispute", body.clone()).header("idempotency-key", "binary")
+    };
+    let first = client.call_at(&url, &call()).await.expect("the call is answered");
+    let again = client.call_at(&url, &call()).await.expect("the resend is answered");
+    assert_eq!(first.body(), again.body());
+    assert_eq!(cluster.stubs.services["meter-1"].run_count(&body), 1);
+    cluster.shut_down();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_lost_calls_of_an_idempotent_service_eject_no_replica() {
+    let replica = "  - {name: meter-1, runs: meter, data_centre: a}\n";
+    let second = replica.replace("meter-1", "meter-2");
+    let bundle = BUNDLE.replace(replica, &format!("{replica}{second}"));
+    let cluster = TestCluster::start_with_bundle(ClusterConfig::new(1, &bundle)).await;
+    let cluster = cluster.expect("the cluster starts");
+    let client = cluster.client(TOKEN);
+    let url = cluster.caller_url(0);
+    let meter = &cluster.stubs.services["meter-1"];
+    meter.set_fault(&Fault::DropAnswers { count: 2 });
+    let call = || Call::post("/v1/services/meter/read", "lost");
+    while meter.run_count(b"lost") < 2 {
+        // Whether a lost call is retried depends on the retry budget.
+        let _ = client.call_at(&url, &call()).await;
+    }
+    for _ in 0..20 {
+        client.call_at(&url, &call()).await.expect("the call is answered");
+    }
+    assert!(meter.run_count(b"lost") > 2, "the replica gets further calls");
+    cluster.shut_down();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn operators_need_their_token_and_enough_signatures() {
     let cluster = start_cluster().await;
