Count a lost call of an idempotent service once towards ejection

A replica of a plain service was ejected after two lost calls of an idempotent call instead of three: callers had one replica fewer for a second or more.

OnlineDispatcher::call recorded the failure where the error was matched and once more before the retry. It now records it there only for a call that is not retried.

two_lost_calls_of_an_idempotent_service_eject_no_replica failed before ("the replica gets further calls") and passes now.

--- a/crates/engine/src/online.rs
+++ b/crates/engine/src/online.rs
@@ -200,8 +200,8 @@
                     return Err(with_ran(refusal, ran));
                 }
                 Err(error) => {
-                    lock(&self.router).on_failure(now_ms, &replica);
                     if !call.idempotent {
+                        lock(&self.router).on_failure(self.services.clock.now_ms(), &replica);
                         let message = format!("the call may have run: {error}");
                         return Err(Refusal::may_have_run(Reason::BackendLost, message));
                     }
