Name what cannot start instead of a file or an address

A daemon whose async runtime or signal handlers could not be set up ended with "cannot read 'the runtime'", the soak reported a missing daemon program as "cannot listen on /path/crocusd", and bench path called every failure of its measurement a file that cannot be read.

KernelError had no variant for it. It now has Start, "cannot start WHAT: CAUSE", which node, crocusd, crocus-stub, the test cluster and the soak use; bench path reports its errors as Measurement, with the program that could not be started. The exit codes stay.

--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -227,7 +227,10 @@
             .worker_threads(self.config.worker_threads)
             .enable_all()
             .build()
-            .map_err(|source| KernelError::File { path: "the runtime".to_owned(), source })?;
+            .map_err(|source| KernelError::Start {
+                what: "the async runtime".to_owned(),
+                source,
+            })?;
         let runtime = DaemonRuntime(Some(runtime));
         let started = runtime.run(daemon::start(settings)).await;
         let started = started.unwrap_or_else(|| {
--- a/crates/bench/src/path_cost.rs
+++ b/crates/bench/src/path_cost.rs
@@ -59,9 +59,7 @@
 
 /// Measures one daemon in front of replica stubs.
 pub async fn run(args: &PathArgs) -> Result<PathCost, CliError> {
-    let to_cli_error =
-        |error: io::Error| CliError::File { path: "the daemon".to_owned(), source: error };
-    LocalSet::new().run_until(measure(args)).await.map_err(to_cli_error)
+    LocalSet::new().run_until(measure(args)).await.map_err(CliError::Measurement)
 }
 
 async fn measure(args: &PathArgs) -> io::Result<PathCost> {
@@ -85,7 +83,11 @@
         status_s: 120,
         is_first_start: true,
     };
-    let mut daemon = DaemonProcess::start(&binary(args)?, settings, &folder)?;
+    let program = binary(args)?;
+    let mut daemon = DaemonProcess::start(&program, settings, &folder).map_err(|error| {
+        let text = format!("cannot start '{}': {error}", program.display());
+        io::Error::new(error.kind(), text)
+    })?;
     if !daemon.wait_until_ready(START_TIMEOUT).await {
         return Err(io::Error::other("the daemon did not become ready"));
     }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -25,6 +25,8 @@
         /// Error from the operating system.
         source: io::Error,
     },
+    /// A measurement could not be made.
+    Measurement(io::Error),
     /// An option is missing or invalid.
     Usage(String),
     /// A bundle is invalid; lists every problem.
@@ -74,7 +76,7 @@
             | Self::InvalidBundle(_)
             | Self::ItemsNotDone(_)
             | Self::NotInLogs(_) => ExitCode::from(1),
-            Self::Usage(_) | Self::File { .. } => ExitCode::from(2),
+            Self::Usage(_) | Self::File { .. } | Self::Measurement(_) => ExitCode::from(2),
             Self::OutcomeUnknown(_) | Self::InvalidAnswer(_) => ExitCode::from(3),
             Self::Unreachable(_) => ExitCode::from(4),
         }
@@ -99,6 +101,7 @@
             }
             Self::InvalidAnswer(message) => write!(f, "cannot decode the answer: {message}"),
             Self::File { path, source } => write!(f, "cannot read or write '{path}': {source}"),
+            Self::Measurement(source) => write!(f, "cannot measure: {source}"),
             Self::Usage(message) => f.write_str(message),
             Self::InvalidBundle(problems) => {
                 write!(f, "the bundle has {} problems:", problems.len())?;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -69,12 +69,13 @@
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
-        .map_err(|source| KernelError::File { path: "the runtime".to_owned(), source })?;
+        .map_err(|source| KernelError::Start { what: "the async runtime".to_owned(), source })?;
     runtime.block_on(serve(settings))
 }
 
 async fn serve(settings: Settings) -> Result<(), KernelError> {
-    let signal_error = |source| KernelError::File { path: "signals".to_owned(), source };
+    let signal_error =
+        |source| KernelError::Start { what: "the signal handlers".to_owned(), source };
     let mut terminate = signal(SignalKind::terminate()).map_err(signal_error)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(signal_error)?;
     let daemon = daemon::start(settings).await?;
--- a/crates/kernel/src/error.rs
+++ b/crates/kernel/src/error.rs
@@ -22,6 +22,13 @@
         /// The error.
         message: String,
     },
+    /// A part of the process, or another process, could not be started.
+    Start {
+        /// What could not be started.
+        what: String,
+        /// The error of the operating system.
+        source: io::Error,
+    },
     /// An address could not be bound.
     Bind {
         /// The address.
@@ -62,6 +69,7 @@
             Self::Settings { origin, field, message } => {
                 write!(f, "settings '{origin}', field '{field}': {message}")
             }
+            Self::Start { what, source } => write!(f, "cannot start {what}: {source}"),
             Self::Bind { address, source } => write!(f, "cannot listen on {address}: {source}"),
             Self::Tls { path, message } => write!(f, "TLS file '{path}': {message}"),
             Self::MissingService { service } => {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -84,7 +84,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
-        .map_err(|source| KernelError::File { path: "the runtime".to_owned(), source })?;
+        .map_err(|source| KernelError::Start { what: "the async runtime".to_owned(), source })?;
     LocalSet::new().block_on(&runtime, serve(settings))
 }
 
@@ -98,7 +98,7 @@
 }
 
 async fn serve(settings: NodeSettings) -> Result<(), KernelError> {
-    let signals = |source| KernelError::File { path: "signals".to_owned(), source };
+    let signals = |source| KernelError::Start { what: "the signal handlers".to_owned(), source };
     let terminate = signal(SignalKind::terminate()).map_err(signals)?;
     let hangup = signal(SignalKind::hangup()).map_err(signals)?;
     info!(
@@ -110,7 +110,7 @@
         settings.roles.storage
     );
     let counters = Counters::new(None)
-        .map_err(|source| KernelError::Bind { address: "metrics".to_owned(), source })?;
+        .map_err(|source| KernelError::Start { what: "the counters".to_owned(), source })?;
     let store = Rc::new(ObjectClient::new(
         Rc::new(platform::objects::PlatformObjectCodec),
         settings.store.address,
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -96,7 +96,7 @@
                 is_first_start: true,
             };
             let process = DaemonProcess::start(binary, settings, folder).map_err(|source| {
-                KernelError::Bind { address: binary.display().to_string(), source }
+                KernelError::Start { what: format!("'{}'", binary.display()), source }
             })?;
             daemons.push(Daemon {
                 process: RefCell::new(process),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -93,7 +93,9 @@
 /// Runs one seed to its end on the current thread; removes the logs unless a promise was broken.
 pub fn run(config: &RunConfig, interrupted: &CancellationToken) -> Result<RunReport, RunError> {
     std::fs::create_dir_all(&config.folder).map_err(RunError::File)?;
-    let runtime = Builder::new_current_thread().enable_all().build().map_err(RunError::File)?;
+    let runtime = Builder::new_current_thread().enable_all().build().map_err(|source| {
+        RunError::Start(KernelError::Start { what: "the async runtime".to_owned(), source })
+    })?;
     let report = LocalSet::new().block_on(&runtime, async {
         tokio::select! {
             report = run_fleet(config) => report,
--- a/crates/stub/src/main.rs
+++ b/crates/stub/src/main.rs
@@ -36,7 +36,7 @@
 fn run(options: &Options) -> Result<(), KernelError> {
     let settings = StubSettings::load(&options.settings)?;
     let runtime = tokio::runtime::Runtime::new()
-        .map_err(|source| KernelError::File { path: "the async runtime".to_owned(), source })?;
+        .map_err(|source| KernelError::Start { what: "the async runtime".to_owned(), source })?;
     runtime.block_on(async {
         let stubs = Stubs::start(&settings)?;
         log::info!("event=serving engines={}", stubs.engines.len());
