--- a/crates/daemon/tests/odd_records.rs
+++ b/crates/daemon/tests/odd_records.rs
@@ -25,7 +25,7 @@
 /// A depth of nesting at which a recursive parser overflows its stack.
 const DEEP: usize = 100_000;
 
-/// Returns odd entries, the first of which are those of a known name.
+/// Returns odd entries; the names in them, where there are any, start with "odd".
 fn odd_entries() -> Vec<Vec<u8>> {
     let nested = format!("{}{}", "[".repeat(DEEP), "]".repeat(DEEP));
     let record = |slots: &str, address: &str, more: &str| {
@@ -65,7 +65,7 @@
     entries
 }
 
-/// Writes the odd entries under names that stand before, between and after those of the replicas.
+/// Writes the odd entries under names that stand between those of the replicas.
 fn write_odd_entries(fleet: &Fleet) -> Vec<String> {
     let entries = odd_entries();
     let names: Vec<String> = (0..entries.len()).map(|number| format!("odd-{number:02}")).collect();
