Decide which prompt parts are quarantined in a pure crate

The core takes crashes and sound answers, exchanges bounded views without a shared clock and decides which parts are quarantined, when one trial is let through and when a part is forgotten.

--- /dev/null
+++ b/crates/quarantine/src/record.rs
@@ -0,0 +1,188 @@
+//! The evidence about one prompt part.
+
+use wire::Millis;
+
+use crate::part::PromptPart;
+use crate::part::ReplicaIncarnation;
+use crate::view::CrashView;
+use crate::view::PartView;
+
+/// The most crashes that are remembered for a part.
+const MAX_CRASHES: usize = 6;
+/// How long after a sound answer crashes do not count: a part that was just answered did not cause
+/// them, and replicas that crash at the same moment would otherwise count as evidence against
+/// every part in use.
+const SOUND_PROTECTION_MS: i64 = 2_000;
+/// The time that is added to the age of a relayed request, so that the age does not shrink when
+/// daemons exchange it repeatedly; more than a datagram usually takes.
+const RELAY_ALLOWANCE_MS: i64 = 500;
+/// How long a part is remembered after the last request with it.
+const FORGET_AFTER_MS: i64 = 600_000;
+/// How long a part without crashes is remembered, for peers that still count some.
+const CLEARED_PERIOD_MS: i64 = 5_000;
+/// The time after the last crash or trial until a request is let through as a trial.
+const TRIAL_AFTER_MS: i64 = 60_000;
+/// The most trials of a part.
+const MAX_TRIALS: u8 = 2;
+
+/// A crash of a replica that lost a request with the part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Crash {
+    pub(crate) incarnation: ReplicaIncarnation,
+    pub(crate) at_ms: i64,
+}
+
+/// The evidence about one part. Times are on the daemon's clock and may be before its start.
+#[derive(Clone, Debug)]
+pub(crate) struct PartRecord {
+    pub(crate) crashes: Vec<Crash>,
+    pub(crate) is_quarantined: bool,
+    /// When this daemon itself last changed the evidence.
+    pub(crate) changed_ms: Option<i64>,
+    sound_ms: Option<i64>,
+    requested_ms: i64,
+    updated_ms: i64,
+    trials: u8,
+    trial_ms: i64,
+}
+
+impl PartRecord {
+    pub(crate) fn new(now_ms: i64, sound_ms: Option<i64>) -> Self {
+        Self {
+            crashes: Vec::new(),
+            is_quarantined: false,
+            changed_ms: None,
+            sound_ms,
+            requested_ms: i64::MIN / 2,
+            updated_ms: now_ms,
+            trials: 0,
+            trial_ms: i64::MIN / 2,
+        }
+    }
+
+    /// Returns the time of the last sound answer, the earliest possible one if there was none.
+    pub(crate) fn sound_ms(&self) -> i64 {
+        self.sound_ms.unwrap_or(i64::MIN)
+    }
+
+    /// Adds a crash unless a sound answer speaks against it; returns whether it was added.
+    pub(crate) fn add_crash(&mut self, now_ms: i64, crash: Crash) -> bool {
+        self.updated_ms = now_ms;
+        if is_protected(self.sound_ms, crash.at_ms) {
+            return false;
+        }
+        let known = self.crashes.iter_mut().find(|known| known.incarnation == crash.incarnation);
+        if let Some(known) = known {
+            known.at_ms = known.at_ms.min(crash.at_ms);
+            return false;
+        }
+        self.crashes.push(crash);
+        self.crashes.sort_by_key(|crash| crash.at_ms);
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.remove(0);
+        }
+        true
+    }
+
+    /// Applies a sound answer; returns whether crashes no longer count because of it.
+    pub(crate) fn add_sound(&mut self, now_ms: i64, sound_ms: i64) -> bool {
+        self.sound_ms = Some(self.sound_ms().max(sound_ms));
+        let count = self.crashes.len();
+        let sound_ms = self.sound_ms;
+        self.crashes.retain(|crash| !is_protected(sound_ms, crash.at_ms));
+        let is_changed = self.crashes.len() < count;
+        if is_changed {
+            self.updated_ms = now_ms;
+            self.trials = 0;
+        }
+        is_changed
+    }
+
+    pub(crate) fn add_request(&mut self, now_ms: i64) {
+        self.requested_ms = now_ms;
+    }
+
+    /// Returns whether a request may be sent as a trial of the quarantined part.
+    pub(crate) fn is_trial_due(&self, now_ms: i64) -> bool {
+        let last_ms = self.last_crash_ms().max(self.trial_ms);
+        self.trials < MAX_TRIALS && now_ms >= last_ms + TRIAL_AFTER_MS
+    }
+
+    pub(crate) fn begin_trial(&mut self, now_ms: i64) {
+        self.trials += 1;
+        self.trial_ms = now_ms;
+        self.changed_ms = Some(now_ms);
+    }
+
+    /// Returns whether the record no longer matters.
+    pub(crate) fn is_expired(&self, now_ms: i64) -> bool {
+        if self.crashes.is_empty() {
+            return now_ms >= self.updated_ms + CLEARED_PERIOD_MS;
+        }
+        now_ms >= self.requested_ms.max(self.last_crash_ms()) + FORGET_AFTER_MS
+    }
+
+    pub(crate) fn last_crash_ms(&self) -> i64 {
+        self.crashes.last().map_or(i64::MIN / 2, |crash| crash.at_ms)
+    }
+
+    /// Merges what a peer knows of the part; returns whether its crashes or sound answers changed
+    /// the record.
+    pub(crate) fn merge(&mut self, now_ms: i64, view: &PartView) -> bool {
+        let mut is_changed = false;
+        if let Some(age_ms) = view.sound_age_ms {
+            let previous_ms = self.sound_ms();
+            self.add_sound(now_ms, now_ms - i64::from(age_ms));
+            is_changed = self.sound_ms() > previous_ms;
+        }
+        for crash in &view.crashes {
+            let at_ms = now_ms - i64::from(crash.age_ms);
+            let crash = Crash { incarnation: crash.incarnation, at_ms };
+            is_changed |= self.add_crash(now_ms, crash);
+        }
+        let requested_ms = now_ms - i64::from(view.requested_age_ms) - RELAY_ALLOWANCE_MS;
+        self.requested_ms = self.requested_ms.max(requested_ms);
+        if view.trials > self.trials && !self.crashes.is_empty() {
+            self.trials = view.trials;
+            self.trial_ms = now_ms - i64::from(view.trial_age_ms);
+        }
+        is_changed
+    }
+
+    /// Returns what peers are told of the part; `own_sound_ms` is the time of the last sound answer
+    /// that this daemon itself received.
+    pub(crate) fn to_view(
+        &self,
+        now_ms: i64,
+        part: PromptPart,
+        own_sound_ms: Option<i64>,
+    ) -> PartView {
+        let crashes = self.crashes.iter().map(|crash| CrashView {
+            incarnation: crash.incarnation,
+            age_ms: age_ms(now_ms, crash.at_ms),
+        });
+        PartView {
+            part,
+            crashes: crashes.collect(),
+            sound_age_ms: own_sound_ms.map(|sound_ms| age_ms(now_ms, sound_ms)),
+            requested_age_ms: age_ms(now_ms, self.requested_ms),
+            trials: self.trials,
+            trial_age_ms: age_ms(now_ms, self.trial_ms),
+        }
+    }
+}
+
+/// Returns whether a sound answer shows that the part did not cause a crash.
+pub(crate) fn is_protected(sound_ms: Option<i64>, crash_ms: i64) -> bool {
+    sound_ms.is_some_and(|sound_ms| crash_ms < sound_ms + SOUND_PROTECTION_MS)
+}
+
+/// Returns an age for a message; ages beyond the time for which parts are remembered do not matter.
+fn age_ms(now_ms: i64, at_ms: i64) -> u32 {
+    now_ms.saturating_sub(at_ms).clamp(0, FORGET_AFTER_MS) as u32
+}
+
+/// Returns a time of the daemon's clock as a signed number, which can be before the clock's start.
+pub(crate) fn signed(now_ms: Millis) -> i64 {
+    now_ms as i64
+}
--- /dev/null
+++ b/crates/quarantine/tests/quarantine.rs
@@ -0,0 +1,302 @@
+//! Tests of the quarantine: evidence, exchange between daemons, trials, expiry and bounds.
+
+use quarantine::Change;
+use quarantine::PromptPart;
+use quarantine::Quarantine;
+use quarantine::QuarantineView;
+use quarantine::ReplicaIncarnation;
+use quarantine::core::MAX_PARTS;
+use quarantine::core::MAX_SOUND_PARTS;
+use quarantine::view::MAX_VIEW_BYTES;
+use quarantine::view::MAX_VIEW_PARTS;
+use wire::Millis;
+use wire::ReplicaName;
+
+fn part(id: &str) -> PromptPart {
+    PromptPart::from_id(id)
+}
+
+fn incarnation(number: usize) -> ReplicaIncarnation {
+    ReplicaIncarnation::from(&ReplicaName::from(format!("replica-{number}")))
+}
+
+fn never(_: PromptPart) -> bool {
+    false
+}
+
+fn always(_: PromptPart) -> bool {
+    true
+}
+
+/// Records crashes of `count` incarnations, one every 500 ms from `start_ms` on.
+fn crash(quarantine: &mut Quarantine, start_ms: Millis, parts: &[PromptPart], count: usize) {
+    for number in 0..count {
+        let now_ms = start_ms + 500 * number as Millis;
+        quarantine.record_crash(now_ms, parts, incarnation(number));
+    }
+}
+
+fn is_blocked(quarantine: &Quarantine, now_ms: Millis, part: PromptPart) -> bool {
+    quarantine.blocking_part(now_ms, &[part], never) == Some(part)
+}
+
+fn quarantined(now_ms: Millis, parts: &[PromptPart]) -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, now_ms.saturating_sub(1_000), parts, 3);
+    quarantine
+}
+
+fn merge(to: &mut Quarantine, now_ms: Millis, view: Option<QuarantineView>) {
+    to.merge(now_ms, &view.expect("there is something to tell"), never);
+}
+
+#[test]
+fn part_is_quarantined_after_crashes_of_three_incarnations() {
+    let deadly = part("dead");
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, 0, &[deadly], 2);
+    quarantine.record_crash(2_000, &[deadly], incarnation(1));
+    assert!(!is_blocked(&quarantine, 2_000, deadly), "two incarnations, one of them twice");
+    quarantine.record_crash(2_100, &[deadly], incarnation(2));
+    assert!(is_blocked(&quarantine, 2_100, deadly));
+    assert!(!is_blocked(&quarantine, 2_100, part("beef")));
+    let changes = quarantine.take_changes();
+    assert!(changes.contains(&Change::Quarantined { part: deadly, crashes: 3 }));
+}
+
+#[test]
+fn shared_part_that_is_answered_is_never_quarantined() {
+    let (first, deadly) = (part("a1"), part("dead"));
+    let mut quarantine = Quarantine::default();
+    for number in 0..20 {
+        let now_ms = 300 * number as Millis;
+        quarantine.record_sound(now_ms, &[first]);
+        quarantine.record_crash(now_ms + 50, &[first, deadly], incarnation(number));
+        assert!(!is_blocked(&quarantine, now_ms + 60, first));
+    }
+    assert!(is_blocked(&quarantine, 6_000, deadly));
+}
+
+#[test]
+fn shared_part_is_not_blamed_for_crashes_of_quarantined_part_during_outage() {
+    let (first, deadly) = (part("a1"), part("dead"));
+    let mut quarantine = Quarantine::default();
+    quarantine.record_sound(0, &[first]);
+    crash(&mut quarantine, 60_000, &[first, deadly], 6);
+    assert!(is_blocked(&quarantine, 63_000, deadly));
+    assert!(!is_blocked(&quarantine, 63_000, first), "no answer since the outage began");
+}
+
+#[test]
+fn replicas_that_crash_at_once_quarantine_no_part_in_use() {
+    let used = part("a1");
+    let mut quarantine = Quarantine::default();
+    quarantine.record_sound(10_000, &[used]);
+    for number in 0..8 {
+        quarantine.record_crash(10_500 + number as Millis, &[used], incarnation(number));
+    }
+    assert!(!is_blocked(&quarantine, 10_600, used));
+}
+
+#[test]
+fn part_that_turns_bad_after_sound_answers_is_quarantined() {
+    let turned = part("a1");
+    let mut quarantine = Quarantine::default();
+    quarantine.record_sound(10_000, &[turned]);
+    crash(&mut quarantine, 12_000, &[turned], 3);
+    assert!(is_blocked(&quarantine, 13_000, turned));
+}
+
+#[test]
+fn sound_answer_lifts_quarantine_at_every_daemon() {
+    let wrong = part("a1");
+    let mut here = quarantined(10_000, &[wrong]);
+    let mut there = Quarantine::default();
+    merge(&mut there, 10_010, here.complete_view(10_000));
+    assert!(is_blocked(&there, 10_010, wrong));
+    here.record_sound(11_000, &[wrong]);
+    assert!(!is_blocked(&here, 11_000, wrong));
+    merge(&mut there, 11_060, here.take_push(11_050));
+    assert!(!is_blocked(&there, 11_060, wrong));
+    assert_eq!(there.take_changes().last(), Some(&Change::Lifted { part: wrong }));
+}
+
+#[test]
+fn old_crashes_of_returning_peer_do_not_count_after_sound_answer() {
+    let wrong = part("a1");
+    let cut_off = quarantined(10_000, &[wrong]);
+    let mut here = Quarantine::default();
+    here.record_sound(20_000, &[wrong]);
+    merge(&mut here, 30_000, cut_off.complete_view(30_000));
+    assert!(!is_blocked(&here, 30_000, wrong));
+    let mut cut_off = cut_off;
+    merge(&mut cut_off, 30_100, here.complete_view(30_100));
+    assert!(!is_blocked(&cut_off, 30_100, wrong), "the peer learns of the sound answer");
+}
+
+#[test]
+fn crashes_at_different_daemons_add_up_and_none_counts_twice() {
+    let deadly = part("dead");
+    let mut daemons = vec![Quarantine::default(); 3];
+    for (number, daemon) in daemons.iter_mut().enumerate() {
+        daemon.record_crash(5_000, &[deadly], incarnation(number.min(1)));
+    }
+    let views: Vec<_> = daemons.iter().map(|daemon| daemon.complete_view(5_100)).collect();
+    let mut observer = Quarantine::default();
+    for view in views.iter().cycle().take(12) {
+        merge(&mut observer, 5_200, view.clone());
+    }
+    assert!(!is_blocked(&observer, 5_200, deadly), "two incarnations");
+    daemons[0].record_crash(5_300, &[deadly], incarnation(2));
+    merge(&mut observer, 5_400, daemons[0].take_push(5_400));
+    assert!(is_blocked(&observer, 5_400, deadly));
+}
+
+#[test]
+fn lost_push_is_repeated_and_restarted_daemon_learns_the_rest() {
+    let deadly = part("dead");
+    let mut here = quarantined(10_000, &[deadly]);
+    assert!(here.take_push(10_050).is_some());
+    assert!(here.take_push(10_200).is_none(), "nothing new");
+    let mut missed_push = Quarantine::default();
+    merge(&mut missed_push, 10_300, here.recent_view(10_250));
+    assert!(is_blocked(&missed_push, 10_300, deadly));
+    assert!(here.recent_view(11_500).is_none());
+    let mut restarted = Quarantine::default();
+    merge(&mut restarted, 40, missed_push.complete_view(50_000));
+    assert!(is_blocked(&restarted, 40, deadly), "its clock began later");
+}
+
+#[test]
+fn reporter_replies_to_suspicion_with_its_sound_answer() {
+    let (first, deadly) = (part("a1"), part("dead"));
+    let mut marker = Quarantine::default();
+    crash(&mut marker, 59_000, &[first, deadly], 3);
+    let mut reporter = Quarantine::default();
+    reporter.record_sound(1_000, &[first]);
+    let push = marker.take_push(60_000).expect("a push");
+    let mut other = reporter.clone();
+    reporter.merge(60_010, &push, always);
+    other.merge(60_010, &push, never);
+    assert!(other.take_push(60_050).is_none());
+    merge(&mut marker, 60_060, reporter.take_push(60_050));
+    assert!(!is_blocked(&marker, 60_060, first));
+    assert!(is_blocked(&marker, 60_060, deadly));
+    let answer = marker.complete_view(60_100).expect("a view");
+    reporter.merge(60_110, &answer, never);
+    assert!(reporter.take_push(60_250).is_none());
+}
+
+#[test]
+fn two_trials_in_all_are_let_through_by_the_owner() {
+    let deadly = part("dead");
+    let mut owner = quarantined(10_000, &[deadly]);
+    assert_eq!(owner.admit(69_900, &[deadly], always), Err(deadly));
+    assert_eq!(owner.admit(70_000, &[deadly], never), Err(deadly));
+    assert_eq!(owner.admit(70_000, &[deadly], always), Ok(()));
+    assert_eq!(owner.admit(70_001, &[deadly], always), Err(deadly), "one at a time");
+    let mut next_owner = quarantined(10_000, &[deadly]);
+    merge(&mut next_owner, 70_200, owner.take_push(70_100));
+    assert_eq!(next_owner.admit(71_000, &[deadly], always), Err(deadly));
+    next_owner.record_crash(70_300, &[deadly], incarnation(7));
+    assert_eq!(next_owner.admit(130_200, &[deadly], always), Err(deadly));
+    assert_eq!(next_owner.admit(130_300, &[deadly], always), Ok(()));
+    assert_eq!(next_owner.admit(400_000, &[deadly], always), Err(deadly), "no third trial");
+}
+
+#[test]
+fn trial_of_sound_part_lifts_its_quarantine() {
+    let wrong = part("a1");
+    let mut quarantine = quarantined(10_000, &[wrong]);
+    assert_eq!(quarantine.admit(70_000, &[wrong], always), Ok(()));
+    quarantine.record_sound(70_100, &[wrong]);
+    assert_eq!(quarantine.admit(70_200, &[wrong], never), Ok(()));
+}
+
+#[test]
+fn part_is_forgotten_ten_minutes_after_its_last_request_anywhere() {
+    let deadly = part("dead");
+    let mut here = quarantined(10_000, &[deadly]);
+    let mut there = Quarantine::default();
+    merge(&mut there, 10_010, here.complete_view(10_010));
+    assert_eq!(there.admit(300_000, &[deadly], never), Err(deadly));
+    // The two tell each other all they know, with a delay, until both have forgotten.
+    let mut forgotten_ms = None;
+    for second in 301..1_200 {
+        let now_ms = second * 1_000;
+        for (from, to) in [(true, false), (false, true)] {
+            let view = if from { here.complete_view(now_ms) } else { there.complete_view(now_ms) };
+            let target = if to { &mut here } else { &mut there };
+            if let Some(view) = view {
+                target.merge(now_ms + 200, &view, never);
+            }
+        }
+        here.tick(now_ms + 300);
+        there.tick(now_ms + 300);
+        let is_forgotten =
+            !is_blocked(&here, now_ms, deadly) && !is_blocked(&there, now_ms, deadly);
+        if is_forgotten && forgotten_ms.is_none() {
+            forgotten_ms = Some(now_ms);
+        }
+        assert!(is_forgotten == forgotten_ms.is_some(), "a forgotten part came back");
+    }
+    let forgotten_ms = forgotten_ms.expect("the part is forgotten");
+    assert!((900_000..=902_000).contains(&forgotten_ms), "{forgotten_ms}");
+}
+
+#[test]
+fn memory_and_messages_are_bounded() {
+    let mut quarantine = Quarantine::default();
+    let deadly = part("ffffffffffffffff");
+    crash(&mut quarantine, 1_000, &[deadly], 9);
+    for number in 0..3 * MAX_PARTS {
+        let parts = [part(&format!("{:016x}", u64::MAX - 1 - number as u64))];
+        for replica in 0..9 {
+            let now_ms = 10_000 + number as Millis;
+            quarantine.record_crash(
+                now_ms,
+                &parts[..usize::from(replica < 2)],
+                incarnation(replica),
+            );
+        }
+    }
+    for number in 0..3 * MAX_SOUND_PARTS {
+        quarantine.record_sound(20_000 + number as Millis, &[part(&format!("{number:x}"))]);
+    }
+    let (records, sounds) = quarantine.sizes();
+    assert!(records <= MAX_PARTS && sounds <= MAX_SOUND_PARTS);
+    assert!(is_blocked(&quarantine, 40_000, deadly), "the quarantined part is kept");
+    let view = quarantine.complete_view(40_000).expect("a view");
+    assert_eq!(view.parts.len(), MAX_VIEW_PARTS);
+    assert_eq!(view.parts[0].part, deadly);
+}
+
+#[test]
+fn largest_message_fits_an_ethernet_frame() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..MAX_VIEW_PARTS {
+        let parts = [part(&format!("{:016x}", u64::MAX - number as u64))];
+        quarantine.record_sound(1_000, &parts);
+        crash(&mut quarantine, 10_000, &parts, 9);
+        quarantine.admit(100_000, &parts, always).expect("a trial");
+    }
+    let view = quarantine.complete_view(700_000).expect("a view");
+    let bytes = postcard::to_allocvec(&view).expect("a view can be encoded");
+    assert!(bytes.len() <= MAX_VIEW_BYTES, "{} bytes", bytes.len());
+    assert_eq!(postcard::from_bytes::<QuarantineView>(&bytes), Ok(view));
+}
+
+#[test]
+fn message_with_too_many_parts_is_cut() {
+    let mut sender = Quarantine::default();
+    crash(&mut sender, 1_000, &[part("dead")], 3);
+    let mut view = sender.complete_view(2_000).expect("a view");
+    for number in 0..1_000 {
+        let mut other = view.parts[0].clone();
+        other.part = part(&format!("{number:x}"));
+        view.parts.push(other);
+    }
+    let mut quarantine = Quarantine::default();
+    quarantine.merge(2_100, &view, never);
+    assert!(quarantine.sizes().0 <= MAX_VIEW_PARTS);
+}
