Refuse requests with a prompt part that crashes replicas

Callers saw replica after replica crash: each new request with the part got a sound replica, which crashed as it began to write the answer, and other requests there were cut off. The cause: failures were attributed to the replica only, never to what the lost requests have in common, and nothing was shared among daemons.

A request whose connection is lost before its second event now marks the shared parts of its prompt if the replica refuses a new connection. Requests with it get 503 (reason quarantined) before they ask for a slot and again right before each send, items wait. Sound answers clear the parts that others share. Daemons exchange this under a topic of its own, which older builds drop.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -52,11 +52,13 @@
             id: "j1-x".into(),
             path: format!("{JOBS}{IMPOSSIBLE_SEGMENT}x"),
             tokens: 50,
+            prompt_prefix: None,
         });
         job.push(NewItem {
             id: "j1-f".into(),
             path: format!("{JOBS}{FAILING_SEGMENT}f"),
             tokens: 50,
+            prompt_prefix: None,
         });
         let accepted = Client.submit_job(daemon, JOBS, "j1", &job).await.expect("an answer");
         assert_eq!(accepted.status, StatusCode::ACCEPTED);
--- a/crates/daemon/tests/platform_fleet/mod.rs
+++ b/crates/daemon/tests/platform_fleet/mod.rs
@@ -133,6 +133,7 @@
         id: format!("{job}-{number}"),
         path: format!("{JOBS}{job}/{number}"),
         tokens: events * TOKENS_PER_EVENT,
+        prompt_prefix: None,
     };
     (0..count).map(item).collect()
 }
--- /dev/null
+++ b/crates/daemon/tests/platform_quarantine.rs
@@ -0,0 +1,134 @@
+//! Tests daemon processes while one part of a prompt crashes replicas.
+
+mod platform_fleet;
+
+use std::time::Duration;
+
+use http::StatusCode;
+use platform_stub::Client;
+use platform_stub::client::ItemResult;
+use platform_stub::client::NewItem;
+use platform_stub::client::OutgoingRequest;
+use platform_stub::client::expected_text;
+use platform_stub::client::is_complete_stream;
+use platform_stub::deployment::JOBS;
+use platform_stub::deployment::RESUMABLE;
+use platform_stub::deployment::STREAM;
+use platform_stub::replica::CRASHING_PART;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::platform_fleet::Fleet;
+use crate::platform_fleet::items;
+use crate::platform_fleet::read_all_results;
+use crate::platform_fleet::run_local;
+
+/// How long replicas are down after a crash.
+const DOWNTIME: Duration = Duration::from_millis(400);
+/// The number of crashes and the time after the last of them within which the part must be known.
+const KNOWN_CRASHES: usize = 5;
+const CONTACT_MS: u64 = 3_000;
+/// The most requests with the part that may reach replicas after that time.
+const MAX_LATE_RUNS: usize = 3;
+/// The number of events of each stream.
+const EVENTS: u64 = 10;
+
+/// Sends pairs of a crashing and a sound request, which share the first part, for `period`, to all
+/// daemons in turn; returns which of the sound ones were served, with the time of their sending.
+async fn send_pairs(fleet: &Fleet, name: &str, period: Duration) -> Vec<(u64, bool)> {
+    let deadline = Instant::now() + period;
+    let mut sound = Vec::new();
+    for number in 0.. {
+        if Instant::now() >= deadline {
+            break;
+        }
+        let daemon = fleet.ingress(number % fleet.daemons.len());
+        let crashing_id = format!("{name}-bad-{number}");
+        let prefix = if number % 2 == 0 { STREAM } else { RESUMABLE };
+        let crashing = OutgoingRequest::stream(prefix, &crashing_id, EVENTS)
+            .with_prompt_prefix(&format!("a1:10,{CRASHING_PART}:10,b{number:x}:5"));
+        let id = format!("{name}-sound-{number}");
+        let request = OutgoingRequest::stream(RESUMABLE, &id, EVENTS)
+            .with_prompt_prefix(&format!("a1:10,a2:10,c{number:x}:5"));
+        let sent_ms = fleet.deployment.started.elapsed().as_millis() as u64;
+        let (_, answer) =
+            tokio::join!(Client.call(daemon, &crashing), Client.call(daemon, &request));
+        let is_served = answer.is_ok_and(|answer| {
+            answer.status == StatusCode::OK && is_complete_stream(&id, EVENTS, &answer.body)
+        });
+        sound.push((sent_ms, is_served));
+        sleep(Duration::from_millis(40)).await;
+    }
+    sound
+}
+
+/// Returns the time from which on the part must be known, and the number of runs of the requests
+/// whose ids contain `infix` that started later.
+fn late_runs(fleet: &Fleet, infix: &str) -> (u64, usize) {
+    let log = fleet.deployment.log.borrow();
+    let last = log.crashes.iter().take(KNOWN_CRASHES).next_back().expect("a replica crashed");
+    let known_ms = last.at_ms + CONTACT_MS;
+    let runs = log.ids().filter(|id| id.contains(infix)).flat_map(|id| log.runs_of(id));
+    (known_ms, runs.filter(|run| run.started_ms > known_ms).count())
+}
+
+#[test]
+fn requests_with_crashing_part_stop_and_sound_ones_are_served() {
+    run_local("quarantine", |folder| async move {
+        let fleet = Fleet::start(folder, 3).await;
+        fleet.deployment.restart_crashed_replicas(DOWNTIME);
+        let sound = send_pairs(&fleet, "q", Duration::from_secs(12)).await;
+        let (known_ms, late) = late_runs(&fleet, "-bad-");
+        assert!(late <= MAX_LATE_RUNS, "{late} requests with the part reached replicas later");
+        let late_sound: Vec<bool> = sound
+            .iter()
+            .filter(|(sent_ms, _)| *sent_ms > known_ms + CONTACT_MS)
+            .map(|(_, is_served)| *is_served)
+            .collect();
+        assert!(late_sound.len() >= 20, "{} sound requests came late enough", late_sound.len());
+        let served = late_sound.iter().filter(|is_served| **is_served).count();
+        assert_eq!(served, late_sound.len(), "sound requests with the same first part");
+    });
+}
+
+#[test]
+fn restarted_daemon_refuses_part_that_is_quarantined_elsewhere() {
+    run_local("quarantine-restart", |folder| async move {
+        let mut fleet = Fleet::start(folder, 2).await;
+        fleet.deployment.restart_crashed_replicas(DOWNTIME);
+        send_pairs(&fleet, "r", Duration::from_secs(6)).await;
+        fleet.daemons[0].kill().expect("the daemon is killed");
+        fleet.daemons[0].restart().expect("the daemon starts");
+        assert!(fleet.daemons[0].wait_until_ready(Duration::from_secs(10)).await);
+        sleep(Duration::from_millis(CONTACT_MS)).await;
+        send_pairs(&fleet, "s", Duration::from_secs(2)).await;
+        let late: usize = (0..100).map(|number| fleet.runs(&format!("s-bad-{number}"))).sum();
+        assert!(late <= MAX_LATE_RUNS, "{late} requests with the part reached replicas later");
+    });
+}
+
+#[test]
+fn items_with_crashing_part_wait_and_other_items_are_run() {
+    run_local("quarantine-items", |folder| async move {
+        let fleet = Fleet::start(folder, 2).await;
+        fleet.deployment.restart_crashed_replicas(DOWNTIME);
+        let job: Vec<NewItem> = items("j", 12, EVENTS)
+            .into_iter()
+            .enumerate()
+            .map(|(number, item)| {
+                let part = if number < 4 { CRASHING_PART } else { "a2" };
+                let id = if number < 4 { format!("j-bad-{number}") } else { item.id };
+                let prompt_prefix = Some(format!("a1:10,{part}:10,d{number:x}:5"));
+                NewItem { id, prompt_prefix, ..item }
+            })
+            .collect();
+        let accepted =
+            Client.submit_job(fleet.ingress(0), JOBS, "j", &job).await.expect("an answer");
+        assert_eq!(accepted.status, StatusCode::ACCEPTED);
+        let results = read_all_results(fleet.ingress(1), "j", Duration::from_secs(12)).await;
+        let is_sound = |result: &ItemResult| result.text == expected_text(&result.id, EVENTS);
+        assert_eq!(results.iter().filter(|result| is_sound(result)).count(), 8);
+        let (_, late) = late_runs(&fleet, "-bad-");
+        assert!(late <= MAX_LATE_RUNS, "{late} items with the part reached replicas later");
+    });
+}
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -181,7 +181,11 @@
                 "the request was sent and no answer came",
             ));
         }
-        let mut refusal = Refusal::not_run(reason, "no replica could take the request in time");
+        let message = match reason {
+            Reason::Quarantined => "a part of the prompt crashed replicas and is quarantined",
+            _ => "no replica could take the request in time",
+        };
+        let mut refusal = Refusal::not_run(reason, message);
         refusal.retry_after_ms = retry_after_ms;
         NextAction::Refuse(refusal)
     }
--- a/crates/gate/src/codec.rs
+++ b/crates/gate/src/codec.rs
@@ -4,6 +4,7 @@
 use http::HeaderMap;
 use http::StatusCode;
 use http::request::Parts;
+use quarantine::PromptPart;
 use upstream::RequestWriter;
 use wire::Millis;
 use wire::ReplicaName;
@@ -20,6 +21,8 @@
     pub last_event: Option<u64>,
     /// The maximum number of tokens in the answer of a model engine.
     pub max_output_tokens: Option<u64>,
+    /// The parts of the prompt that other requests may share.
+    pub prompt_parts: Vec<PromptPart>,
 }
 
 /// The error for a request head that cannot be decoded.
@@ -84,6 +87,9 @@
     /// Decodes the head of a client's request.
     fn decode_request_head(&self, headers: &HeaderMap) -> Result<RequestMeta, InvalidHead>;
 
+    /// Decodes the parts of a request's prompt that other requests may share.
+    fn decode_prompt_parts(&self, headers: &HeaderMap) -> Vec<PromptPart>;
+
     /// Writes the headers of a request to a replica, including those of the client.
     fn write_forwarded_headers(
         &self,
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -7,6 +7,7 @@
 use http::Method;
 use kernel::pause_tolerant;
 use log::debug;
+use quarantine::PromptPart;
 use slots::SlotLease;
 use upstream::AnswerHead;
 use upstream::Connection;
@@ -39,6 +40,8 @@
     pub body: Bytes,
     /// The id of this attempt of the client.
     pub id: RequestId,
+    /// The parts of the prompt that other requests may share.
+    pub prompt_parts: Vec<PromptPart>,
 }
 
 /// A replica's answer whose head has been read and whose body has not.
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -13,6 +13,7 @@
 use kernel::local_server::LocalBody;
 use kernel::pause_tolerant;
 use log::info;
+use quarantine::PromptPart;
 use slots::Class;
 use slots::NoSlot;
 use slots::SlotLease;
@@ -72,6 +73,8 @@
 pub enum SendError {
     /// No slot was free in time.
     NoSlot(NoSlot),
+    /// A part of the prompt is quarantined.
+    Quarantined(PromptPart),
     /// The send failed.
     Failed(SendFailure),
 }
@@ -98,7 +101,8 @@
         let mut attempt = Attempt::new(policy);
         let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
         let Parts { method, headers, .. } = parts;
-        let request = ClientRequest { method, target, headers, body, id: meta.id };
+        let prompt_parts = meta.prompt_parts;
+        let request = ClientRequest { method, target, headers, body, id: meta.id, prompt_parts };
         let last_event = meta.last_event;
         loop {
             let sent = self.send_once(&request, &route, &attempt, &mut report, last_event).await;
@@ -107,6 +111,11 @@
                     let next = self.give_up_without_slot(&mut attempt, no_slot);
                     return self.answer_without_replica(next, report);
                 }
+                Err(SendError::Quarantined(part)) => {
+                    info!("event=request_quarantined id={} part={part}", request.id);
+                    let next = attempt.give_up(Reason::Quarantined, None);
+                    return self.answer_without_replica(next, report);
+                }
                 Err(SendError::Failed(failure)) => failure,
                 Ok((lease, answer)) if self.should_retry_answer(&attempt, &answer) => {
                     report.tried.push(lease.replica.name.clone());
@@ -122,12 +131,16 @@
                         lease: Some(lease),
                         report,
                         last_event,
+                        run_events: 0,
                         splitter: EventSplitter::default(),
                     };
                     return relay.into_answer(answer.head);
                 }
                 Ok((lease, answer)) => {
-                    match self.read_full_answer(&attempt, lease, answer, &mut report).await {
+                    match self
+                        .read_full_answer(&request, &attempt, lease, answer, &mut report)
+                        .await
+                    {
                         Ok(answer) => return answer,
                         Err(failure) => failure,
                     }
@@ -149,6 +162,9 @@
         report: &mut RequestReport,
         last_event: Option<u64>,
     ) -> Result<(SlotLease, ReplicaAnswer), SendError> {
+        if let Some(part) = self.prompt_guard.blocking_part(&request.prompt_parts) {
+            return Err(SendError::Quarantined(part));
+        }
         let policy = attempt.policy();
         let on_time_at_ms = route.objective_ms.map_or(policy.give_up_at_ms, |objective_ms| {
             (report.arrived_ms + objective_ms).saturating_sub(FIRST_EVENT_LATENCY_MS)
@@ -167,6 +183,7 @@
         let now_ms = self.now_ms();
         report.slot_wait_ms += now_ms.saturating_sub(slot_asked_ms);
         let lease = lease.map_err(SendError::NoSlot)?;
+        self.prompt_guard.admit(&request.prompt_parts).map_err(SendError::Quarantined)?;
         report.replica = Some(lease.replica.name.clone());
         log_send(request, &lease, attempt, now_ms);
         let remaining_ms = policy.give_up_at_ms.saturating_sub(now_ms).max(1);
@@ -187,6 +204,9 @@
             }
             Err(failure) => failure,
         };
+        if failure == SendFailure::NoAnswer && self.now_ms() < now_ms + limit_ms {
+            self.prompt_guard.record_loss(&lease.replica, &request.prompt_parts);
+        }
         self.record_failure(&lease, failure, report);
         Err(SendError::Failed(failure))
     }
@@ -220,6 +240,7 @@
     /// off can still be replaced by that of another replica.
     async fn read_full_answer(
         &self,
+        request: &ClientRequest,
         attempt: &Attempt,
         lease: SlotLease,
         mut answer: ReplicaAnswer,
@@ -229,6 +250,10 @@
         let reading = answer.connection.read_whole_body(MAX_BUFFERED_ANSWER_BYTES);
         let failure = match timeout(Duration::from_millis(remaining_ms), reading).await {
             Ok(Ok(body)) => {
+                let is_success = answer.head.status.is_success();
+                if is_success && !answer.connection.has_ended_by_close() {
+                    self.prompt_guard.record_sound(&request.prompt_parts);
+                }
                 self.pool.put(answer.connection);
                 self.slots.record_success(&lease.replica.name);
                 report.outcome = "answered";
@@ -240,7 +265,10 @@
                 response.headers_mut().remove(header::CONTENT_LENGTH);
                 return Ok(response);
             }
-            Ok(Err(_)) => SendFailure::BrokenOff,
+            Ok(Err(_)) => {
+                self.prompt_guard.record_loss(&lease.replica, &request.prompt_parts);
+                SendFailure::BrokenOff
+            }
             Err(_) => SendFailure::Stalled,
         };
         self.record_failure(&lease, failure, report);
--- a/crates/gate/src/gateway.rs
+++ b/crates/gate/src/gateway.rs
@@ -35,6 +35,7 @@
 use crate::codec::IngressCodec;
 use crate::codec::JobCall;
 use crate::codec::RequestMeta;
+use crate::prompt_guard::PromptGuard;
 use crate::report::RequestReport;
 use crate::shutdown::ShutdownWindow;
 
@@ -56,6 +57,26 @@
     fn handle_call(self: Rc<Self>, call: JobCall) -> LocalBoxFuture<'static, Response<LocalBody>>;
 }
 
+/// The components of the daemon that the gateway uses.
+pub struct Dependencies {
+    /// The platform's encoding of requests and answers.
+    pub codec: Rc<dyn IngressCodec>,
+    /// The daemon's clock.
+    pub clock: BootClock,
+    /// The daemon's metrics.
+    pub counters: Counters,
+    /// The configuration in force, if one is known.
+    pub in_force: Rc<RefCell<ConfigurationInForce>>,
+    /// The slots at the replicas.
+    pub slots: Rc<Slots>,
+    /// The pool of connections to replicas.
+    pub pool: Rc<ConnectionPool>,
+    /// The handler of the calls of the job API.
+    pub jobs: Rc<dyn JobCallHandler>,
+    /// The quarantine of prompt parts.
+    pub prompt_guard: Rc<PromptGuard>,
+}
+
 /// The entry point for requests of clients.
 pub struct Gateway {
     /// The platform's encoding of requests and answers.
@@ -72,6 +93,8 @@
     pub pool: Rc<ConnectionPool>,
     /// The handler of the calls of the job API.
     pub jobs: Rc<dyn JobCallHandler>,
+    /// The quarantine of prompt parts.
+    pub prompt_guard: Rc<PromptGuard>,
     pub(crate) in_flight: Cell<usize>,
     shutdown: Cell<Option<ShutdownWindow>>,
 }
@@ -87,23 +110,16 @@
 
 impl Gateway {
     /// Creates an entry point that accepts every request.
-    pub fn new(
-        codec: Rc<dyn IngressCodec>,
-        clock: BootClock,
-        counters: Counters,
-        in_force: Rc<RefCell<ConfigurationInForce>>,
-        slots: Rc<Slots>,
-        pool: Rc<ConnectionPool>,
-        jobs: Rc<dyn JobCallHandler>,
-    ) -> Self {
+    pub fn new(deps: Dependencies) -> Self {
         Self {
-            codec,
-            clock,
-            counters,
-            in_force,
-            slots,
-            pool,
-            jobs,
+            codec: deps.codec,
+            clock: deps.clock,
+            counters: deps.counters,
+            in_force: deps.in_force,
+            slots: deps.slots,
+            pool: deps.pool,
+            jobs: deps.jobs,
+            prompt_guard: deps.prompt_guard,
             in_flight: Cell::new(0),
             shutdown: Cell::new(None),
         }
--- /dev/null
+++ b/crates/gate/src/prompt_guard.rs
@@ -0,0 +1,144 @@
+//! Keeps quarantined parts of prompts away from replicas and collects the evidence about them.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use kernel::BootClock;
+use kernel::Counters;
+use log::info;
+use quarantine::Change;
+use quarantine::PromptPart;
+use quarantine::Quarantine;
+use quarantine::QuarantineView;
+use quarantine::ReplicaIncarnation;
+use tokio::task::spawn_local;
+use upstream::refuses_connections;
+use wire::ReplicaRecord;
+
+/// How long a replica may take to accept or refuse the connection that shows whether it crashed.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// The number of events from which an answer shows that its prompt does not crash replicas.
+pub const SOUND_EVENTS: u32 = 2;
+
+/// The quarantine of one daemon.
+pub struct PromptGuard {
+    clock: BootClock,
+    counters: Counters,
+    quarantine: RefCell<Quarantine>,
+    delegates: Box<dyn Delegates>,
+}
+
+/// Chooses the daemons that act for all others, by part.
+pub trait Delegates {
+    /// Returns whether this daemon is the one that lets trials of a part through.
+    fn is_trial_owner(&self, part: PromptPart) -> bool;
+
+    /// Returns whether this daemon is one of the few that reply with their sound answers at once.
+    fn is_reporter(&self, part: PromptPart) -> bool;
+}
+
+impl PromptGuard {
+    /// Creates a quarantine without evidence.
+    pub fn new(clock: BootClock, counters: Counters, delegates: Box<dyn Delegates>) -> Self {
+        Self { clock, counters, quarantine: RefCell::default(), delegates }
+    }
+
+    /// Returns a part because of which a request must not ask for a slot, if there is one.
+    pub fn blocking_part(&self, parts: &[PromptPart]) -> Option<PromptPart> {
+        let quarantine = self.quarantine.borrow();
+        let is_trial_owner = |part| self.delegates.is_trial_owner(part);
+        quarantine.blocking_part(self.clock.now_ms(), parts, is_trial_owner)
+    }
+
+    /// Checks a request right before it is sent; returns a part because of which it must not be.
+    pub fn admit(&self, parts: &[PromptPart]) -> Result<(), PromptPart> {
+        let now_ms = self.clock.now_ms();
+        let is_trial_owner = |part| self.delegates.is_trial_owner(part);
+        let admitted = self.quarantine.borrow_mut().admit(now_ms, parts, is_trial_owner);
+        self.log_changes();
+        admitted
+    }
+
+    /// Records that an answer to a request with these parts has progressed or is complete.
+    pub fn record_sound(&self, parts: &[PromptPart]) {
+        if !parts.is_empty() {
+            self.quarantine.borrow_mut().record_sound(self.clock.now_ms(), parts);
+            self.log_changes();
+        }
+    }
+
+    /// Records that the connection of a request was lost as its answer began, if the replica's
+    /// process is gone: a connection may also be reset while its replica lives.
+    pub fn record_loss(self: &Rc<Self>, replica: &ReplicaRecord, parts: &[PromptPart]) {
+        if parts.is_empty() {
+            return;
+        }
+        let (guard, parts) = (self.clone(), parts.to_vec());
+        let (address, name) = (replica.address, replica.name.clone());
+        spawn_local(async move {
+            if !refuses_connections(address, CONNECT_TIMEOUT).await {
+                return;
+            }
+            guard.counters.count("part_crashes");
+            info!("event=replica_crashed replica={name} parts={}", parts.len());
+            let incarnation = ReplicaIncarnation::from(&name);
+            let now_ms = guard.clock.now_ms();
+            guard.quarantine.borrow_mut().record_crash(now_ms, &parts, incarnation);
+            guard.log_changes();
+        });
+    }
+
+    /// Merges what a peer knows.
+    pub fn merge(&self, view: &QuarantineView) {
+        let is_reporter = |part| self.delegates.is_reporter(part);
+        self.quarantine.borrow_mut().merge(self.clock.now_ms(), view, is_reporter);
+        self.log_changes();
+    }
+
+    /// Forgets parts without recent requests.
+    pub fn tick(&self) {
+        self.quarantine.borrow_mut().tick(self.clock.now_ms());
+        self.log_changes();
+    }
+
+    /// Returns the message to send to every peer at once because of a change of this daemon.
+    pub fn take_push(&self) -> Option<QuarantineView> {
+        self.quarantine.borrow_mut().take_push(self.clock.now_ms())
+    }
+
+    /// Returns the recent changes of this daemon, which are sent to every peer with a heartbeat.
+    pub fn recent_view(&self) -> Option<QuarantineView> {
+        self.quarantine.borrow().recent_view(self.clock.now_ms())
+    }
+
+    /// Returns all that is known, which a few peers get with each round of heartbeats.
+    pub fn complete_view(&self) -> Option<QuarantineView> {
+        self.quarantine.borrow().complete_view(self.clock.now_ms())
+    }
+
+    fn log_changes(&self) {
+        let changes = self.quarantine.borrow_mut().take_changes();
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            match change {
+                Change::Marked { part, crashes } => {
+                    info!("event=part_marked part={part} crashes={crashes}");
+                }
+                Change::Quarantined { part, crashes } => {
+                    self.counters.count("parts_quarantined");
+                    info!("event=part_quarantined part={part} crashes={crashes}");
+                }
+                Change::TrialBegun { part } => info!("event=part_trial part={part}"),
+                Change::Lifted { part } => {
+                    self.counters.count("parts_released");
+                    info!("event=part_released part={part}");
+                }
+            }
+        }
+        let count = self.quarantine.borrow().quarantined_count();
+        self.counters.set_gauge("quarantined_parts", count as u64);
+    }
+}
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -29,6 +29,7 @@
 use crate::forward::SendError;
 use crate::forward::end_to_end_headers;
 use crate::gateway::Gateway;
+use crate::prompt_guard::SOUND_EVENTS;
 use crate::report::RequestReport;
 
 /// A stream is stalled when it is silent for this many times the route's objective for the gap
@@ -58,6 +59,8 @@
     pub report: RequestReport,
     /// The last event that was passed on to the client.
     pub last_event: Option<u64>,
+    /// The number of events of the current run.
+    pub run_events: u32,
     /// Splits a resumable stream into events.
     pub splitter: EventSplitter,
 }
@@ -103,6 +106,7 @@
         }
         let part = self.read_part(self.remaining_ms()).await?;
         self.report.events += u32::from(part.is_some());
+        self.record_run_events(part.as_deref().map_or(0, count_event_ends));
         Ok(part)
     }
 
@@ -133,6 +137,7 @@
     fn take_events(&mut self) -> Option<Bytes> {
         let mut events = BytesMut::new();
         while let Some(event) = self.splitter.next_event() {
+            self.record_run_events(1);
             let is_repeated = match (event.id, self.last_event) {
                 (Some(id), Some(last)) => id <= last,
                 _ => false,
@@ -158,12 +163,31 @@
             Ok(Ok(part)) => Ok(part),
             Ok(Err(error)) => Err(match classify_error(&error) {
                 SendFailure::Garbled => SendFailure::Garbled,
-                _ => SendFailure::BrokenOff,
+                _ => {
+                    self.record_loss();
+                    SendFailure::BrokenOff
+                }
             }),
             Err(_) => Err(SendFailure::Stalled),
         }
     }
 
+    /// Counts events of the current run; the answer is sound once there are enough.
+    fn record_run_events(&mut self, count: u32) {
+        let previous = self.run_events;
+        self.run_events += count;
+        if previous < SOUND_EVENTS && self.run_events >= SOUND_EVENTS {
+            self.gateway.prompt_guard.record_sound(&self.request.prompt_parts);
+        }
+    }
+
+    /// Records that the connection was lost, if it was lost as the answer began.
+    fn record_loss(&self) {
+        if let Some(lease) = self.lease.as_ref().filter(|_| self.run_events < SOUND_EVENTS) {
+            self.gateway.prompt_guard.record_loss(&lease.replica, &self.request.prompt_parts);
+        }
+    }
+
     /// Resumes the stream at another replica after the last event that was passed on.
     async fn resume(&mut self, failure: SendFailure) -> Result<(), SendFailure> {
         self.connection = None;
@@ -190,11 +214,16 @@
                 Ok((lease, answer)) if answer.head.status.is_success() => {
                     self.lease = Some(lease);
                     self.connection = Some(answer.connection);
+                    self.run_events = 0;
                     return Ok(());
                 }
                 Ok(_) => SendFailure::ServerError,
                 Err(SendError::Failed(failure)) => failure,
                 Err(SendError::NoSlot(_)) => return Err(SendFailure::Stalled),
+                Err(SendError::Quarantined(part)) => {
+                    info!("event=request_quarantined id={} part={part}", self.request.id);
+                    return Err(SendFailure::BrokenOff);
+                }
             };
         }
     }
@@ -206,6 +235,11 @@
     fn finish(&mut self) {
         self.report.outcome = "answered";
         if let Some(connection) = self.connection.take() {
+            if connection.has_ended_by_close() {
+                self.record_loss();
+            } else {
+                self.gateway.prompt_guard.record_sound(&self.request.prompt_parts);
+            }
             self.gateway.pool.put(connection);
         }
         if let Some(lease) = self.lease.take() {
@@ -213,3 +247,8 @@
         }
     }
 }
+
+/// Returns the number of events that end within a part of a stream that is not split.
+fn count_event_ends(part: &[u8]) -> u32 {
+    part.windows(2).filter(|bytes| bytes == b"\n\n").count() as u32
+}
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -29,6 +29,9 @@
 /// The base of the backoff of a failed item; it doubles with each failure, up to the fourth.
 const FAILURE_BACKOFF_MS: Millis = 150;
 
+/// How long an item with a quarantined part waits until it is checked again.
+const HOLD_DELAY_MS: Millis = 1_000;
+
 /// How one run of an item ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ItemRunEnd {
@@ -70,6 +73,8 @@
     phase: Phase,
     failures: u32,
     progress: Progress,
+    /// Whether the item waits because a part of its prompt is quarantined.
+    is_held: bool,
 }
 
 /// The limits that the job's route sets.
@@ -155,6 +160,7 @@
                 item,
                 failures: 0,
                 progress: Progress::default(),
+                is_held: false,
             })
             .collect();
         Self {
@@ -279,6 +285,16 @@
         Some(ItemRun { index, item: entry.item.clone(), progress })
     }
 
+    /// Holds an item that was started but not sent, since a part of its prompt is quarantined;
+    /// returns whether it was not held before.
+    pub fn hold(&mut self, now_ms: Millis, index: usize) -> bool {
+        let Some(entry) = self.entries.get_mut(index) else { return false };
+        if entry.phase == Phase::Running {
+            entry.phase = Phase::Waiting { not_before_ms: now_ms + HOLD_DELAY_MS };
+        }
+        !std::mem::replace(&mut entry.is_held, true)
+    }
+
     /// Updates the output of a running item.
     pub fn record_progress(&mut self, now_ms: Millis, index: usize, progress: &Progress) {
         let Some(entry) = self.entries.get_mut(index) else { return };
--- a/crates/jobs/src/manager.rs
+++ b/crates/jobs/src/manager.rs
@@ -9,6 +9,7 @@
 
 use catalog::ConfigurationInForce;
 use gate::IngressCodec;
+use gate::PromptGuard;
 use kernel::BootClock;
 use kernel::Counters;
 use log::warn;
@@ -71,6 +72,8 @@
     pub transport: Rc<Transport>,
     /// How long a job's results must stay readable after its submission.
     pub keep_jobs_ms: Millis,
+    /// The quarantine of prompt parts.
+    pub prompt_guard: Rc<PromptGuard>,
 }
 
 /// A job with the flags and notifications that its tasks share.
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -7,10 +7,12 @@
 use gate::attempt::SendFailure;
 use gate::exchange;
 use gate::exchange::ClientRequest;
+use gate::prompt_guard::SOUND_EVENTS;
 use http::Method;
 use http::StatusCode;
 use kernel::pause_tolerant;
 use log::info;
+use quarantine::PromptPart;
 use slots::Class;
 use slots::SlotLease;
 use slots::SlotRequest;
@@ -88,11 +90,30 @@
                 .min_by_key(|(urgency, _)| (urgency.on_time_at_ms < now_ms, urgency.order_at_ms));
             let Some((urgency, handle)) = next else { return };
             let Some(run) = handle.job.borrow_mut().start_next(now_ms) else { return };
+            let parts = self.prompt_parts(handle, &run);
+            if let Some(part) = self.deps.prompt_guard.blocking_part(&parts) {
+                self.hold_item(handle, &run, part);
+                continue;
+            }
             self.waiting_for_slot.set(self.waiting_for_slot.get() + 1);
             spawn_local(self.clone().run_item(handle.clone(), run, urgency));
         }
     }
 
+    fn prompt_parts(&self, handle: &JobHandle, run: &ItemRun) -> Vec<PromptPart> {
+        let host = handle.job.borrow().host.clone();
+        let headers = self.deps.job_codec.encode_item_headers(&run.item, &host);
+        self.deps.ingress_codec.decode_prompt_parts(&headers)
+    }
+
+    fn hold_item(&self, handle: &JobHandle, run: &ItemRun, part: PromptPart) {
+        let mut job = handle.job.borrow_mut();
+        if job.hold(self.now_ms(), run.index) {
+            self.deps.counters.count("items_held");
+            info!("event=item_held item={} job={} part={part}", run.item.id, job.id);
+        }
+    }
+
     async fn run_item(self: Rc<Self>, handle: Rc<JobHandle>, run: ItemRun, urgency: ItemUrgency) {
         let index = run.index;
         let lease = tokio::select! {
@@ -150,12 +171,19 @@
         progress: &mut Progress,
     ) -> (ItemRunEnd, &'static str) {
         let host = handle.job.borrow().host.clone();
+        let headers = self.deps.job_codec.encode_item_headers(&run.item, &host);
+        let prompt_parts = self.deps.ingress_codec.decode_prompt_parts(&headers);
+        let guard = &self.deps.prompt_guard;
+        if guard.admit(&prompt_parts).is_err() {
+            return (ItemRunEnd::Interrupted, "quarantined");
+        }
         let request = ClientRequest {
             method: Method::POST,
             target: run.item.path.clone(),
-            headers: self.deps.job_codec.encode_item_headers(&run.item, &host),
+            headers,
             body: run.item.body.clone(),
             id: RequestId::from(&*run.item.id),
+            prompt_parts,
         };
         let outbound = exchange::OutboundRequest {
             request: &request,
@@ -164,10 +192,17 @@
             last_event: progress.last_event,
         };
         let pool = &self.deps.pool;
+        let sent_ms = self.now_ms();
         let sent = exchange::send(pool, &*self.deps.ingress_codec, &outbound, HEAD_TIMEOUT).await;
         let mut answer = match sent {
             Ok(answer) => answer,
-            Err(failure) => return self.record_replica_failure(lease, failure),
+            Err(failure) => {
+                let is_timeout = self.now_ms() >= sent_ms + HEAD_TIMEOUT.as_millis() as Millis;
+                if failure == SendFailure::NoAnswer && !is_timeout {
+                    guard.record_loss(&lease.replica, &request.prompt_parts);
+                }
+                return self.record_replica_failure(lease, failure);
+            }
         };
         match answer.head.status {
             StatusCode::UNPROCESSABLE_ENTITY => return (ItemRunEnd::Impossible, "answered_422"),
@@ -179,6 +214,7 @@
         }
         let mut splitter = EventSplitter::default();
         let mut reported_events = progress.events;
+        let mut run_events = 0;
         loop {
             match pause_tolerant::timeout(STALL_TIMEOUT, answer.connection.read_body()).await {
                 Ok(Ok(Some(bytes))) => {
@@ -190,15 +226,29 @@
                     return self.record_replica_failure(lease, SendFailure::BrokenOff);
                 }
                 Ok(Ok(None)) => {
+                    if run_events < SOUND_EVENTS && answer.connection.has_ended_by_close() {
+                        guard.record_loss(&lease.replica, &request.prompt_parts);
+                    } else {
+                        guard.record_sound(&request.prompt_parts);
+                    }
                     pool.put(answer.connection);
                     self.deps.slots.record_success(&lease.replica.name);
                     return (ItemRunEnd::Completed, "whole");
                 }
-                Ok(Err(_)) => return self.record_replica_failure(lease, SendFailure::BrokenOff),
+                Ok(Err(_)) => {
+                    if run_events < SOUND_EVENTS {
+                        guard.record_loss(&lease.replica, &request.prompt_parts);
+                    }
+                    return self.record_replica_failure(lease, SendFailure::BrokenOff);
+                }
                 Err(_) => return self.record_replica_failure(lease, SendFailure::Stalled),
             }
             while let Some(event) = splitter.next_event() {
                 progress.append(&event);
+                run_events += 1;
+                if run_events == SOUND_EVENTS {
+                    guard.record_sound(&request.prompt_parts);
+                }
             }
             if progress.events >= reported_events + EVENTS_PER_PROGRESS_UPDATE {
                 reported_events = progress.events;
--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use catalog::ReplicaView;
+use gate::PromptGuard;
 use jobs::JobManager;
 use jobs::message::JobMessage;
 use log::info;
@@ -17,6 +18,8 @@
 use peers::heartbeat::Readiness;
 use peers::membership::MemberAction;
 use peers::transport::decode;
+use quarantine::QuarantineView;
+use rand::seq::SliceRandom;
 use slots::Slots;
 use store::ObjectClient;
 use store::Reachability;
@@ -35,6 +38,9 @@
 /// The time between two searches for orphaned jobs.
 const ORPHAN_SEARCH_INTERVAL_MS: Millis = 500;
 
+/// The number of peers that get the complete quarantine with each round of heartbeats.
+const QUARANTINE_PEERS: usize = 3;
+
 /// Sends and handles heartbeats and the other datagrams between daemons.
 pub struct HeartbeatService {
     /// The daemon's copy of the platform's state.
@@ -47,6 +53,8 @@
     pub job_manager: Rc<JobManager>,
     /// The client of the store.
     pub store: Rc<ObjectClient>,
+    /// The quarantine of prompt parts.
+    pub prompt_guard: Rc<PromptGuard>,
 }
 
 impl HeartbeatService {
@@ -57,6 +65,7 @@
         self.register(Topic::Jobs, Self::handle_job_message);
         self.register(Topic::Replicas, Self::handle_replica_view);
         self.register(Topic::Lost, Self::handle_loss_report);
+        self.register(Topic::Quarantine, Self::handle_quarantine_view);
     }
 
     fn register(self: &Rc<Self>, topic: Topic, handle: fn(&Self, &Datagram)) {
@@ -84,6 +93,8 @@
             let gone = self.state.replicas.borrow_mut().tick(now_ms);
             self.state.handle_replica_changes(&gone, Source::Hold);
             self.slots.tick();
+            self.prompt_guard.tick();
+            self.push_quarantine();
             let actions = self.state.membership.borrow_mut().tick(now_ms);
             self.perform(actions);
             if now_ms >= searched_ms + ORPHAN_SEARCH_INTERVAL_MS {
@@ -93,6 +104,30 @@
         }
     }
 
+    /// Sends this daemon's changes of the quarantine to every peer at once.
+    fn push_quarantine(&self) {
+        let Some(view) = self.prompt_guard.take_push() else { return };
+        for peer in self.state.membership.borrow().alive() {
+            self.transport.send(peer.identity.ip, Topic::Quarantine, &view);
+        }
+    }
+
+    /// Sends the quarantine with a round of heartbeats: recent changes to all, in case their first
+    /// datagram was lost, and the rest to a few peers, so that it reaches daemons that were
+    /// restarted or cut off.
+    fn send_quarantine(&self, peers: &[IpAddr]) {
+        if let Some(view) = self.prompt_guard.recent_view() {
+            for ip in peers {
+                self.transport.send(*ip, Topic::Quarantine, &view);
+            }
+        }
+        if let Some(view) = self.prompt_guard.complete_view() {
+            for ip in peers.choose_multiple(&mut rand::thread_rng(), QUARANTINE_PEERS) {
+                self.transport.send(*ip, Topic::Quarantine, &view);
+            }
+        }
+    }
+
     fn update_readiness(&self) {
         let knows_configuration = self.state.in_force.borrow().current().is_some();
         let mut membership = self.state.membership.borrow_mut();
@@ -142,6 +177,11 @@
         let changes = sends_heartbeat.then(|| self.state.recent_replica_changes()).flatten();
         if sends_heartbeat {
             self.slots.send_run_lists();
+            let targets = actions.iter().filter_map(|action| match action {
+                MemberAction::SendHeartbeat(ip) => Some(*ip),
+                _ => None,
+            });
+            self.send_quarantine(&targets.collect::<Vec<_>>());
         }
         for action in actions {
             match action {
@@ -158,6 +198,9 @@
                 MemberAction::SendMembers(ip) => {
                     let members = self.state.membership.borrow().identities();
                     self.transport.send(ip, Topic::Members, &members);
+                    if let Some(view) = self.prompt_guard.complete_view() {
+                        self.transport.send(ip, Topic::Quarantine, &view);
+                    }
                 }
                 MemberAction::StateChanged { name, state, silent_ms } => {
                     info!("event=peer_{state} peer={name} silent_ms={silent_ms}");
@@ -206,6 +249,12 @@
         }
     }
 
+    fn handle_quarantine_view(&self, datagram: &Datagram) {
+        if let Some(view) = decode::<QuarantineView>(Topic::Quarantine, &datagram.payload) {
+            self.prompt_guard.merge(&view);
+        }
+    }
+
     fn handle_replica_view(&self, datagram: &Datagram) {
         let Some(view) = decode::<ReplicaView>(Topic::Replicas, &datagram.payload) else { return };
         if self.state.merge_peer_view(view) {
@@ -237,7 +286,11 @@
                         &attachment.payload,
                     );
                 }
-                Topic::Heartbeat | Topic::Members | Topic::Replicas | Topic::Lost => {}
+                Topic::Heartbeat
+                | Topic::Members
+                | Topic::Replicas
+                | Topic::Lost
+                | Topic::Quarantine => {}
             }
         }
         let Some(address) = heartbeat.identity.control else { return };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod node;
 pub mod platform_state;
 pub mod probe;
+pub mod quarantine_delegates;
 pub mod recent_changes;
 pub mod reload;
 pub mod retirement;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,6 +9,7 @@
 use catalog::ConfigurationInForce;
 use catalog::ReplicaSet;
 use gate::Gateway;
+use gate::PromptGuard;
 use jobs::JobManager;
 use kernel::BootClock;
 use kernel::Clock;
@@ -49,6 +50,7 @@
 use crate::metrics::MetricsPage;
 use crate::platform_state::PlatformState;
 use crate::probe::StateProbe;
+use crate::quarantine_delegates::QuarantineDelegates;
 use crate::reload::SettingsReloader;
 use crate::retirement;
 use crate::watch;
@@ -191,6 +193,8 @@
     store.set_relay(Rc::new(relay));
     let pool = Rc::new(ConnectionPool::new(IDLE_TIMEOUT, CONNECT_TIMEOUT));
     slots.set_probe(Rc::new(StateProbe { pool: pool.clone() }));
+    let delegates = Box::new(QuarantineDelegates { membership: membership.clone() });
+    let prompt_guard = Rc::new(PromptGuard::new(clock, counters.clone(), delegates));
     let ingress_codec = Rc::new(platform::ingress::PlatformIngressCodec);
     let job_manager = JobManager::new(jobs::manager::Dependencies {
         job_codec: Rc::new(platform::jobs::PlatformJobCodec),
@@ -206,16 +210,18 @@
         max_object_bytes: settings.store.max_object_bytes,
         transport: transport.clone(),
         keep_jobs_ms: settings.time_limits.job_status_ms,
+        prompt_guard: prompt_guard.clone(),
     });
-    let gateway = Rc::new(Gateway::new(
-        ingress_codec,
+    let gateway = Rc::new(Gateway::new(gate::gateway::Dependencies {
+        codec: ingress_codec,
         clock,
         counters,
-        in_force.clone(),
-        slots.clone(),
-        pool.clone(),
-        job_manager.clone(),
-    ));
+        in_force: in_force.clone(),
+        slots: slots.clone(),
+        pool: pool.clone(),
+        jobs: job_manager.clone(),
+        prompt_guard: prompt_guard.clone(),
+    }));
     let ingress_lifecycle = Rc::new(ServerLifecycle::new(INITIAL_LIMITS));
     let state = Rc::new(PlatformState::new(
         clock,
@@ -232,6 +238,7 @@
         slots,
         job_manager: job_manager.clone(),
         store: store.clone(),
+        prompt_guard,
     });
     heartbeats.listen();
     spawn_local(transport.clone().run());
--- a/crates/peers/src/heartbeat.rs
+++ b/crates/peers/src/heartbeat.rs
@@ -23,6 +23,8 @@
     Replicas,
     /// A report that a daemon is lost.
     Lost,
+    /// The quarantine of prompt parts. Daemons of builds before it drop such messages.
+    Quarantine,
 }
 
 /// The envelope of every datagram.
--- a/crates/soak/src/job_client.rs
+++ b/crates/soak/src/job_client.rs
@@ -194,6 +194,7 @@
         id: format!("{job}-{number}"),
         path: format!("{JOBS}{job}/{number}"),
         tokens: events * TOKENS_PER_EVENT,
+        prompt_prefix: None,
     };
     let count = random.gen_range(2..10);
     (0..count).map(|number| item(number, random.gen_range(20..300))).collect()
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -67,6 +67,7 @@
     has_sent: bool,
     framing: Framing,
     can_keep_open: bool,
+    has_ended_by_close: bool,
     keep_alive_timeout_ms: Option<u64>,
     idle_since: Instant,
 }
@@ -94,6 +95,7 @@
             has_sent: false,
             framing: Framing::Done,
             can_keep_open: true,
+            has_ended_by_close: false,
             keep_alive_timeout_ms: None,
             idle_since: Instant::now(),
         })
@@ -161,6 +163,7 @@
             }
             if self.framing == Framing::UntilClose {
                 self.framing = Framing::Done;
+                self.has_ended_by_close = true;
                 return Ok(None);
             }
             return Err(ExchangeError::Lost("it ended inside the answer"));
@@ -185,6 +188,12 @@
         Ok(body.freeze())
     }
 
+    /// Returns whether the answer had no length and ended with its connection, so that it may have
+    /// been cut short.
+    pub fn has_ended_by_close(&self) -> bool {
+        self.has_ended_by_close
+    }
+
     /// Returns whether the answer has ended and the connection can carry another request.
     pub fn is_reusable(&self) -> bool {
         self.can_keep_open
@@ -250,3 +259,12 @@
         if self.has_sent { ExchangeError::Lost(message) } else { ExchangeError::NothingSent }
     }
 }
+
+/// Returns whether `peer` refuses a new connection, so that no process listens there. A connect that
+/// gets no answer within `limit` does not show this.
+pub async fn refuses_connections(peer: SocketAddr, limit: Duration) -> bool {
+    match timeout(limit, TcpStream::connect(peer)).await {
+        Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub use connection::Connection;
 pub use connection::ExchangeError;
+pub use connection::refuses_connections;
 pub use events::Event;
 pub use events::EventSplitter;
 pub use events::EventTooLong;
--- a/crates/wire/src/refusal.rs
+++ b/crates/wire/src/refusal.rs
@@ -88,6 +88,8 @@
     OutcomeUnknown = "outcome_unknown", 409;
     /// The bundle does not have enough valid signatures of trusted operators.
     Unsigned = "unsigned", 403;
+    /// A part of the prompt is quarantined, since replicas crashed on it.
+    Quarantined = "quarantined", 503;
 }
 
 /// A refusal as callers and operators see it.
