Let a request with one of two suspect parts show which is sound

If all crashes that count against a part also count against another quarantined one, a request that holds only the first one is sent at once by three daemons and after a second by any, one at a time.

--- a/crates/gate/src/prompt_guard.rs
+++ b/crates/gate/src/prompt_guard.rs
@@ -8,6 +8,7 @@
 use kernel::Counters;
 use log::info;
 use quarantine::Change;
+use quarantine::Delegates;
 use quarantine::PromptPart;
 use quarantine::Quarantine;
 use quarantine::QuarantineView;
@@ -29,15 +30,6 @@
     delegates: Box<dyn Delegates>,
 }
 
-/// Chooses the daemons that act for all others, by part.
-pub trait Delegates {
-    /// Returns whether this daemon is the one that lets trials of a part through.
-    fn is_trial_owner(&self, part: PromptPart) -> bool;
-
-    /// Returns whether this daemon is one of the few that reply with their sound answers at once.
-    fn is_reporter(&self, part: PromptPart) -> bool;
-}
-
 impl PromptGuard {
     /// Creates a quarantine without evidence.
     pub fn new(clock: BootClock, counters: Counters, delegates: Box<dyn Delegates>) -> Self {
@@ -47,15 +39,13 @@
     /// Returns a part because of which a request must not ask for a slot, if there is one.
     pub fn blocking_part(&self, parts: &[PromptPart]) -> Option<PromptPart> {
         let quarantine = self.quarantine.borrow();
-        let is_trial_owner = |part| self.delegates.is_trial_owner(part);
-        quarantine.blocking_part(self.clock.now_ms(), parts, is_trial_owner)
+        quarantine.blocking_part(self.clock.now_ms(), parts, &*self.delegates)
     }
 
     /// Checks a request right before it is sent; returns a part because of which it must not be.
     pub fn admit(&self, parts: &[PromptPart]) -> Result<(), PromptPart> {
         let now_ms = self.clock.now_ms();
-        let is_trial_owner = |part| self.delegates.is_trial_owner(part);
-        let admitted = self.quarantine.borrow_mut().admit(now_ms, parts, is_trial_owner);
+        let admitted = self.quarantine.borrow_mut().admit(now_ms, parts, &*self.delegates);
         self.log_changes();
         admitted
     }
@@ -91,8 +81,7 @@
 
     /// Merges what a peer knows.
     pub fn merge(&self, view: &QuarantineView) {
-        let is_reporter = |part| self.delegates.is_reporter(part);
-        self.quarantine.borrow_mut().merge(self.clock.now_ms(), view, is_reporter);
+        self.quarantine.borrow_mut().merge(self.clock.now_ms(), view, &*self.delegates);
         self.log_changes();
     }
 
--- a/crates/node/src/quarantine_delegates.rs
+++ b/crates/node/src/quarantine_delegates.rs
@@ -3,12 +3,12 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use gate::prompt_guard::Delegates;
 use peers::Membership;
+use quarantine::Delegates;
 use quarantine::PromptPart;
 use wire::rendezvous;
 
-/// The number of daemons that reply at once with their sound answers for a part.
+/// The number of daemons that act first on a part.
 const REPORTERS: usize = 3;
 
 /// Chooses among the ready daemons by rendezvous hash.
--- a/crates/quarantine/src/core.rs
+++ b/crates/quarantine/src/core.rs
@@ -61,6 +61,28 @@
     },
 }
 
+/// Chooses the daemons that act for all others, by part.
+pub trait Delegates {
+    /// Returns whether this daemon is the one that lets trials of a part through.
+    fn is_trial_owner(&self, part: PromptPart) -> bool;
+
+    /// Returns whether this daemon is one of the few that act first on a part: they reply with their
+    /// sound answers and let distinguishing requests through.
+    fn is_reporter(&self, part: PromptPart) -> bool;
+}
+
+/// Whether a request with a quarantined part may be sent, and why.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Permit {
+    /// It may not.
+    Refused,
+    /// It is a trial, some time after the last crash.
+    Trial,
+    /// All crashes of the part also count against another part, which the request does not have. Its
+    /// answer tells which of the two causes them.
+    Distinguishing,
+}
+
 /// The evidence of one daemon and its peers about prompt parts.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
@@ -121,48 +143,70 @@
     }
 
     /// Returns a part because of which a request must not be sent, if there is one.
-    ///
-    /// `is_trial_owner` tells whether this daemon is the one that lets trials of a part through.
     pub fn blocking_part(
         &self,
         now_ms: Millis,
         parts: &[PromptPart],
-        is_trial_owner: impl Fn(PromptPart) -> bool,
+        delegates: &dyn Delegates,
     ) -> Option<PromptPart> {
-        let now_ms = signed(now_ms);
-        let quarantined = parts.iter().filter(|part| self.is_quarantined(**part));
-        let mut blocking = quarantined.filter(|part| {
-            let is_due = self.records.get(part).is_some_and(|record| record.is_trial_due(now_ms));
-            !(is_due && is_trial_owner(**part))
-        });
-        blocking.next().copied()
+        let mut quarantined = parts.iter().copied().filter(|part| self.is_quarantined(*part));
+        quarantined
+            .find(|part| self.permit(signed(now_ms), *part, parts, delegates) == Permit::Refused)
     }
 
     /// Records a request that is about to be sent; returns a part because of which it must not be.
-    ///
-    /// A request with a quarantined part that is not returned is the trial of that part.
     pub fn admit(
         &mut self,
         now_ms: Millis,
         parts: &[PromptPart],
-        is_trial_owner: impl Fn(PromptPart) -> bool,
+        delegates: &dyn Delegates,
     ) -> Result<(), PromptPart> {
-        let blocking = self.blocking_part(now_ms, parts, is_trial_owner);
-        for part in parts {
-            let Some(record) = self.records.get_mut(part) else { continue };
-            if !record.is_quarantined {
+        let blocking = self.blocking_part(now_ms, parts, delegates);
+        let now_ms = signed(now_ms);
+        for part in parts.iter().copied() {
+            if !self.is_quarantined(part) {
                 continue;
             }
-            record.add_request(signed(now_ms));
-            if blocking.is_none() {
-                record.begin_trial(signed(now_ms));
-                self.has_unsent = true;
-                self.changes.push(Change::TrialBegun { part: *part });
+            let permit = self.permit(now_ms, part, parts, delegates);
+            let Some(record) = self.records.get_mut(&part) else { continue };
+            record.add_request(now_ms);
+            match permit {
+                _ if blocking.is_some() => continue,
+                Permit::Distinguishing => record.begin_distinguishing(now_ms),
+                Permit::Trial => {
+                    record.begin_trial(now_ms);
+                    self.has_unsent = true;
+                }
+                Permit::Refused => continue,
             }
+            self.changes.push(Change::TrialBegun { part });
         }
         blocking.map_or(Ok(()), Err)
     }
 
+    /// Returns whether a request with a quarantined part may be sent.
+    fn permit(
+        &self,
+        now_ms: i64,
+        part: PromptPart,
+        parts: &[PromptPart],
+        delegates: &dyn Delegates,
+    ) -> Permit {
+        let Some(record) = self.records.get(&part) else { return Permit::Refused };
+        if record.is_trial_due(now_ms) && delegates.is_trial_owner(part) {
+            return Permit::Trial;
+        }
+        let is_distinguishing = self.records.iter().any(|(other, other_record)| {
+            other_record.is_quarantined
+                && !parts.contains(other)
+                && record.is_explained_by(other_record)
+        });
+        if is_distinguishing && record.is_distinguishing_due(now_ms, delegates.is_reporter(part)) {
+            return Permit::Distinguishing;
+        }
+        Permit::Refused
+    }
+
     fn is_quarantined(&self, part: PromptPart) -> bool {
         self.records.get(&part).is_some_and(|record| record.is_quarantined)
     }
@@ -179,14 +223,8 @@
 
     /// Merges what a peer knows.
     ///
-    /// `is_reporter` tells whether this daemon is one of the few that reply at once if they received
-    /// a sound answer for a part that the peer suspects.
-    pub fn merge(
-        &mut self,
-        now_ms: Millis,
-        view: &QuarantineView,
-        is_reporter: impl Fn(PromptPart) -> bool,
-    ) {
+    /// A reporter replies at once if it received a sound answer for a part that the peer suspects.
+    pub fn merge(&mut self, now_ms: Millis, view: &QuarantineView, delegates: &dyn Delegates) {
         let now_ms = signed(now_ms);
         let mut is_changed = false;
         for part_view in view.parts.iter().take(MAX_VIEW_PARTS) {
@@ -201,7 +239,7 @@
             let Some(sound_ms) = sound_ms else { continue };
             let reported_ms = part_view.sound_age_ms.map(|age_ms| now_ms - i64::from(age_ms));
             let is_newer = reported_ms.is_none_or(|ms| sound_ms > ms + REPLY_AFTER_MS);
-            if is_newer && is_reporter(part) {
+            if is_newer && delegates.is_reporter(part) {
                 record.changed_ms = Some(now_ms);
                 self.has_unsent = true;
             }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod view;
 
 pub use crate::core::Change;
+pub use crate::core::Delegates;
 pub use crate::core::Quarantine;
 pub use part::PromptPart;
 pub use part::ReplicaIncarnation;
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -22,6 +22,9 @@
 const CLEARED_PERIOD_MS: i64 = 5_000;
 /// The time after the last crash or trial until a request is let through as a trial.
 const TRIAL_AFTER_MS: i64 = 60_000;
+/// The time after the last crash until daemons that are not reporters let a distinguishing request
+/// through, and the time between two such requests of one daemon.
+const DISTINGUISH_AFTER_MS: i64 = 1_000;
 /// The most trials of a part.
 const MAX_TRIALS: u8 = 2;
 
@@ -44,6 +47,8 @@
     updated_ms: i64,
     trials: u8,
     trial_ms: i64,
+    /// When this daemon last let a distinguishing request through.
+    distinguished_ms: i64,
 }
 
 impl PartRecord {
@@ -57,9 +62,28 @@
             updated_ms: now_ms,
             trials: 0,
             trial_ms: i64::MIN / 2,
+            distinguished_ms: i64::MIN / 2,
         }
     }
 
+    /// Returns whether every crash that counts against the part counts against `other` too.
+    pub(crate) fn is_explained_by(&self, other: &Self) -> bool {
+        let is_shared = |crash: &Crash| {
+            other.crashes.iter().any(|known| known.incarnation == crash.incarnation)
+        };
+        self.crashes.iter().all(is_shared)
+    }
+
+    /// Returns whether this daemon may let a distinguishing request through.
+    pub(crate) fn is_distinguishing_due(&self, now_ms: i64, is_reporter: bool) -> bool {
+        let is_first = is_reporter || now_ms >= self.last_crash_ms() + DISTINGUISH_AFTER_MS;
+        is_first && now_ms >= self.distinguished_ms + DISTINGUISH_AFTER_MS
+    }
+
+    pub(crate) fn begin_distinguishing(&mut self, now_ms: i64) {
+        self.distinguished_ms = now_ms;
+    }
+
     /// Returns the time of the last sound answer, the earliest possible one if there was none.
     pub(crate) fn sound_ms(&self) -> i64 {
         self.sound_ms.unwrap_or(i64::MIN)
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -1,6 +1,7 @@
 //! Tests of the quarantine: evidence, exchange between daemons, trials, expiry and bounds.
 
 use quarantine::Change;
+use quarantine::Delegates;
 use quarantine::PromptPart;
 use quarantine::Quarantine;
 use quarantine::QuarantineView;
@@ -20,14 +21,22 @@
     ReplicaIncarnation::from(&ReplicaName::from(format!("replica-{number}")))
 }
 
-fn never(_: PromptPart) -> bool {
-    false
-}
+/// A daemon that acts for all others on no part, or on every part.
+struct Acts(bool);
+
+impl Delegates for Acts {
+    fn is_trial_owner(&self, _: PromptPart) -> bool {
+        self.0
+    }
 
-fn always(_: PromptPart) -> bool {
-    true
+    fn is_reporter(&self, _: PromptPart) -> bool {
+        self.0
+    }
 }
 
+const NEVER: &Acts = &Acts(false);
+const ALWAYS: &Acts = &Acts(true);
+
 /// Records crashes of `count` incarnations, one every 500 ms from `start_ms` on.
 fn crash(quarantine: &mut Quarantine, start_ms: Millis, parts: &[PromptPart], count: usize) {
     for number in 0..count {
@@ -37,7 +46,7 @@
 }
 
 fn is_blocked(quarantine: &Quarantine, now_ms: Millis, part: PromptPart) -> bool {
-    quarantine.blocking_part(now_ms, &[part], never) == Some(part)
+    quarantine.blocking_part(now_ms, &[part], NEVER) == Some(part)
 }
 
 fn quarantined(now_ms: Millis, parts: &[PromptPart]) -> Quarantine {
@@ -47,7 +56,7 @@
 }
 
 fn merge(to: &mut Quarantine, now_ms: Millis, view: Option<QuarantineView>) {
-    to.merge(now_ms, &view.expect("there is something to tell"), never);
+    to.merge(now_ms, &view.expect("there is something to tell"), NEVER);
 }
 
 #[test]
@@ -176,14 +185,14 @@
     reporter.record_sound(1_000, &[first]);
     let push = marker.take_push(60_000).expect("a push");
     let mut other = reporter.clone();
-    reporter.merge(60_010, &push, always);
-    other.merge(60_010, &push, never);
+    reporter.merge(60_010, &push, ALWAYS);
+    other.merge(60_010, &push, NEVER);
     assert!(other.take_push(60_050).is_none());
     merge(&mut marker, 60_060, reporter.take_push(60_050));
     assert!(!is_blocked(&marker, 60_060, first));
     assert!(is_blocked(&marker, 60_060, deadly));
     let answer = marker.complete_view(60_100).expect("a view");
-    reporter.merge(60_110, &answer, never);
+    reporter.merge(60_110, &answer, NEVER);
     assert!(reporter.take_push(60_250).is_none());
 }
 
@@ -191,26 +200,51 @@
 fn two_trials_in_all_are_let_through_by_the_owner() {
     let deadly = part("dead");
     let mut owner = quarantined(10_000, &[deadly]);
-    assert_eq!(owner.admit(69_900, &[deadly], always), Err(deadly));
-    assert_eq!(owner.admit(70_000, &[deadly], never), Err(deadly));
-    assert_eq!(owner.admit(70_000, &[deadly], always), Ok(()));
-    assert_eq!(owner.admit(70_001, &[deadly], always), Err(deadly), "one at a time");
+    assert_eq!(owner.admit(69_900, &[deadly], ALWAYS), Err(deadly));
+    assert_eq!(owner.admit(70_000, &[deadly], NEVER), Err(deadly));
+    assert_eq!(owner.admit(70_000, &[deadly], ALWAYS), Ok(()));
+    assert_eq!(owner.admit(70_001, &[deadly], ALWAYS), Err(deadly), "one at a time");
     let mut next_owner = quarantined(10_000, &[deadly]);
     merge(&mut next_owner, 70_200, owner.take_push(70_100));
-    assert_eq!(next_owner.admit(71_000, &[deadly], always), Err(deadly));
+    assert_eq!(next_owner.admit(71_000, &[deadly], ALWAYS), Err(deadly));
     next_owner.record_crash(70_300, &[deadly], incarnation(7));
-    assert_eq!(next_owner.admit(130_200, &[deadly], always), Err(deadly));
-    assert_eq!(next_owner.admit(130_300, &[deadly], always), Ok(()));
-    assert_eq!(next_owner.admit(400_000, &[deadly], always), Err(deadly), "no third trial");
+    assert_eq!(next_owner.admit(130_200, &[deadly], ALWAYS), Err(deadly));
+    assert_eq!(next_owner.admit(130_300, &[deadly], ALWAYS), Ok(()));
+    assert_eq!(next_owner.admit(400_000, &[deadly], ALWAYS), Err(deadly), "no third trial");
+}
+
+#[test]
+fn request_with_one_of_two_suspect_parts_shows_which_is_sound() {
+    let (first, deadly) = (part("a1"), part("dead"));
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, 10_000, &[first, deadly], 3);
+    assert_eq!(quarantine.admit(11_010, &[first, deadly], ALWAYS), Err(first));
+    assert_eq!(quarantine.admit(11_010, &[first], NEVER), Err(first), "reporters come first");
+    assert_eq!(quarantine.admit(11_010, &[first], ALWAYS), Ok(()));
+    assert_eq!(quarantine.admit(11_020, &[first], ALWAYS), Err(first), "one at a time");
+    quarantine.record_sound(11_200, &[first]);
+    assert_eq!(quarantine.admit(11_300, &[first], NEVER), Ok(()));
+    assert_eq!(quarantine.admit(11_300, &[first, deadly], ALWAYS), Err(deadly));
+    assert_eq!(quarantine.admit(20_000, &[deadly], ALWAYS), Err(deadly));
+}
+
+#[test]
+fn part_that_crashes_without_the_other_suspect_is_not_let_through_again() {
+    let (first, deadly) = (part("a1"), part("dead"));
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, 10_000, &[first, deadly], 3);
+    assert_eq!(quarantine.admit(12_100, &[deadly], NEVER), Ok(()));
+    quarantine.record_crash(12_200, &[deadly], incarnation(8));
+    assert_eq!(quarantine.admit(20_000, &[deadly], ALWAYS), Err(deadly));
 }
 
 #[test]
 fn trial_of_sound_part_lifts_its_quarantine() {
     let wrong = part("a1");
     let mut quarantine = quarantined(10_000, &[wrong]);
-    assert_eq!(quarantine.admit(70_000, &[wrong], always), Ok(()));
+    assert_eq!(quarantine.admit(70_000, &[wrong], ALWAYS), Ok(()));
     quarantine.record_sound(70_100, &[wrong]);
-    assert_eq!(quarantine.admit(70_200, &[wrong], never), Ok(()));
+    assert_eq!(quarantine.admit(70_200, &[wrong], NEVER), Ok(()));
 }
 
 #[test]
@@ -219,7 +253,7 @@
     let mut here = quarantined(10_000, &[deadly]);
     let mut there = Quarantine::default();
     merge(&mut there, 10_010, here.complete_view(10_010));
-    assert_eq!(there.admit(300_000, &[deadly], never), Err(deadly));
+    assert_eq!(there.admit(300_000, &[deadly], NEVER), Err(deadly));
     // The two tell each other all they know, with a delay, until both have forgotten.
     let mut forgotten_ms = None;
     for second in 301..1_200 {
@@ -228,7 +262,7 @@
             let view = if from { here.complete_view(now_ms) } else { there.complete_view(now_ms) };
             let target = if to { &mut here } else { &mut there };
             if let Some(view) = view {
-                target.merge(now_ms + 200, &view, never);
+                target.merge(now_ms + 200, &view, NEVER);
             }
         }
         here.tick(now_ms + 300);
@@ -278,7 +312,7 @@
         let parts = [part(&format!("{:016x}", u64::MAX - number as u64))];
         quarantine.record_sound(1_000, &parts);
         crash(&mut quarantine, 10_000, &parts, 9);
-        quarantine.admit(100_000, &parts, always).expect("a trial");
+        quarantine.admit(100_000, &parts, ALWAYS).expect("a trial");
     }
     let view = quarantine.complete_view(700_000).expect("a view");
     let bytes = postcard::to_allocvec(&view).expect("a view can be encoded");
@@ -297,6 +331,6 @@
         view.parts.push(other);
     }
     let mut quarantine = Quarantine::default();
-    quarantine.merge(2_100, &view, never);
+    quarantine.merge(2_100, &view, NEVER);
     assert!(quarantine.sizes().0 <= MAX_VIEW_PARTS);
 }
