--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -8,6 +8,7 @@
 use kernel::pause_tolerant;
 use log::debug;
 use log::info;
+use quarantine::PromptPart;
 use slots::SlotLease;
 use upstream::AnswerHead;
 use upstream::Connection;
@@ -45,6 +46,8 @@
     pub body: Bytes,
     /// The id of this attempt of the client.
     pub id: RequestId,
+    /// The parts of the prompt that other requests may share.
+    pub prompt_parts: Vec<PromptPart>,
 }
 
 /// A replica's answer whose head has been read and whose body has not.
--- a/crates/jobs/tests/handover.rs
+++ b/crates/jobs/tests/handover.rs
@@ -13,6 +13,7 @@
 use catalog::ReplicaSet;
 use gate::IngressCodec;
 use gate::JobCall;
+use gate::PromptGuard;
 use gate::codec::AnswerMeta;
 use gate::codec::ForwardMeta;
 use gate::codec::InvalidHead;
@@ -45,6 +46,8 @@
 use peers::heartbeat::Heartbeat;
 use peers::heartbeat::Identity;
 use peers::heartbeat::Readiness;
+use quarantine::Delegates;
+use quarantine::PromptPart;
 use slots::Slots;
 use store::Call;
 use store::ObjectClient;
@@ -88,6 +91,10 @@
         Err(InvalidHead { message: "not used" })
     }
 
+    fn decode_prompt_parts(&self, _headers: &HeaderMap) -> Vec<PromptPart> {
+        Vec::new()
+    }
+
     fn write_forwarded_headers(
         &self,
         _writer: &mut RequestWriter,
@@ -109,6 +116,19 @@
     }
 }
 
+/// Delegates nothing to this daemon.
+struct NoDelegates;
+
+impl Delegates for NoDelegates {
+    fn is_trial_owner(&self, _part: PromptPart) -> bool {
+        false
+    }
+
+    fn is_reporter(&self, _part: PromptPart) -> bool {
+        false
+    }
+}
+
 /// A store with one object, which applies a call when its answer is decoded.
 struct OneObject {
     object: RefCell<StoredObject>,
@@ -223,6 +243,7 @@
     let address = start_server().await;
     let store = ObjectClient::new(codec, address, 1e3, 1e3, counters.clone());
     JobManager::new(Dependencies {
+        prompt_guard: Rc::new(PromptGuard::new(clock, counters.clone(), Box::new(NoDelegates))),
         job_codec: Rc::new(UnusedCodec),
         ingress_codec: Rc::new(UnusedCodec),
         clock,
--- a/crates/peers/src/heartbeat.rs
+++ b/crates/peers/src/heartbeat.rs
@@ -25,6 +25,8 @@
     Lost,
     /// Replicas that have announced that they leave.
     Leaving,
+    /// The quarantine of prompt parts. Daemons of builds before it drop such messages.
+    Quarantine,
 }
 
 /// The envelope of every datagram.
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -76,6 +76,7 @@
     has_sent: bool,
     can_keep_open: bool,
     is_closing: bool,
+    has_ended_by_close: bool,
     has_carried_requests: bool,
     request_ids: Vec<u64>,
     keep_alive_timeout_ms: Option<u64>,
@@ -105,6 +106,7 @@
             has_sent: false,
             can_keep_open: true,
             is_closing: false,
+            has_ended_by_close: false,
             has_carried_requests: false,
             request_ids: Vec::new(),
             keep_alive_timeout_ms: None,
@@ -196,6 +198,7 @@
                 return Ok(None);
             }
             if self.write_and_read().await? == 0 {
+                self.has_ended_by_close = self.decoder.is_until_close();
                 self.decoder.finish()?;
             }
         }
@@ -220,6 +223,12 @@
         Ok(if parts.is_empty() { body } else { parts.freeze() })
     }
 
+    /// Returns whether the answer had no length and ended with its connection, so that it may have
+    /// been cut short.
+    pub fn has_ended_by_close(&self) -> bool {
+        self.has_ended_by_close
+    }
+
     /// Returns whether the answer has ended and the connection can carry another request.
     pub fn is_reusable(&self) -> bool {
         self.can_keep_open
@@ -304,3 +313,12 @@
 fn hash_id(id: &str) -> u64 {
     BuildHasherDefault::<DefaultHasher>::default().hash_one(id)
 }
+
+/// Returns whether `peer` refuses a new connection, so that no process listens there. A connect that
+/// gets no answer within `limit` does not show this.
+pub async fn refuses_connections(peer: SocketAddr, limit: Duration) -> bool {
+    match timeout(limit, TcpStream::connect(peer)).await {
+        Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub use connection::Connection;
 pub use connection::ExchangeError;
+pub use connection::refuses_connections;
 pub use decoder::AnswerDecoder;
 pub use events::Event;
 pub use events::EventSplitter;
