Explain requests that were refused because of a quarantined part

crocus explain ended such a request with 'Its answer ended as quarantined after 0 events from -', as it did not know the outcome. It has a sentence now. An item that was held, run and held again was logged as held only once; the end of a run now resets this. The new test of jobs checks that a held item waits without blocking others and is given up at its retention.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -243,6 +243,10 @@
             "It was refused without being run: its daemon was stopping and might have ended first."
                 .to_owned()
         }
+        "quarantined" => {
+            "It was refused without being run: a part of its prompt crashed replicas and is quarantined."
+                .to_owned()
+        }
         "no_backend" => {
             "It was refused without being run: no replica of the service accepted it.".to_owned()
         }
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -52,6 +52,16 @@
     assert_eq!(summary, "It was refused without being run: no slot came free within 1200 ms.");
 }
 
+#[test]
+fn refusal_because_of_a_quarantined_part_is_reported() {
+    let line = "ts=2026-12-04T10:00:04.000Z level=info at=gate::report event=request id=r4 route=r \
+                version=1 outcome=quarantined status=503 replica=- tried=0 slot_wait_ms=0 \
+                first_ms=-1 events=0 total_ms=0";
+    let lines = LogLine::parse(line, "daemon-1").into_iter().collect();
+    let summary = build_timeline("r4", lines).outcome_summary();
+    assert!(summary.starts_with("It was refused without being run: a part of its prompt"));
+}
+
 #[test]
 fn refusal_by_a_stopping_daemon_is_reported() {
     let line = "ts=2026-12-04T10:00:04.000Z level=info at=gate::report event=request id=r3 route=r \
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -347,6 +347,7 @@
         if entry.phase != Phase::Running {
             return;
         }
+        entry.is_held = false;
         let delay_ms = match end {
             ItemRunEnd::Completed => {
                 let text = Arc::from(progress.text);
--- a/crates/jobs/tests/job.rs
+++ b/crates/jobs/tests/job.rs
@@ -52,6 +52,22 @@
     assert!(job.is_finished());
 }
 
+#[test]
+fn held_item_waits_while_others_run_and_is_given_up_at_retention() {
+    let mut job = job(2);
+    let held = job.start_next(0).expect("an item is ready").index;
+    assert!(job.hold(0, held), "newly held");
+    let other = run(&mut job, 10, ItemRunEnd::Completed, output("text", 3));
+    assert_ne!(other, held);
+    assert!(job.start_next(999).is_none());
+    assert_eq!(job.start_next(1_000).map(|next| next.index), Some(held));
+    assert!(!job.hold(1_000, held), "held before");
+    job.give_up_expired(59_999, Some(&LIMITS));
+    assert_eq!(job.results().len(), 1);
+    job.give_up_expired(60_000, Some(&LIMITS));
+    assert_eq!(job.results()[1].outcome, Outcome::GivenUp);
+}
+
 #[test]
 fn interrupted_item_resumes_from_its_output() {
     let mut job = job(2);
