Claim an ended job before its results are held

Callers could see fewer results of an ended job than they had read: a daemon that reads the record of an ended job whose home is gone held the copy without writing itself into the record, so a late write of the former home could still add results, which other daemons then showed. The test fails on the code before ('a late write still applies'). Only a job with a result for every item, which nothing can change, is held without a claim now.

--- a/crates/jobs/src/adoption.rs
+++ b/crates/jobs/src/adoption.rs
@@ -151,13 +151,13 @@
         if !job.is_finished() && !is_gone && home != self.own_home {
             return Ok(LoadedJob::Remote(home, Rc::new(new_handle(job))));
         }
-        if job.is_finished() {
-            return Ok(if is_gone {
-                LoadedJob::Local(self.add_job(job))
-            } else {
-                LoadedJob::Remote(home, Rc::new(new_handle(job)))
-            });
+        if job.is_finished() && !is_gone {
+            return Ok(LoadedJob::Remote(home, Rc::new(new_handle(job))));
+        }
+        if job.has_all_results() {
+            return Ok(LoadedJob::Local(self.add_job(job)));
         }
+        // A late write of the former home may still add results to a job that was ended.
         self.claim(id, job, store_timeout).await
     }
 
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -238,6 +238,11 @@
         is_done && self.unwritten.is_empty() && !self.needs_write
     }
 
+    /// Returns whether the record holds a result of every item, so that it cannot change.
+    pub fn has_all_results(&self) -> bool {
+        self.written.len() == self.entries.len()
+    }
+
     /// Returns the sum of the tokens of unfinished items.
     pub fn waiting_tokens(&self) -> u64 {
         if self.is_ended {
--- a/crates/jobs/tests/handover.rs
+++ b/crates/jobs/tests/handover.rs
@@ -331,3 +331,20 @@
     };
     LocalSet::new().run_until(run).await;
 }
+
+#[tokio::test]
+async fn late_write_adds_no_result_to_an_ended_job_that_is_held() {
+    let run = async {
+        let id = JobId::from("j");
+        let (mut job, store) = recorded_job(&id, Home { daemon: "here".into(), incarnation: 1 });
+        job.end();
+        let status = job.status(&Home { daemon: "here".into(), incarnation: 1 }, 1 << 20);
+        store.object.borrow_mut().status = record::to_json(&status).expect("a status");
+        let former_revision = store.object.borrow().revision;
+        let manager = manager("here", store.clone(), &[]).await;
+        let loaded = manager.load(&id, TIME_LIMIT).await;
+        assert!(matches!(loaded, Ok(LoadedJob::Local(_))), "the home is gone");
+        assert!(store.object.borrow().revision > former_revision, "a late write still applies");
+    };
+    LocalSet::new().run_until(run).await;
+}
