Take evidence about prompt parts from events with data and from every lost answer

Found by the review of the quarantine, by reading, no test shows it: a failure answer with a body, or two comments of an event stream, counted as a sound answer and cleared the crashes of a part, so that requests with it went on crashing replicas; a failure answer or a plain answer without length that was lost with its replica left no evidence; events that a replica repeats after a resumption of an item did not count as an answer. Sound is now an event with data of a success, of the run itself, or a complete success; a lost answer counts whatever its status. A trial test with empty failure answers passed before too (the HTTP library does not read on after an empty body) and was dropped. platform_quarantine passes.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -253,7 +253,9 @@
         let failure = match timeout(Duration::from_millis(remaining_ms), reading).await {
             Ok(Ok(body)) => {
                 let is_success = answer.head.status.is_success();
-                if is_success && !answer.connection.has_ended_by_close() {
+                if answer.connection.has_ended_by_close() {
+                    self.prompt_guard.record_loss(&lease.replica, &request.prompt_parts);
+                } else if is_success {
                     self.prompt_guard.record_sound(&request.prompt_parts);
                 }
                 self.pool.put(answer.connection);
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -173,7 +173,7 @@
     fn take_events(&mut self) -> Option<Bytes> {
         let mut events = BytesMut::new();
         while let Some(event) = self.splitter.next_event() {
-            self.record_run_events(1);
+            self.record_run_events(u32::from(event.has_data()));
             let is_repeated = match (event.id, self.last_event) {
                 (Some(id), Some(last)) => id <= last,
                 _ => false,
@@ -197,11 +197,16 @@
         };
         let reading =
             pause_tolerant::timeout(Duration::from_millis(limit_ms), connection.read_body());
-        match self.gateway.wait_reporting_silence(lease, EVENT_SILENCE_TIMEOUT, reading).await {
-            Ok(Ok(part)) => Ok(part),
-            Ok(Err(error)) => Err(classify_body_error(&error)),
-            Err(_) => Err(SendFailure::Stalled),
+        let waiting = self.gateway.wait_reporting_silence(lease, EVENT_SILENCE_TIMEOUT, reading);
+        let failure = match waiting.await {
+            Ok(Ok(part)) => return Ok(part),
+            Ok(Err(error)) => classify_body_error(&error),
+            Err(_) => SendFailure::Stalled,
+        };
+        if failure == SendFailure::BrokenOff {
+            self.record_loss();
         }
+        Err(failure)
     }
 
     /// Counts events of the current run; the answer is sound once there are enough.
@@ -273,7 +278,7 @@
         if let Some(connection) = self.connection.take() {
             if connection.has_ended_by_close() {
                 self.record_loss();
-            } else {
+            } else if self.is_event_stream {
                 self.gateway.prompt_guard.record_sound(&self.request.prompt_parts);
             }
             self.gateway.pool.put(connection);
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -218,11 +218,12 @@
             _ => {}
         }
         let mut splitter = EventSplitter::default();
-        let events_before = progress.events;
-        let mut reported_events = events_before;
+        let mut reported_events = progress.events;
+        let mut run_events = 0;
         let mut is_sound = false;
         loop {
-            let reading = read_progress(&mut answer.connection, &mut splitter, progress);
+            let connection = &mut answer.connection;
+            let reading = read_progress(connection, &mut splitter, progress, &mut run_events);
             match pause_tolerant::timeout(STALL_TIMEOUT, reading).await {
                 Ok(Ok(true)) => {}
                 Ok(Ok(false)) => {
@@ -243,7 +244,7 @@
                 }
                 Err(_) => return self.record_replica_failure(lease, SendFailure::Stalled),
             }
-            if !is_sound && progress.events >= events_before + SOUND_EVENTS {
+            if !is_sound && run_events >= SOUND_EVENTS {
                 is_sound = true;
                 guard.record_sound(&request.prompt_parts);
             }
@@ -324,15 +325,18 @@
     }
 }
 
-/// Reads events until `progress` has grown; returns false at the end of the stream.
+/// Reads events until `progress` has grown and adds them to `run_events`, those that are repeated
+/// after a resumption too; returns false at the end of the stream.
 async fn read_progress(
     connection: &mut Connection,
     splitter: &mut EventSplitter,
     progress: &mut Progress,
+    run_events: &mut u32,
 ) -> Result<bool, SendFailure> {
     let before = (progress.events, progress.last_event);
     loop {
         while let Some(event) = splitter.next_event() {
+            *run_events += u32::from(event.has_data());
             progress.append(&event);
         }
         if (progress.events, progress.last_event) != before {
