Wait for the operators' port before a test rolls a bundle

The test fleet waits for the callers' port of a daemon and then rolls a bundle at the operators' port, which the daemon opens a moment later (its log: serving 33 ms after its first line); the call went out in between. The fleet waits for both ports now; the test checks as much as before.

--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -47,7 +47,7 @@
         fleet
     }
 
-    /// Starts a daemon and waits until it listens.
+    /// Starts a daemon and waits until it listens for callers and operators.
     pub fn start_daemon(&mut self, index: usize) {
         let child = Command::new(env!("CARGO_BIN_EXE_crocusd"))
             .arg("--settings")
@@ -59,6 +59,7 @@
             .expect("crocusd starts");
         self.daemons[index] = Some(child);
         self.wait_for_port(&self.address(10 + index, 7001));
+        self.wait_for_port(&self.address(10 + index, 7002));
     }
 
     /// Sends a signal to the process of a daemon.
