Apply a raised idle limit to open client connections

Cause: hyper's header timeout is set when a connection opens, so a connection that was opened under a shorter idle limit was closed within the limit in force, and a client that reused it got neither an answer nor a refusal.

Change: IdleTimer measures how long a connection has been without a request and compares that with the longer of the limits at the beginning and at the end of the wait.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod error;
 pub mod http_client;
 pub mod http_server;
+mod idle_timer;
 pub mod lifecycle;
 pub mod local_server;
 pub mod log_writer;
--- a/crates/kernel/src/local_server.rs
+++ b/crates/kernel/src/local_server.rs
@@ -28,7 +28,6 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use log::debug;
 use log::warn;
 use tokio::net::TcpListener;
@@ -38,6 +37,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::KernelError;
+use crate::idle_timer::BusyConnection;
+use crate::idle_timer::IdleTimer;
 
 /// The length of the queue of connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
@@ -91,6 +92,32 @@
     }
 }
 
+/// A body whose connection is busy until the body is dropped.
+struct BusyBody {
+    body: LocalBody,
+    _busy: BusyConnection,
+}
+
+impl Body for BusyBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// The handler that a server calls for each request.
 pub trait LocalHandler: 'static {
     /// Answers a request; the future is dropped when the client disconnects.
@@ -100,18 +127,20 @@
     ) -> LocalBoxFuture<'static, Response<LocalBody>>;
 }
 
-/// Limits of a connection; a change applies to connections that are opened later.
+/// Limits of a connection.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionLimits {
-    /// The maximum size of a request's head, in bytes.
+    /// The maximum size of a request's head, in bytes; a change applies to connections that are
+    /// opened later.
     pub header_bytes: usize,
-    /// The maximum time that a connection waits for a complete head.
+    /// The maximum time that a connection waits for a complete head: the longer of the limits at
+    /// the beginning and at the end of the wait.
     pub idle: Duration,
 }
 
 /// The lifecycle of a server: its limits, the stages of its shutdown and its open connections.
 pub struct ServerLifecycle {
-    /// The limits of new connections.
+    /// The limits of connections.
     pub limits: Cell<ConnectionLimits>,
     /// Cancelled when every answer must be the last one on its connection.
     pub leaving: CancellationToken,
@@ -187,7 +216,12 @@
     }
     lifecycle.connections.set(lifecycle.connections.get() + 1);
     let limits = lifecycle.limits.get();
+    let idle_timer = IdleTimer::new({
+        let lifecycle = lifecycle.clone();
+        move || lifecycle.limits.get().idle
+    });
     let service = service_fn(|request| {
+        let busy = idle_timer.begin_request();
         let answer = handler.clone().handle(request);
         let lifecycle = lifecycle.clone();
         async move {
@@ -195,12 +229,10 @@
             if lifecycle.leaving.is_cancelled() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok::<_, Infallible>(answer)
+            Ok::<_, Infallible>(answer.map(|body| BusyBody { body, _busy: busy }))
         }
     });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle)
         .max_buf_size(limits.header_bytes.max(MIN_HEAD_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
@@ -212,6 +244,10 @@
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
+            () = idle_timer.expired() => {
+                debug!("event=connection_idle peer={peer}");
+                break None;
+            }
             () = lifecycle.stopped.cancelled() => break None,
         }
     };
