Answer requests before a stopping daemon exits

Cause (operators' report on planned stops): requests were accepted late in the grace period if they ended before its end, but the process exits 200 ms earlier; those in between were sent to a replica and cut without an answer. Requests that outlast the grace period were cut as well.

Change: the window of late requests ends 250 ms before the grace period does, and at that moment requests whose answer has not begun are answered: 504 if they were sent, 503 (not run) otherwise.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -125,7 +125,10 @@
             Call { request, route, arrived_ms: report.arrived_ms, last_event: meta.last_event };
         let Call { request, route, .. } = &call;
         loop {
-            let sent = self.send_once(&call, &mut attempt, &mut report.sends).await;
+            let sending = self.send_once(&call, &mut attempt, &mut report.sends);
+            let Some(sent) = self.unless_ending(sending).await else {
+                return self.answer_at_exit(report);
+            };
             let failure = match sent {
                 Err(SendError::NoSlot(no_slot)) => {
                     let next = self.give_up_without_slot(&mut attempt, no_slot);
@@ -165,12 +168,12 @@
                     return relay.into_answer(answer.head);
                 }
                 Ok((lease, answer)) => {
-                    match self
-                        .read_full_answer(request, &attempt, &lease, answer, &mut report)
-                        .await
-                    {
-                        Ok(answer) => return answer,
-                        Err(failure) => failure,
+                    let reading =
+                        self.read_full_answer(request, &attempt, &lease, answer, &mut report);
+                    match self.unless_ending(reading).await {
+                        Some(Ok(answer)) => return answer,
+                        Some(Err(failure)) => failure,
+                        None => return self.answer_at_exit(report),
                     }
                 }
             };
@@ -381,6 +384,17 @@
         Err(failure)
     }
 
+    /// Returns the answer to a request that is still open when the process is about to exit.
+    fn answer_at_exit(&self, report: RequestReport) -> Response<LocalBody> {
+        let refusal = if report.sends.replica.is_some() {
+            Refusal::may_have_run(Reason::Deadline, "this daemon stopped before the answer came")
+        } else {
+            Refusal::not_run(Reason::Leaving, "this daemon stopped before a slot was free")
+                .with_retry_after(MIN_RETRY_AFTER_MS)
+        };
+        self.answer_without_replica(NextAction::Refuse(refusal), report)
+    }
+
     /// Returns the answer to a request that got no complete answer from a replica.
     fn answer_without_replica(
         &self,
--- a/crates/gate/src/gateway.rs
+++ b/crates/gate/src/gateway.rs
@@ -23,6 +23,7 @@
 use kernel::local_server::LocalHandler;
 use log::info;
 use slots::Slots;
+use tokio_util::sync::CancellationToken;
 use upstream::ConnectionPool;
 use wire::Configuration;
 use wire::Millis;
@@ -97,6 +98,8 @@
     pub crash_guard: Rc<CrashGuard>,
     pub(crate) in_flight: Cell<usize>,
     shutdown: Cell<Option<ShutdownWindow>>,
+    /// Cancelled when requests without an answer get a final one, since the process is about to exit.
+    ending: CancellationToken,
 }
 
 impl LocalHandler for Gateway {
@@ -122,6 +125,7 @@
             crash_guard: deps.crash_guard,
             in_flight: Cell::new(0),
             shutdown: Cell::new(None),
+            ending: CancellationToken::new(),
         }
     }
 
@@ -130,11 +134,26 @@
         self.in_flight.get()
     }
 
-    /// Accepts from now on only requests that end before the daemon exits, `grace_ms` from now.
+    /// Accepts from now on only requests that end before the last answers are sent, `serving_ms`
+    /// from now.
     ///
     /// Every request is still accepted at the start of that time; see [`ShutdownWindow`].
-    pub fn begin_shutdown(&self, grace_ms: Millis) {
-        self.shutdown.set(Some(ShutdownWindow::new(self.now_ms(), grace_ms)));
+    pub fn begin_shutdown(&self, serving_ms: Millis) {
+        self.shutdown.set(Some(ShutdownWindow::new(self.now_ms(), serving_ms)));
+    }
+
+    /// Answers the requests whose answer has not begun, since the process is about to exit.
+    pub fn answer_remaining(&self) {
+        self.ending.cancel();
+    }
+
+    /// Waits for `work`, or returns `None` once the remaining requests must be answered.
+    pub(crate) async fn unless_ending<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            done = work => Some(done),
+            () = self.ending.cancelled() => None,
+        }
     }
 
     /// Returns whether a request that may last until `give_up_at_ms` is accepted.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -74,6 +74,10 @@
 /// The last part of the grace period, in which no connections are accepted and running requests
 /// get their final answers.
 const FINAL_ANSWERS_TIME: Duration = Duration::from_millis(1_500);
+/// The end of the grace period, before which the last requests are answered and the process exits.
+const EXIT_MARGIN: Duration = Duration::from_millis(250);
+/// The time for which the last answers are sent before the process exits.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
 /// The time between two sweeps of idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 /// The time between two checks of the settings file, which may change without a signal.
@@ -381,18 +385,24 @@
         self.membership.borrow_mut().set_own_readiness(Readiness::Leaving);
         self.ingress_lifecycle.leaving.cancel();
         self.job_manager.hand_over_jobs();
-        self.gateway.begin_shutdown(self.settings.time_limits.stop_grace_ms);
         let grace = Duration::from_millis(self.settings.time_limits.stop_grace_ms);
+        let serving = grace.saturating_sub(EXIT_MARGIN);
+        self.gateway.begin_shutdown(serving.as_millis() as Millis);
         sleep(grace.saturating_sub(FINAL_ANSWERS_TIME)).await;
         self.ingress_lifecycle.closing.cancel();
+        self.wait_for_connections(FINAL_ANSWERS_TIME.saturating_sub(EXIT_MARGIN)).await;
+        info!("event=left daemon={} in_flight={}", self.settings.daemon, self.gateway.in_flight());
+        self.gateway.answer_remaining();
+        self.wait_for_connections(LAST_ANSWERS_TIME).await;
+    }
+
+    /// Waits until no client's connection is open, for at most `limit`.
+    async fn wait_for_connections(&self, limit: Duration) {
         let poll_interval = Duration::from_millis(20);
         let mut waited = Duration::ZERO;
-        while waited + poll_interval * 10 < FINAL_ANSWERS_TIME
-            && self.ingress_lifecycle.connections() > 0
-        {
+        while waited < limit && self.ingress_lifecycle.connections() > 0 {
             sleep(poll_interval).await;
             waited += poll_interval;
         }
-        info!("event=left daemon={} in_flight={}", self.settings.daemon, self.gateway.in_flight());
     }
 }
