Order items beyond capacity so that fewer end late

Cause: with more items owed than fit, due time alone starts every item at the last moment; after one interruption it ends late, and late items were ordered by the end of their wait for a slot, so hopeless ones took slots of others.

The choice at homes and at slot owners uses one rank (slots::BatchRank).

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod retention;
 pub mod run_time;
 pub mod runner;
+pub mod selection;
 pub mod serve;
 pub mod status;
 pub mod status_writer;
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -35,6 +35,7 @@
 use crate::manager::JobHandle;
 use crate::manager::JobManager;
 use crate::progress::Progress;
+use crate::selection;
 
 /// The most items that wait for a slot at the same time. Each asks one slot owner; as soon as one
 /// has its slot, the next item follows.
@@ -93,14 +94,12 @@
     fn start_items(self: &Rc<Self>, handles: &[Rc<JobHandle>], now_ms: Millis) {
         while self.waiting_for_slot.get() < MAX_WAITING_FOR_SLOT {
             let run_time = self.run_time.get();
-            let next = handles
-                .iter()
-                .filter_map(|handle| {
-                    let job = handle.job.borrow();
-                    let limits = self.limits_of(&job)?;
-                    Some((job.next_urgency(now_ms, &limits, &run_time)?, handle))
-                })
-                .min_by_key(|(urgency, _)| (urgency.on_time_at_ms < now_ms, urgency.order_at_ms));
+            let candidates = handles.iter().filter_map(|handle| {
+                let job = handle.job.borrow();
+                let limits = self.limits_of(&job)?;
+                Some((job.next_urgency(now_ms, &limits, &run_time)?, handle))
+            });
+            let next = selection::most_urgent(now_ms, candidates);
             let Some((urgency, handle)) = next else { return };
             let Some(run) = handle.job.borrow_mut().start_next(now_ms) else { return };
             let parts = self.prompt_parts(handle, &run);
--- a/crates/slots/src/table.rs
+++ b/crates/slots/src/table.rs
@@ -3,6 +3,7 @@
 use wire::DaemonName;
 use wire::Millis;
 
+use crate::batch_order::BatchRank;
 use crate::message::Class;
 use crate::message::Load;
 use crate::message::Run;
@@ -436,9 +437,22 @@
     }
 }
 
-/// Returns the sort key of a queued request; the lowest is served first.
-fn service_order(queued: &QueuedRequest, now_ms: Millis) -> (Class, bool, Millis, Ticket) {
+/// The place of a queued request; the lowest is served first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum ServiceOrder {
+    /// An online request: those that can be on time first.
+    Online { is_late: bool, at_ms: Millis, ticket: Ticket },
+    /// An item of a job.
+    Batch { rank: BatchRank, ticket: Ticket },
+}
+
+fn service_order(queued: &QueuedRequest, now_ms: Millis) -> ServiceOrder {
+    let ticket = queued.ticket;
+    if queued.class == Class::Batch {
+        let rank = BatchRank::new(now_ms, queued.on_time_at_ms, queued.order_at_ms);
+        return ServiceOrder::Batch { rank, ticket };
+    }
     let is_late = queued.on_time_at_ms < now_ms;
     let at_ms = if is_late { queued.give_up_at_ms } else { queued.order_at_ms };
-    (queued.class, is_late, at_ms, queued.ticket)
+    ServiceOrder::Online { is_late, at_ms, ticket }
 }
