--- a/crates/slots/src/table.rs
+++ b/crates/slots/src/table.rs
@@ -17,7 +17,7 @@
 const REVOKE_RESEND_MS: Millis = 200;
 /// How long after a revocation no batch item gets a slot of the replica: the next online request
 /// would revoke it before the item has made up for the cost of reading its prompt.
-const BATCH_HOLD_OFF_MS: Millis = 300;
+const BATCH_HOLD_OFF_MS: Millis = 100;
 /// How long a grant stays valid without a confirmation by its holder; several times the longest
 /// heartbeat period.
 const UNCONFIRMED_GRANT_TTL_MS: Millis = 4_000;
