--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -39,6 +39,7 @@
 use tokio::signal::unix::signal;
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 use tokio::time::sleep;
 use upstream::ConnectionPool;
 use wire::Millis;
@@ -78,6 +79,8 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(250);
 /// The time for which the last answers are sent before the process exits.
 const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
+/// The time between two checks whether clients' connections are open during a stop.
+const CONNECTIONS_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// The time between two sweeps of idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 /// The time between two checks of the settings file, which may change without a signal.
@@ -387,22 +390,20 @@
         self.job_manager.hand_over_jobs();
         let grace = Duration::from_millis(self.settings.time_limits.stop_grace_ms);
         let serving = grace.saturating_sub(EXIT_MARGIN);
+        let serves_until = Instant::now() + serving;
         self.gateway.begin_shutdown(serving.as_millis() as Millis);
         sleep(grace.saturating_sub(FINAL_ANSWERS_TIME)).await;
         self.ingress_lifecycle.closing.cancel();
-        self.wait_for_connections(FINAL_ANSWERS_TIME.saturating_sub(EXIT_MARGIN)).await;
+        self.wait_for_connections(serves_until).await;
         info!("event=left daemon={} in_flight={}", self.settings.daemon, self.gateway.in_flight());
         self.gateway.answer_remaining();
-        self.wait_for_connections(LAST_ANSWERS_TIME).await;
+        self.wait_for_connections(serves_until + LAST_ANSWERS_TIME).await;
     }
 
-    /// Waits until no client's connection is open, for at most `limit`.
-    async fn wait_for_connections(&self, limit: Duration) {
-        let poll_interval = Duration::from_millis(20);
-        let mut waited = Duration::ZERO;
-        while waited < limit && self.ingress_lifecycle.connections() > 0 {
-            sleep(poll_interval).await;
-            waited += poll_interval;
+    /// Waits until no client's connection is open, at most until `deadline`.
+    async fn wait_for_connections(&self, deadline: Instant) {
+        while Instant::now() < deadline && self.ingress_lifecycle.connections() > 0 {
+            sleep(CONNECTIONS_POLL_INTERVAL).await;
         }
     }
 }
