--- a/crates/kernel/src/local_server.rs
+++ b/crates/kernel/src/local_server.rs
@@ -234,7 +234,7 @@
     });
     let connection = http1::Builder::new()
         .max_buf_size(limits.header_bytes.max(MIN_HEAD_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(idle_timer.watch(stream)), service);
     let mut connection = std::pin::pin!(connection);
     let mut is_closing = false;
     let result = loop {
