--- a/crates/daemon/tests/platform_configuration.rs
+++ b/crates/daemon/tests/platform_configuration.rs
@@ -14,6 +14,7 @@
 use platform_stub::deployment::LOOKUP;
 use platform_stub::deployment::RESUMABLE;
 use platform_stub::deployment::STREAM;
+use rustix::process::Signal;
 use serde_json::json;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -155,3 +156,28 @@
         }
     });
 }
+
+#[test]
+fn request_that_arrives_while_its_daemon_is_paused_is_answered_after_the_idle_limit() {
+    run_local("config-idle-paused", |folder| async move {
+        let mut fleet = Fleet::start(folder, 1).await;
+        let daemon = fleet.ingress(0);
+        fleet
+            .deployment
+            .configure(|configuration| configuration["limits"]["idle_ms"] = json!(1000));
+        sleep(IN_FORCE_AFTER).await;
+        let mut connection = Connection::open(daemon, CONNECT_TIMEOUT).await.expect("it opens");
+        let first = Client.call_on(&mut connection, &OutgoingRequest::lookup(LOOKUP, "l1")).await;
+        assert_eq!(first.expect("an answer").status, StatusCode::OK);
+        sleep(Duration::from_millis(300)).await;
+        fleet.daemons[0].signal(Signal::STOP).expect("the signal is sent");
+        sleep(Duration::from_millis(300)).await;
+        let call = spawn_local(async move {
+            Client.call_on(&mut connection, &OutgoingRequest::lookup(LOOKUP, "l2")).await
+        });
+        sleep(Duration::from_millis(1_000)).await;
+        fleet.daemons[0].signal(Signal::CONT).expect("the signal is sent");
+        let second = call.await.expect("the task ends");
+        assert_eq!(second.expect("an answer").status, StatusCode::OK);
+    });
+}
--- a/crates/jobs/src/selection.rs
+++ b/crates/jobs/src/selection.rs
@@ -4,10 +4,10 @@
 
 use crate::job::ItemUrgency;
 
-/// Chooses the most urgent of the next items of several jobs: those that can still be on time
-/// before the others, and each of them by the sort key.
+/// Chooses the most urgent of the next items of several jobs: an item that can still be on time
+/// before one that cannot, and among equals the one with the lowest sort key.
 ///
-/// It answers jobs that ask for more than the slots that online requests leave.
+/// The load that it answers is jobs that ask for more slots than online requests leave.
 pub fn most_urgent<T>(
     now_ms: Millis,
     candidates: impl IntoIterator<Item = (ItemUrgency, T)>,
