--- a/review/standins/src/daemon.rs
+++ b/review/standins/src/daemon.rs
@@ -20,6 +20,9 @@
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
 
+/// All daemons start within 0.3 s.
+const START_GAP: Duration = Duration::from_millis(30);
+
 pub struct Daemon {
     pub name: String,
     pub ip: Ipv4Addr,
@@ -207,6 +210,7 @@
             child: None,
         };
         daemon.start(true);
+        thread::sleep(START_GAP);
         daemons.push(daemon);
     }
     daemons
--- a/review/standins/src/lapsed_entries.rs
+++ b/review/standins/src/lapsed_entries.rs
@@ -18,10 +18,12 @@
     Engines { count: 3, new_count: 0, slots: 8, step_ms: 20, data: fleet::data };
 const ZONES: [&str; 3] = ["hcm-a", "hcm-b", "hcm-c"];
 const EVENTS: u64 = 40;
+/// As many as on the sheet.
+const DAEMONS: usize = 9;
 
 /// LOST: the items of a job that is accepted after the outage are never run.
 pub fn lapsed_entries(folder: &str, has_trouble: bool) -> Verdict {
-    let Some(fleet) = Fleet::start(folder, 6, &ZONES, ENGINES) else {
+    let Some(fleet) = Fleet::start(folder, DAEMONS, &ZONES, ENGINES) else {
         return Verdict::CouldNotRun("the daemons did not become ready".to_owned());
     };
     let fronts: Vec<SocketAddr> = fleet.daemons.iter().map(|daemon| daemon.front()).collect();
