--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -12,7 +12,7 @@
 mod large_results;
 mod record;
 mod replica;
-mod silent_watchers;
+mod silent_watches;
 mod stale_home;
 mod store;
 
@@ -39,7 +39,7 @@
     let play = move || match case.as_str() {
         "lapsed-entries" => lapsed_entries::lapsed_entries(&folder, has_trouble),
         "large-results" => large_results::large_results(&folder, has_trouble),
-        "silent-watchers" => silent_watchers::silent_watchers(&folder, has_trouble),
+        "silent-watches" => silent_watches::silent_watches(&folder, has_trouble),
         "stale-reads" => stale_home::stale_reads(&folder, has_trouble),
         "ended-job" => stale_home::ended_job(&folder, has_trouble),
         other => Verdict::CouldNotRun(format!("no case {other}")),
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -78,12 +78,21 @@
 /// The store's address for one machine.
 pub struct Door {
     pub address: SocketAddr,
-    /// Whether the store answers this machine with silence.
-    pub is_silent: AtomicBool,
+    /// How many connections have been opened here.
+    opened: AtomicU64,
+    /// How many of them, the first ones, have gone silent for good.
+    silenced: AtomicU64,
     /// How many watches of the configuration wait here.
     pub config_watches: AtomicU64,
 }
 
+impl Door {
+    /// Makes all open connections silent; new ones work.
+    pub fn silence_connections(&self) {
+        self.silenced.store(self.opened.load(Ordering::SeqCst), Ordering::SeqCst);
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[allow(dead_code)]
 pub enum WriteFault {
@@ -112,7 +121,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port for the store");
         let door = Arc::new(Door {
             address: listener.local_addr().expect("an address"),
-            is_silent: AtomicBool::new(false),
+            silenced: AtomicU64::new(0),
+            opened: AtomicU64::new(0),
             config_watches: AtomicU64::new(0),
         });
         let (store, shared) = (self.clone(), door.clone());
@@ -126,6 +136,7 @@
     }
 
     fn serve(self: Arc<Self>, stream: TcpStream, door: &Door) {
+        let number = door.opened.fetch_add(1, Ordering::SeqCst) + 1;
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
@@ -152,9 +163,8 @@
             if is_config_watch {
                 door.config_watches.fetch_sub(1, Ordering::SeqCst);
             }
-            // A machine that the store answers with silence hears nothing more on this connection.
-            while door.is_silent.load(Ordering::SeqCst) {
-                thread::sleep(Duration::from_millis(100));
+            while number <= door.silenced.load(Ordering::SeqCst) {
+                thread::sleep(Duration::from_secs(1));
             }
             if status == CUT_OFF {
                 return;
