--- a/review/standins/src/daemon.rs
+++ b/review/standins/src/daemon.rs
@@ -1,12 +1,19 @@
 //! Starts daemons as the deploy file does, and sends them signals by their ids.
 
-use std::fs::{self, File};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::fs;
+use std::fs::File;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::os::unix::process::CommandExt;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use std::time::Instant;
 
 use crate::http;
 
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -1,19 +1,30 @@
 //! A small deployment: a store, engines, daemons and clients.
 
-use std::io::{BufRead, BufReader};
+use std::io::BufRead;
+use std::io::BufReader;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
-use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant};
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
 
-use crate::daemon::{self, Daemon};
-use crate::http::{self, Message};
+use crate::daemon;
+use crate::daemon::Daemon;
+use crate::http;
+use crate::http::Message;
 use crate::json;
 use crate::record::Record;
-use crate::replica::{Replica, Run};
-use crate::store::{Door, Store};
+use crate::replica::Replica;
+use crate::replica::Run;
+use crate::store::Door;
+use crate::store::Store;
 
 pub const HOST: &str = "ficu95.example";
 
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -1,7 +1,11 @@
 //! A small blocking HTTP/1.1 reader, writer and client.
 
-use std::io::{self, BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::time::Duration;
 
 /// A parsed request or answer.
--- a/review/standins/src/lapsed_entries.rs
+++ b/review/standins/src/lapsed_entries.rs
@@ -3,10 +3,13 @@
 
 use std::net::SocketAddr;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use std::time::Instant;
 
 use crate::Verdict;
-use crate::fleet::{self, Engines, Fleet};
+use crate::fleet;
+use crate::fleet::Engines;
+use crate::fleet::Fleet;
 
 /// `for_s` of `platform_down` with `lapse`, in the sites' lists of troubles.
 const OUTAGE: Duration = Duration::from_millis(4_500);
--- a/review/standins/src/large_results.rs
+++ b/review/standins/src/large_results.rs
@@ -4,10 +4,12 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use std::time::Instant;
 
 use crate::Verdict;
-use crate::fleet::{Engines, Fleet};
+use crate::fleet::Engines;
+use crate::fleet::Fleet;
 
 /// The most items of a batch job.
 const MOST_ITEMS: usize = 200;
--- a/review/standins/src/silent_watches.rs
+++ b/review/standins/src/silent_watches.rs
@@ -5,10 +5,13 @@
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use std::time::Instant;
 
 use crate::Verdict;
-use crate::fleet::{self, Engines, Fleet};
+use crate::fleet;
+use crate::fleet::Engines;
+use crate::fleet::Fleet;
 
 const DAEMONS: usize = 6;
 /// `contact_ms`: after that the machines are in touch again.
--- a/review/standins/src/stale_home.rs
+++ b/review/standins/src/stale_home.rs
@@ -3,11 +3,15 @@
 
 use std::net::SocketAddr;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use std::time::Instant;
 
 use crate::Verdict;
-use crate::daemon::{SIGCONT, SIGSTOP};
-use crate::fleet::{self, Engines, Fleet};
+use crate::daemon::SIGCONT;
+use crate::daemon::SIGSTOP;
+use crate::fleet;
+use crate::fleet::Engines;
+use crate::fleet::Fleet;
 
 /// How long the process stands still: `for_s` of `node_freeze`.
 const FREEZE: Duration = Duration::from_secs(5);
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -2,13 +2,21 @@
 
 use std::collections::BTreeMap;
 use std::io::BufReader;
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use std::time::Instant;
 
-use crate::http::{self, Message};
+use crate::http;
+use crate::http::Message;
 use crate::json;
 
 const PREFIX: &str = "/-/objects/";
