--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -62,12 +62,24 @@
     (1..=events).map(|event| data(id, event)).collect::<Vec<_>>().join("\n")
 }
 
+/// The version of the configuration that adds the route of `ADDED`.
+pub const ADDING_VERSION: u64 = 8;
+/// The path prefix of streams of the route that is added.
+pub const ADDED: &str = "/added/";
+
 /// The configuration of a version, in which streams go to `stream_service`.
 pub fn configuration(version: u64, stream_service: &str) -> String {
+    let added = match version {
+        ADDING_VERSION.. => format!(
+            r#",
+{{"name":"added","host":"{HOST}","path_prefix":"{ADDED}","kind":"streaming","timeout_ms":5000,"goal_ms":300,"priority":0,"service":"{stream_service}","max_attempts":1,"sticky":true,"can_resume":false,"gap_target_ms":200}}"#
+        ),
+        _ => String::new(),
+    };
     format!(
         r#"{{"version":{version},"routes":[
 {{"name":"stream","host":"{HOST}","path_prefix":"/stream/","kind":"streaming","timeout_ms":5000,"goal_ms":300,"priority":0,"service":"{stream_service}","max_attempts":1,"sticky":true,"can_resume":false,"gap_target_ms":200}},
-{{"name":"lots","host":"{HOST}","path_prefix":"/batch/","kind":"batch","timeout_ms":15000,"goal_ms":400,"priority":2,"service":"llm","max_attempts":3,"sticky":true,"can_resume":true,"gap_target_ms":200,"due_ms":18000,"retention_s":60,"max_count":1500000}}
+{{"name":"lots","host":"{HOST}","path_prefix":"/batch/","kind":"batch","timeout_ms":15000,"goal_ms":400,"priority":2,"service":"llm","max_attempts":3,"sticky":true,"can_resume":true,"gap_target_ms":200,"due_ms":18000,"retention_s":60,"max_count":1500000}}{added}
 ],"services":[{{"name":"llm","health_path":"/healthz","max_conns":370,"protocol":"h1","engine":{{"slots":8,"kv_capacity_tokens":72000}}}},
 {{"name":"llm-new","health_path":"/healthz","max_conns":370,"protocol":"h1","engine":{{"slots":8,"kv_capacity_tokens":72000}}}}],
 "limits":{{"header_bytes":16384,"body_bytes":4194304,"header_ms":3000,"idle_ms":15000}}}}"#
@@ -259,6 +271,11 @@
 
 /// Reads one stream to its end; returns the status of its answer, or 0 if there was none.
 pub fn stream(front: SocketAddr, id: &str, events: u64) -> u16 {
+    stream_at(front, "/stream/", id, events)
+}
+
+/// Like `stream`, for a route with this path prefix.
+pub fn stream_at(front: SocketAddr, prefix: &str, id: &str, events: u64) -> u16 {
     let headers = [
         ("Host", HOST.to_owned()),
         ("X-Request-Id", id.to_owned()),
@@ -267,7 +284,7 @@
         ("X-Prompt-Prefix", format!("5c1e07a2:100,{id}:50")),
         ("X-Deadline-Ms", "5000".to_owned()),
     ];
-    let path = format!("/stream/{}", &id[..4]);
+    let path = format!("{prefix}{}", &id[..4]);
     let sent = http::send(front, "POST", &path, &headers, b"{}", Duration::from_secs(5));
     let Ok(stream) = sent else {
         thread::sleep(Duration::from_millis(100));
--- a/review/standins/src/silent_watches.rs
+++ b/review/standins/src/silent_watches.rs
@@ -42,10 +42,11 @@
         }
     }
     thread::sleep(CONTACT + Duration::from_millis(500));
-    fleet.store.put("config", "main", &fleet::configuration(8, "llm-new"));
+    fleet.store.put("config", "main", &fleet::configuration(fleet::ADDING_VERSION, "llm-new"));
     let acknowledged = Instant::now();
-    fleet.record.say("the store acknowledges version 8: streams go to llm-new");
+    fleet.record.say("the store acknowledges version 8: streams go to llm-new, a route is added");
     let mut sent = HashMap::new();
+    let mut denied = 0;
     while acknowledged.elapsed() < TRAFFIC {
         for front in &fronts {
             let id = fleet.new_id();
@@ -56,6 +57,17 @@
                 after.as_millis()
             ));
             sent.insert(id, (after, *front));
+            let id = fleet.new_id();
+            let after = acknowledged.elapsed();
+            let status = fleet::stream_at(*front, fleet::ADDED, &id, 1);
+            fleet.record.line(&format!(
+                "client sends stream {id} of the added route to {front} {} ms after the \
+                 acknowledgement: {status}",
+                after.as_millis()
+            ));
+            if status == 404 && after > CONFIG {
+                denied += 1;
+            }
         }
         thread::sleep(Duration::from_millis(100));
     }
@@ -78,6 +90,9 @@
             latest.as_millis()
         ));
     }
+    fleet.record.say(&format!(
+        "{denied} requests of the added route sent more than 2 s after the acknowledgement got 404"
+    ));
     fleet.record_logs("configuration_in_force");
-    if by_front.is_empty() { Verdict::Held } else { Verdict::Broken }
+    if by_front.is_empty() && denied == 0 { Verdict::Held } else { Verdict::Broken }
 }
