Let only the store end the hold of a missing replica record

Cause: a peer that merged a record on hold removed it by its own timer, since the return of an unchanged record was no change that anybody was told of. It numbered the removal itself, above the watchers' revision, so that the watchers merged it too and had nothing to read again.

Change: only an answer of the store places, clears or ends a hold, and only the store numbers changes. The beginning of a hold and the return of a record are changes; a watcher lists again when a hold ends; an older removal of a peer is refused. A daemon that begins to watch, and one whose watch call waited through an outage, hold what they miss.

Tests that ended a hold by ReplicaSet::tick end it by the next list now, and check the same sets and revisions and that no earlier list ends it.

--- a/crates/catalog/src/replicas.rs
+++ b/crates/catalog/src/replicas.rs
@@ -1,4 +1,7 @@
 //! The set of live replicas, updated from the store or from the view of a peer.
+//!
+//! Only an answer of the store places, clears or ends the hold of a missing record, and every
+//! revision is one of the store. A daemon that does not watch the store copies the result.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -21,11 +24,14 @@
 /// The number of changes kept for peers; a peer that lags further behind gets the complete list.
 const MAX_CHANGES: usize = 512;
 
-/// A record and, if it is missing from the store, when its hold ends and it is removed.
+/// A record with the latest information on it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Entry {
     record: ReplicaRecord,
-    remove_at_ms: Option<Millis>,
+    /// The latest revision at which the store or a peer is known to have had the record.
+    confirmed_revision: u64,
+    /// For a record that is missing from the store, when its hold ends.
+    hold_until_ms: Option<Millis>,
 }
 
 /// A change of one replica.
@@ -41,8 +47,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct ReplicaSet {
     revision: u64,
-    /// The latest revision received from the store or a peer, even without a change of the set.
-    seen_revision: u64,
     entries: BTreeMap<ReplicaName, Entry>,
     /// The replicas that changed and the revisions at which they did, the oldest first.
     recent_changes: VecDeque<(u64, ReplicaName)>,
@@ -55,8 +59,7 @@
 }
 
 impl ReplicaSet {
-    /// Returns the revision of the last change of the set, or 0 before the first list. It is the
-    /// store's, except that the end of a hold may raise it to one more.
+    /// Returns the store's revision at the last change of a record or hold, or 0 before the first list.
     pub fn revision(&self) -> u64 {
         self.revision
     }
@@ -108,7 +111,8 @@
         !record.is_draining && !self.is_leaving(record)
     }
 
-    /// Sets the store as unreachable; records that go missing now may only have expired.
+    /// Sets the store as unreachable or not watched by this daemon; records that are missing from its
+    /// next answer may only have expired.
     pub fn set_store_unreachable(&mut self) {
         self.is_store_unreachable = true;
     }
@@ -118,9 +122,22 @@
         if self.is_store_unreachable {
             self.is_store_unreachable = false;
             self.hold_until_ms = now_ms + MISSING_HOLD_MS;
+            for entry in self.entries.values_mut().filter(|entry| entry.hold_until_ms.is_some()) {
+                entry.hold_until_ms = Some(self.hold_until_ms);
+            }
         }
     }
 
+    /// Returns when the next hold ends, so that a new list must show whether the record is gone.
+    pub fn next_hold_end_ms(&self) -> Option<Millis> {
+        self.entries.values().filter_map(|entry| entry.hold_until_ms).min()
+    }
+
+    /// Returns the number of records on hold.
+    pub fn held_count(&self) -> usize {
+        self.entries.values().filter(|entry| entry.hold_until_ms.is_some()).count()
+    }
+
     /// Replaces the set by the complete list of a revision and returns the changes.
     pub fn replace(
         &mut self,
@@ -131,17 +148,24 @@
         if revision < self.revision {
             return Vec::new();
         }
-        self.seen_revision = revision;
         let mut changes = Vec::new();
         let listed: BTreeSet<&ReplicaName> = records.iter().map(|record| &record.name).collect();
         let missing: Vec<ReplicaName> =
             self.entries.keys().filter(|name| !listed.contains(name)).cloned().collect();
-        changes.extend(records.into_iter().filter_map(|record| self.set(record)));
-        changes.extend(missing.into_iter().filter_map(|name| self.remove(now_ms, &name)));
-        if !changes.is_empty() {
+        changes.extend(records.into_iter().filter_map(|record| self.set(revision, record)));
+        let mut held = Vec::new();
+        for name in missing {
+            match self.remove(now_ms, &name) {
+                Removal::Done => changes.push(ReplicaChange::Gone(name)),
+                Removal::Held => held.push(name),
+                Removal::None => {}
+            }
+        }
+        if !changes.is_empty() || !held.is_empty() {
             self.revision = revision;
         }
         self.record_changes(&changes);
+        self.record_for_peers(held);
         changes
     }
 
@@ -152,22 +176,28 @@
         revision: u64,
         change: ReplicaChange,
     ) -> Option<ReplicaChange> {
-        self.seen_revision = self.seen_revision.max(revision);
-        let change = match change {
-            ReplicaChange::Set(record) => self.set(record),
-            ReplicaChange::Gone(name) => self.remove(now_ms, &name),
+        let (change, held) = match change {
+            ReplicaChange::Set(record) => (self.set(revision, record), None),
+            ReplicaChange::Gone(name) => match self.remove(now_ms, &name) {
+                Removal::Done => (Some(ReplicaChange::Gone(name)), None),
+                Removal::Held => (None, Some(name)),
+                Removal::None => (None, None),
+            },
         };
-        if change.is_some() {
+        if change.is_some() || held.is_some() {
             self.revision = self.revision.max(revision);
         }
         self.record_changes(change.as_slice());
+        self.record_for_peers(held);
         change
     }
 
     /// Merges the view of a peer and returns the changes.
     ///
     /// A difference is merged only if it is newer and starts at a revision that is known here; a
-    /// complete list also if it differs from this one under the same revision.
+    /// complete list also if it differs from this one under the same revision; a record on hold does
+    /// not come back by it, since the hold may have ended here. A record that is confirmed here at a
+    /// newer revision than the view's stays, and this set then counts as newer.
     pub fn merge_view(&mut self, now_ms: Millis, view: ReplicaView) -> Vec<ReplicaChange> {
         let is_applicable = match view.since {
             Some(since) => view.revision > self.revision && since <= self.revision,
@@ -176,8 +206,6 @@
         if !is_applicable {
             return Vec::new();
         }
-        self.revision = view.revision;
-        self.seen_revision = self.seen_revision.max(view.revision);
         let gone = match view.since {
             Some(_) => view.gone,
             None => {
@@ -186,6 +214,11 @@
                 self.entries.keys().filter(|name| !listed.contains(name)).cloned().collect()
             }
         };
+        let is_outdated = |entry: &Entry| entry.confirmed_revision <= view.revision;
+        let (gone, kept): (Vec<_>, Vec<_>) =
+            gone.into_iter().partition(|name| self.entries.get(name).is_none_or(is_outdated));
+        let newest_kept = kept.iter().filter_map(|name| self.entries.get(name));
+        let newest_kept = newest_kept.map(|entry| entry.confirmed_revision).max();
         let mut changes = Vec::new();
         for name in gone {
             if self.entries.remove(&name).is_some() {
@@ -193,18 +226,40 @@
             }
         }
         for entry in view.entries {
-            let name = entry.record.name.clone();
-            changes.extend(self.set(entry.record));
-            if let (Some(left_ms), Some(existing)) =
-                (entry.hold_left_ms, self.entries.get_mut(&name))
-            {
-                existing.remove_at_ms = Some(now_ms.saturating_add(left_ms));
-            }
+            changes.extend(self.merge_entry(now_ms, view.revision, entry));
         }
+        self.revision = view.revision;
         self.record_changes(&changes);
+        if let Some(revision) = newest_kept {
+            self.revision = revision;
+            self.record_for_peers(kept);
+        }
         changes
     }
 
+    fn merge_entry(
+        &mut self,
+        now_ms: Millis,
+        revision: u64,
+        entry: ViewEntry,
+    ) -> Option<ReplicaChange> {
+        let known = self.entries.get(&entry.record.name);
+        let has_hold_ended =
+            known.is_none() && entry.hold_left_ms.is_some() && self.revision == revision;
+        if has_hold_ended || known.is_some_and(|known| known.confirmed_revision > revision) {
+            return None;
+        }
+        let hold_until_ms =
+            entry.hold_left_ms.map(|left_ms| now_ms.saturating_add(left_ms.min(MISSING_HOLD_MS)));
+        let is_same_record = known.is_some_and(|known| known.record == entry.record);
+        let was_held = known.is_some_and(|known| known.hold_until_ms.is_some());
+        let is_same = is_same_record && was_held == hold_until_ms.is_some();
+        let record = entry.record;
+        let merged = Entry { record: record.clone(), confirmed_revision: revision, hold_until_ms };
+        self.entries.insert(record.name.clone(), merged);
+        (!is_same).then_some(ReplicaChange::Set(record))
+    }
+
     /// Returns the complete set as a view for peers.
     pub fn view(&self, now_ms: Millis) -> ReplicaView {
         ReplicaView {
@@ -247,16 +302,22 @@
     /// Keeps changes at the current revision for peers.
     fn record_changes(&mut self, changes: &[ReplicaChange]) {
         self.generation += u64::from(!changes.is_empty());
+        let mut names = Vec::with_capacity(changes.len());
         for change in changes {
-            let name = match change {
-                ReplicaChange::Set(record) => record.name.clone(),
+            match change {
+                ReplicaChange::Set(record) => names.push(record.name.clone()),
                 ReplicaChange::Gone(name) => {
                     self.leaving.record_removal(name);
-                    name.clone()
+                    names.push(name.clone());
                 }
-            };
-            self.recent_changes.push_back((self.revision, name));
+            }
         }
+        self.record_for_peers(names);
+    }
+
+    fn record_for_peers(&mut self, names: impl IntoIterator<Item = ReplicaName>) {
+        let revision = self.revision;
+        self.recent_changes.extend(names.into_iter().map(|name| (revision, name)));
         while self.recent_changes.len() > MAX_CHANGES {
             if let Some((revision, _)) = self.recent_changes.pop_front() {
                 self.complete_after = self.complete_after.max(revision);
@@ -264,56 +325,55 @@
         }
     }
 
-    /// Removes the records whose hold has ended, unless the store is unreachable.
-    pub fn tick(&mut self, now_ms: Millis) -> Vec<ReplicaChange> {
+    /// Forgets the announcements of replicas that have not been listed for a long time.
+    pub fn tick(&mut self, now_ms: Millis) {
         let entries = &self.entries;
         self.leaving.tick(now_ms, |incarnation| {
             let entry = entries.get(&incarnation.name);
             entry.is_some_and(|entry| Incarnation::from(&entry.record) == *incarnation)
         });
-        if self.is_store_unreachable {
-            return Vec::new();
-        }
-        let has_expired = |entry: &Entry| entry.remove_at_ms.is_some_and(|at_ms| at_ms <= now_ms);
-        let expired: Vec<ReplicaName> = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| has_expired(entry))
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in &expired {
-            self.entries.remove(name);
-        }
-        if !expired.is_empty() {
-            self.revision = self.revision.saturating_add(1).max(self.seen_revision);
-        }
-        let changes: Vec<ReplicaChange> = expired.into_iter().map(ReplicaChange::Gone).collect();
-        self.record_changes(&changes);
-        changes
     }
 
-    fn set(&mut self, record: ReplicaRecord) -> Option<ReplicaChange> {
-        let name = record.name.clone();
-        let old = self.entries.insert(name, Entry { record: record.clone(), remove_at_ms: None });
-        let is_same = old.is_some_and(|old| old.record == record);
+    /// Sets a record that the store has at a revision. The return of a record on hold is a change
+    /// too, since peers may have copied the hold.
+    fn set(&mut self, revision: u64, record: ReplicaRecord) -> Option<ReplicaChange> {
+        let entry =
+            Entry { record: record.clone(), confirmed_revision: revision, hold_until_ms: None };
+        let old = self.entries.insert(record.name.clone(), entry);
+        let is_same = old.is_some_and(|old| old.record == record && old.hold_until_ms.is_none());
         (!is_same).then_some(ReplicaChange::Set(record))
     }
 
-    fn remove(&mut self, now_ms: Millis, name: &ReplicaName) -> Option<ReplicaChange> {
-        if self.is_store_unreachable || now_ms < self.hold_until_ms {
-            let hold_until_ms = self.hold_until_ms.max(now_ms);
-            if let Some(entry) = self.entries.get_mut(name) {
-                entry.remove_at_ms.get_or_insert(hold_until_ms);
+    /// Removes a record that the store does not have, or places it on hold.
+    fn remove(&mut self, now_ms: Millis, name: &ReplicaName) -> Removal {
+        let is_after_outage = self.is_store_unreachable || now_ms < self.hold_until_ms;
+        let Some(entry) = self.entries.get_mut(name) else { return Removal::None };
+        match entry.hold_until_ms {
+            None if is_after_outage => {
+                entry.hold_until_ms = Some(self.hold_until_ms.max(now_ms));
+                return Removal::Held;
             }
-            return None;
+            Some(until_ms) if is_after_outage || now_ms < until_ms => return Removal::None,
+            _ => {}
         }
-        self.entries.remove(name).map(|_| ReplicaChange::Gone(name.clone()))
+        self.entries.remove(name);
+        Removal::Done
     }
 }
 
+/// What became of a record that the store does not have.
+enum Removal {
+    /// Nothing: there is no such record, or its hold goes on.
+    None,
+    /// It was placed on hold.
+    Held,
+    /// It was removed.
+    Done,
+}
+
 fn view_entry(entry: &Entry, now_ms: Millis) -> ViewEntry {
     ViewEntry {
         record: entry.record.clone(),
-        hold_left_ms: entry.remove_at_ms.map(|at_ms| at_ms.saturating_sub(now_ms)),
+        hold_left_ms: entry.hold_until_ms.map(|until_ms| until_ms.saturating_sub(now_ms)),
     }
 }
--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -32,7 +32,6 @@
 
 use crate::leaving_notices::LeavingNotices;
 use crate::platform_state::PlatformState;
-use crate::platform_state::Source;
 
 /// The time between two ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -97,8 +96,7 @@
             ticks.tick().await;
             let now_ms = self.state.clock.now_ms();
             self.update_readiness();
-            let gone = self.state.replicas.borrow_mut().tick(now_ms);
-            self.state.handle_replica_changes(&gone, Source::Hold);
+            self.state.replicas.borrow_mut().tick(now_ms);
             self.slots.tick();
             self.send_leaving_notices(now_ms);
             self.crash_guard.tick();
--- a/crates/node/src/platform_state.rs
+++ b/crates/node/src/platform_state.rs
@@ -41,8 +41,6 @@
     Store,
     /// Another daemon.
     Peer,
-    /// The end of the hold of a missing record.
-    Hold,
 }
 
 impl Source {
@@ -51,7 +49,6 @@
         match self {
             Self::Store => "store",
             Self::Peer => "peer",
-            Self::Hold => "hold",
         }
     }
 
@@ -82,6 +79,8 @@
     pub ingress_lifecycle: Rc<ServerLifecycle>,
     /// The malformed records of replicas that were logged.
     pub logged_records: RefCell<LoggedVersions>,
+    /// The outages of the store after which the hold of missing records was started.
+    pub handled_outages: Cell<u64>,
     raw_configuration: RefCell<Bytes>,
     is_pulling_configuration: Cell<bool>,
     is_pulling_replicas: Cell<bool>,
@@ -109,6 +108,7 @@
             control,
             ingress_lifecycle,
             logged_records: RefCell::default(),
+            handled_outages: Cell::new(0),
             raw_configuration: RefCell::new(Bytes::new()),
             is_pulling_configuration: Cell::new(false),
             is_pulling_replicas: Cell::new(false),
@@ -224,8 +224,8 @@
 
     /// Merges the view of a peer and returns `false` if the lists differ under the same revision.
     ///
-    /// Two daemons can have the same revision for different lists if a hold has ended at only one
-    /// of them; the digest shows this.
+    /// Two watchers can have different lists at one revision if only one has seen an outage and holds
+    /// the missing records; the digest shows this.
     pub fn merge_peer_view(&self, view: ReplicaView) -> bool {
         let (revision, digest) = (view.revision, view.digest);
         let now_ms = self.clock.now_ms();
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -76,6 +76,9 @@
         if !is_watcher(watched, &state, &store) {
             if cursor.take().is_some() {
                 info!("event=watch_ended kind={}", watched.kind());
+                if watched == Watched::Replicas {
+                    state.replicas.borrow_mut().set_store_unreachable();
+                }
             }
             sleep(ELECTION_INTERVAL).await;
             continue;
@@ -95,9 +98,6 @@
             }
             Err(error) => {
                 debug!("event=watch_failed kind={} error=\"{error}\"", watched.kind());
-                if store.reachability() == Reachability::Unreachable {
-                    state.replicas.borrow_mut().set_store_unreachable();
-                }
                 sleep(RETRY_DELAY).await;
             }
         }
@@ -143,7 +143,6 @@
         }
     }
     let revision = first_revision.unwrap_or_default();
-    mark_store_reachable(state);
     match watched {
         Watched::Configuration => {
             for object in objects.iter().filter(|object| object.name == CONFIGURATION_NAME) {
@@ -151,10 +150,15 @@
             }
         }
         Watched::Replicas => {
+            start_hold_after_outage(state, store);
             let records = objects.iter().filter_map(|object| read_replica(object, state)).collect();
             let now_ms = state.clock.now_ms();
             let changes = state.replicas.borrow_mut().replace(now_ms, revision, records);
             state.handle_replica_changes(&changes, Source::Store);
+            let held = state.replicas.borrow().held_count();
+            if held > 0 {
+                info!("event=missing_replicas_held count={held} revision={revision}");
+            }
         }
     }
     Ok(revision)
@@ -168,8 +172,14 @@
     store: &ObjectClient,
 ) -> Result<Option<u64>, StoreError> {
     let call = Call::Changes { kind: watched.kind(), since, wait_ms: WATCH_WAIT_MS };
-    let reply = store.call_once(CallClass::Bundle, &call).await?;
-    mark_store_reachable(state);
+    let reply = tokio::select! {
+        biased;
+        reply = store.call_once(CallClass::Bundle, &call) => reply?,
+        () = hold_end(watched, state) => return Ok(None),
+    };
+    if watched == Watched::Replicas {
+        start_hold_after_outage(state, store);
+    }
     let changes = match reply {
         Reply::Changes(changes) => changes,
         Reply::HistoryGone => {
@@ -187,10 +197,24 @@
     Ok(Some(changes.revision.max(since)))
 }
 
-/// Marks the store as reachable. This comes before its answer is applied, so that the hold after an
-/// outage covers the records that are missing from the answer.
-fn mark_store_reachable(state: &PlatformState) {
-    state.replicas.borrow_mut().set_store_reachable(state.clock.now_ms());
+/// Starts the hold of missing records if the store has been unreachable since its last answer. This
+/// comes before an answer is applied, so that the hold covers the records that it lacks.
+fn start_hold_after_outage(state: &PlatformState, store: &ObjectClient) {
+    let mut replicas = state.replicas.borrow_mut();
+    if state.handled_outages.replace(store.outages()) != store.outages() {
+        replicas.set_store_unreachable();
+    }
+    replicas.set_store_reachable(state.clock.now_ms());
+}
+
+/// Waits for the end of the next hold of a replica's record, if there is any.
+async fn hold_end(watched: Watched, state: &PlatformState) {
+    let end_ms = match watched {
+        Watched::Replicas => state.replicas.borrow().next_hold_end_ms(),
+        Watched::Configuration => None,
+    };
+    let Some(end_ms) = end_ms else { return std::future::pending().await };
+    sleep(Duration::from_millis(end_ms.saturating_sub(state.clock.now_ms()))).await;
 }
 
 fn apply(
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -92,6 +92,7 @@
     latency_ms: Cell<f64>,
     timeout_ms: Cell<Millis>,
     reachability: Cell<Reachability>,
+    outages: Cell<u64>,
     reachable_again: Notify,
     relay: RefCell<Option<Rc<dyn Relay>>>,
     logged: RefCell<LoggedVersions>,
@@ -118,6 +119,7 @@
             latency_ms: Cell::new(0.0),
             timeout_ms: Cell::new(CALL_TIMEOUT_MS),
             reachability: Cell::new(Reachability::Reachable),
+            outages: Cell::new(0),
             reachable_again: Notify::new(),
             relay: RefCell::new(None),
             logged: RefCell::default(),
@@ -141,6 +143,11 @@
         self.reachability.get()
     }
 
+    /// Returns how often the store has become unreachable since the start.
+    pub fn outages(&self) -> u64 {
+        self.outages.get()
+    }
+
     /// Sets the number of daemons that share the call rates.
     pub fn set_live_daemons(&self, live_daemons: usize) {
         self.writes.borrow_mut().set_live_daemons(live_daemons);
@@ -386,6 +393,7 @@
         if is_unreachable
             && self.reachability.replace(Reachability::Unreachable) == Reachability::Reachable
         {
+            self.outages.set(self.outages.get() + 1);
             let error = result.as_ref().err().map(ToString::to_string).unwrap_or_default();
             warn!("event=dependency_lost dependency=store verb={} error=\"{error}\"", call.verb());
         }
