Have the store confirm the homes of jobs after a pause

What callers saw: the home of a job stood still for 5 s; another daemon took the job over, and the client ended it there with 200. Where the new home had finished the job, other daemons showed its results, then none.

Cause: a home asked the store only if a peer listed its job as open, which a finished or ended job is not, and its own heartbeats replaced the note of the new home at all peers.

Change: a daemon finds out by its own clock that it was paused for a second or more. Until the store has confirmed the home of a job since then, no item of it is sent, no result shown, and the job is left out of heartbeats; adoptions, acceptances and hand-overs that a pause interrupted are confirmed too. A peer's list contradicts a home whether the job is open or not.

In crates/jobs/tests/handover.rs home_whose_successor_has_finished_the_job_gives_it_up and the two tests of a paused home failed before.

--- a/crates/jobs/src/adoption.rs
+++ b/crates/jobs/src/adoption.rs
@@ -54,7 +54,11 @@
 impl JobManager {
     /// Reads a job's record and adopts the job if its home is gone, or is this daemon, which does
     /// not hold the job.
-    pub async fn load(&self, id: &JobId, store_timeout: Duration) -> Result<LoadedJob, StoreError> {
+    pub async fn load(
+        self: &Rc<Self>,
+        id: &JobId,
+        store_timeout: Duration,
+    ) -> Result<LoadedJob, StoreError> {
         let call = Call::Get { kind: JOB_KIND, name: id.to_string() };
         let reply =
             self.deps.store.call_with_retries(CallClass::Claim, &call, store_timeout).await?;
@@ -66,7 +70,7 @@
     }
 
     /// Adopts a job whose home is gone.
-    pub async fn adopt(&self, id: &JobId) {
+    pub async fn adopt(self: &Rc<Self>, id: &JobId) {
         match self.load(id, ADOPT_TIMEOUT).await {
             Ok(LoadedJob::Local(_)) => {}
             Ok(LoadedJob::Remote(home, _)) => self.note_home(id, &home),
@@ -95,17 +99,48 @@
     /// serves no results of the job.
     pub(crate) fn verify_contested_home(self: &Rc<Self>, id: &JobId, other: &Home) {
         let JobLocation::Local(handle) = self.locate(id) else { return };
-        if handle.job.borrow().is_finished() || handle.is_contested.replace(true) {
-            return;
+        if self.start_home_confirmation(&handle) {
+            info!("event=home_contested job={id} by={}", other.daemon);
         }
-        info!("event=home_contested job={id} by={}", other.daemon);
-        let manager = self.clone();
+    }
+
+    /// Has the store confirm the homes of all unfinished jobs if this daemon was paused since the
+    /// last check. Until then no item is sent and no result is shown.
+    pub fn check_for_pause(self: &Rc<Self>) {
+        let mut detector = self.pause_detector.get();
+        let paused_ms = detector.check(self.now_ms());
+        self.pause_detector.set(detector);
+        let Some(paused_ms) = paused_ms else { return };
+        let handles: Vec<Rc<JobHandle>> = self.jobs.borrow().values().cloned().collect();
+        let unconfirmed =
+            handles.iter().filter(|handle| self.start_home_confirmation(handle)).count();
+        info!("event=daemon_paused paused_ms={paused_ms} unconfirmed_jobs={unconfirmed}");
+    }
+
+    /// Starts to have the store confirm that this daemon is the home of an unfinished job; returns
+    /// false if the job is finished or this is under way.
+    pub(crate) fn start_home_confirmation(self: &Rc<Self>, handle: &Rc<JobHandle>) -> bool {
+        if handle.job.borrow().is_finished() || handle.is_unconfirmed.replace(true) {
+            return false;
+        }
+        let (manager, handle) = (self.clone(), handle.clone());
         spawn_local(async move {
-            while !handle.is_deposed.get() && manager.confirm_home(&handle).await.is_err() {
-                sleep(CONFIRM_RETRY_DELAY).await;
+            while !handle.is_deposed.get() {
+                let pauses_before = manager.pauses();
+                let is_confirmed = manager.confirm_home(&handle).await.is_ok();
+                // An answer from before a pause proves nothing.
+                if is_confirmed && manager.pauses() == pauses_before {
+                    break;
+                }
+                if !is_confirmed {
+                    sleep(CONFIRM_RETRY_DELAY).await;
+                }
             }
-            handle.is_contested.set(false);
+            handle.is_unconfirmed.set(false);
+            handle.changed.notify_waiters();
+            manager.wake.notify_one();
         });
+        true
     }
 
     /// Reads a job's record and drops the job if the record names another home.
@@ -114,6 +149,10 @@
         let call = Call::Get { kind: JOB_KIND, name: id.to_string() };
         let object = match self.deps.store.call_once(CallClass::Claim, &call).await {
             Ok(Reply::Object(object)) => object,
+            Ok(Reply::Absent) => {
+                self.drop_deposed_job(&id, None);
+                return Ok(());
+            }
             Ok(_) => return Ok(()),
             Err(error) => {
                 info!("event=home_not_confirmed job={id} error=\"{error}\"");
@@ -137,11 +176,12 @@
     /// Decodes a job from its stored object and adopts it if its home is gone, or is this daemon,
     /// which does not hold the job.
     pub async fn load_object(
-        &self,
+        self: &Rc<Self>,
         id: &JobId,
         object: &StoredObject,
         store_timeout: Duration,
     ) -> Result<LoadedJob, StoreError> {
+        let pauses_before = self.pauses();
         let RecordedJob { job, home } = self.read_job(id, object, store_timeout).await?;
         if let JobLocation::Local(handle) = self.locate(id) {
             return Ok(LoadedJob::Local(handle));
@@ -155,7 +195,7 @@
             return Ok(LoadedJob::Remote(home, Rc::new(new_handle(job))));
         }
         if job.has_all_results() {
-            return Ok(LoadedJob::Local(self.add_job(job)));
+            return Ok(LoadedJob::Local(self.add_job_since(job, pauses_before)));
         }
         // A late write of the former home may still add results to a job that was ended.
         self.claim(id, job, store_timeout).await
@@ -165,11 +205,12 @@
     ///
     /// The write is conditional on the record's revision, so that only one of several daemons wins.
     async fn claim(
-        &self,
+        self: &Rc<Self>,
         id: &JobId,
         mut job: Job,
         store_timeout: Duration,
     ) -> Result<LoadedJob, StoreError> {
+        let pauses_before = self.pauses();
         let claimed = job.status(&self.own_home, self.deps.max_object_bytes);
         let call = status_call(id, job.revision, &claimed)?;
         match self.deps.store.call_with_retries(CallClass::Claim, &call, store_timeout).await? {
@@ -207,7 +248,7 @@
             job.written_results().len(),
             job.total()
         );
-        Ok(LoadedJob::Local(self.add_job(job)))
+        Ok(LoadedJob::Local(self.add_job_since(job, pauses_before)))
     }
 
     async fn read_job(
--- a/crates/jobs/src/handover.rs
+++ b/crates/jobs/src/handover.rs
@@ -189,6 +189,7 @@
             return StatusCode::SERVICE_UNAVAILABLE;
         }
         let id = handover.id.clone();
+        let pauses_before = self.pauses();
         let mut job = Job::from_handover(handover, self.now_ms());
         let max_bytes = self.deps.max_object_bytes;
         let mut status = job.status(&self.own_home, max_bytes);
@@ -229,7 +230,7 @@
             job.written_results().len(),
             job.total()
         );
-        self.add_job(job);
+        self.add_job_since(job, pauses_before);
         StatusCode::OK
     }
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod job;
 pub mod manager;
 pub mod message;
+pub mod pause;
 pub mod progress;
 pub mod record;
 pub mod retention;
--- a/crates/jobs/src/manager.rs
+++ b/crates/jobs/src/manager.rs
@@ -37,6 +37,7 @@
 use crate::message::HeartbeatJobs;
 use crate::message::JobSummary;
 use crate::message::WaitingTokens;
+use crate::pause::PauseDetector;
 use crate::record::Home;
 use crate::retention::UnheldJobs;
 use crate::run_time::RunTimeEstimate;
@@ -86,8 +87,9 @@
     pub stop: CancellationToken,
     /// Whether this daemon is no longer the job's home.
     pub is_deposed: Cell<bool>,
-    /// Whether another daemon claims to be the home and the store has not answered yet.
-    pub is_contested: Cell<bool>,
+    /// Whether another daemon may have become the home and the store has not answered yet; no item
+    /// is sent and no result is shown meanwhile.
+    pub is_unconfirmed: Cell<bool>,
     is_record_busy: Cell<bool>,
 }
 
@@ -145,6 +147,7 @@
     pub(crate) sweeps_due_ms: RefCell<Vec<Millis>>,
     pub(crate) unheld_jobs: RefCell<UnheldJobs>,
     pub(crate) next_result_part: Cell<u64>,
+    pub(crate) pause_detector: Cell<PauseDetector>,
     remote_homes: RefCell<HashMap<JobId, Home>>,
     peer_waiting_tokens: RefCell<HashMap<DaemonName, Vec<WaitingTokens>>>,
 }
@@ -167,6 +170,7 @@
             sweeps_due_ms: RefCell::new(Vec::new()),
             unheld_jobs: RefCell::default(),
             next_result_part: Cell::new(0),
+            pause_detector: Cell::default(),
             remote_homes: RefCell::new(HashMap::new()),
             peer_waiting_tokens: RefCell::new(HashMap::new()),
         })
@@ -183,12 +187,17 @@
     }
 
     /// Returns the list of this daemon's jobs as an attachment of heartbeats.
-    pub fn encode_jobs(&self) -> Attachment {
+    ///
+    /// Jobs whose home is unconfirmed are left out: peers would forward calls to this daemon.
+    pub fn encode_jobs(self: &Rc<Self>) -> Attachment {
+        self.check_for_pause();
         let mut waiting: HashMap<u64, u64> = HashMap::new();
         let mut jobs = Vec::new();
         for (id, handle) in self.jobs.borrow().iter() {
             let job = handle.job.borrow();
-            jobs.push(JobSummary { job: id.clone(), is_open: !job.is_finished() });
+            if !handle.is_unconfirmed.get() {
+                jobs.push(JobSummary { job: id.clone(), is_open: !job.is_finished() });
+            }
             if let Some(route) = self.route_of(&job) {
                 let tokens: &mut u64 = waiting.entry(route_hash(&route)).or_default();
                 *tokens = tokens.saturating_add(job.waiting_tokens());
@@ -205,9 +214,8 @@
         let Some(peer_jobs) = decode::<HeartbeatJobs>(Topic::Jobs, payload) else { return };
         let home = Home { daemon: daemon.clone(), incarnation };
         for summary in peer_jobs.jobs {
-            if summary.is_open {
-                self.verify_contested_home(&summary.job, &home);
-            }
+            // The new home may have finished or ended the job by now.
+            self.verify_contested_home(&summary.job, &home);
             self.remote_homes.borrow_mut().insert(summary.job, home.clone());
         }
         self.peer_waiting_tokens.borrow_mut().insert(daemon.clone(), peer_jobs.waiting);
@@ -295,6 +303,12 @@
         }
     }
 
+    /// Returns the number of pauses of this daemon so far, which is read before a call to the store.
+    pub(crate) fn pauses(self: &Rc<Self>) -> u64 {
+        self.check_for_pause();
+        self.pause_detector.get().pauses()
+    }
+
     /// Adds a job whose home is this daemon, and has a heartbeat announce it at once.
     ///
     /// A job that is held already keeps its state: it may have been loaded from the record while
@@ -312,6 +326,16 @@
         handle
     }
 
+    /// Adds a job for which the store was called after `pauses_before` pauses; after a further one the
+    /// home is confirmed first.
+    pub(crate) fn add_job_since(self: &Rc<Self>, job: Job, pauses_before: u64) -> Rc<JobHandle> {
+        let handle = self.add_job(job);
+        if self.pauses() != pauses_before {
+            self.start_home_confirmation(&handle);
+        }
+        handle
+    }
+
     /// Removes a deposed job, that is, one whose home this daemon is no longer, and stops its items.
     pub fn drop_deposed_job(&self, id: &JobId, home: Option<&Home>) {
         if let Some(handle) = self.jobs.borrow_mut().remove(id) {
@@ -348,7 +372,7 @@
         changed: Notify::new(),
         stop: CancellationToken::new(),
         is_deposed: Cell::new(false),
-        is_contested: Cell::new(false),
+        is_unconfirmed: Cell::new(false),
         is_record_busy: Cell::new(false),
     }
 }
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -92,9 +92,11 @@
     }
 
     fn start_items(self: &Rc<Self>, handles: &[Rc<JobHandle>], now_ms: Millis) {
+        self.check_for_pause();
         while self.waiting_for_slot.get() < MAX_WAITING_FOR_SLOT {
             let run_time = self.run_time.get();
-            let candidates = handles.iter().filter_map(|handle| {
+            let confirmed = handles.iter().filter(|handle| !handle.is_unconfirmed.get());
+            let candidates = confirmed.filter_map(|handle| {
                 let job = handle.job.borrow();
                 let limits = self.limits_of(&job)?;
                 Some((job.next_urgency(now_ms, &limits, &run_time)?, handle))
@@ -134,6 +136,9 @@
         };
         self.waiting_for_slot.set(self.waiting_for_slot.get().saturating_sub(1));
         self.wake.notify_one();
+        // This daemon may have been paused while the item waited for its slot.
+        self.check_for_pause();
+        let lease = lease.filter(|_| !handle.is_unconfirmed.get());
         let Some(lease) = lease else {
             let limits = self.limits_or_expired(&handle);
             let mut job = handle.job.borrow_mut();
--- a/crates/jobs/src/serve.rs
+++ b/crates/jobs/src/serve.rs
@@ -57,6 +57,8 @@
 /// How long the write of a job's end may take before the client is told that the outcome is
 /// unknown.
 const END_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// How long a read waits for the store to confirm the home of its job.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
 /// The retry delay sent to a client whose job is over the quota or cannot be stored.
 const RETRY_AFTER_MS: Millis = 800;
 /// How often a call looks up the home of its job before it is answered as unavailable.
@@ -190,7 +192,11 @@
         if let JobCall::Results { after, wait_ms, .. } = call {
             self.wait_for_result(handle, *after, *wait_ms).await;
         }
-        if handle.is_deposed.get() || handle.is_contested.get() {
+        self.check_for_pause();
+        if handle.is_unconfirmed.get() {
+            self.wait_for_confirmation(handle).await;
+        }
+        if handle.is_deposed.get() || handle.is_unconfirmed.get() {
             return None;
         }
         if self.has_unconfirmed(call, handle) {
@@ -225,12 +231,26 @@
         }
     }
 
+    async fn wait_for_confirmation(&self, handle: &JobHandle) {
+        let confirmed = async {
+            loop {
+                let changed = handle.changed.notified();
+                if handle.is_deposed.get() || !handle.is_unconfirmed.get() {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        // After a time-out the client is told to ask again.
+        let _ = timeout(CONFIRM_TIMEOUT, confirmed).await;
+    }
+
     async fn wait_for_result(&self, handle: &JobHandle, after: usize, wait_ms: Millis) {
         let new_results = async {
             loop {
                 let changed = handle.changed.notified();
                 let has_new = handle.job.borrow().written_results().len() > after;
-                let is_home = !handle.is_deposed.get() && !handle.is_contested.get();
+                let is_home = !handle.is_deposed.get() && !handle.is_unconfirmed.get();
                 if has_new || !is_home || handle.job.borrow().is_finished() {
                     return;
                 }
@@ -334,6 +354,7 @@
         self.check_quota(id, route, &submission)?;
         let wait_ms = meta.deadline_ms.unwrap_or(DEFAULT_SUBMIT_DEADLINE_MS);
         let store_timeout = Duration::from_millis(wait_ms.saturating_sub(ANSWER_RESERVE_MS).max(1));
+        let pauses_before = self.pauses();
         let submitted_ms = self.now_ms();
         let host = &*route.host;
         let path = parts.uri.path();
@@ -375,7 +396,7 @@
             self.now_ms().saturating_sub(submitted_ms),
             self.waiting_tokens(route)
         );
-        let handle = self.add_job(job);
+        let handle = self.add_job_since(job, pauses_before);
         if self.is_leaving() {
             self.spawn_handover(handle);
         }
--- a/crates/jobs/tests/handover.rs
+++ b/crates/jobs/tests/handover.rs
@@ -34,6 +34,8 @@
 use jobs::manager::Dependencies;
 use jobs::manager::JobLocation;
 use jobs::manager::JobManager;
+use jobs::message::HeartbeatJobs;
+use jobs::message::JobSummary;
 use jobs::progress::Progress;
 use jobs::record;
 use jobs::record::Home;
@@ -42,10 +44,13 @@
 use kernel::Counters;
 use peers::ControlClient;
 use peers::Membership;
+use peers::Topic;
 use peers::Transport;
 use peers::heartbeat::Heartbeat;
 use peers::heartbeat::Identity;
 use peers::heartbeat::Readiness;
+use peers::transport::decode;
+use peers::transport::encode;
 use quarantine::Delegates;
 use quarantine::PromptPart;
 use quarantine::Suspect;
@@ -349,3 +354,73 @@
     };
     LocalSet::new().run_until(run).await;
 }
+
+/// Makes "successor" the home of the stored job, without the old home's knowledge.
+fn replace_home(job: &Job, store: &OneObject) {
+    let status = job.status(&home("successor"), 1 << 20);
+    let mut object = store.object.borrow_mut();
+    object.revision += 1;
+    object.status = record::to_json(&status).expect("a status");
+}
+
+fn listed_jobs(manager: &Rc<JobManager>) -> usize {
+    let attachment = manager.encode_jobs();
+    let jobs = decode::<HeartbeatJobs>(Topic::Jobs, &attachment.payload).expect("a list of jobs");
+    jobs.jobs.len()
+}
+
+// Guards against a replaced home that goes on with a job that its successor has finished or ended.
+#[tokio::test]
+async fn home_whose_successor_has_finished_the_job_gives_it_up() {
+    let run = async {
+        let id = JobId::from("j");
+        let (job, store) = recorded_job(&id, home("former"));
+        let manager = manager("former", store.clone(), &[]).await;
+        replace_home(&job, &store);
+        let handle = manager.add_job(job);
+        let summary = JobSummary { job: id.clone(), is_open: false };
+        let listed = HeartbeatJobs { jobs: vec![summary], waiting: Vec::new() };
+        let payload = encode(Topic::Jobs, &listed);
+        manager.apply_jobs(&"successor".into(), INCARNATION, &payload);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        assert!(handle.is_deposed.get(), "the former home still runs the job's items");
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+// Guards against a home that acts on its jobs after a pause before it has asked the store.
+#[tokio::test]
+async fn home_that_was_paused_claims_no_job_before_the_store_has_confirmed_it() {
+    let run = async {
+        let id = JobId::from("j");
+        let (job, store) = recorded_job(&id, home("former"));
+        let manager = manager("former", store.clone(), &[]).await;
+        let handle = manager.add_job(job.clone());
+        assert_eq!(listed_jobs(&manager), 1);
+        // Nothing of this daemon runs while its only thread sleeps.
+        std::thread::sleep(Duration::from_millis(1_100));
+        replace_home(&job, &store);
+        assert_eq!(listed_jobs(&manager), 0, "peers would forward calls to the former home");
+        assert!(handle.is_unconfirmed.get(), "items would be sent");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        assert!(handle.is_deposed.get());
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+#[tokio::test]
+async fn home_that_was_paused_goes_on_once_the_store_has_confirmed_it() {
+    let run = async {
+        let id = JobId::from("j");
+        let (job, store) = recorded_job(&id, home("former"));
+        let manager = manager("former", store, &[]).await;
+        let handle = manager.add_job(job);
+        assert_eq!(listed_jobs(&manager), 1);
+        std::thread::sleep(Duration::from_millis(1_100));
+        assert_eq!(listed_jobs(&manager), 0);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        assert!(!handle.is_deposed.get() && !handle.is_unconfirmed.get());
+        assert_eq!(listed_jobs(&manager), 1);
+    };
+    LocalSet::new().run_until(run).await;
+}
--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -95,6 +95,7 @@
         loop {
             ticks.tick().await;
             let now_ms = self.state.clock.now_ms();
+            self.job_manager.check_for_pause();
             self.update_readiness();
             self.state.replicas.borrow_mut().tick(now_ms);
             self.slots.tick();
