Measure results as the store's encoding has them

Cause: the size of a text in a record was estimated with an eighth for JSON escapes. Texts that are mostly quotes take twice their size, so that the store refused the record as too large, and the same write was repeated every 150 ms for good.

Change: sizes are exact, for results, saved progress and the answers to reads. When the store still refuses an object, the job's size limit is halved; a result that is too large for any object is written in fragments; a claim or a hand-over leaves out the progress.

--- a/crates/jobs/src/adoption.rs
+++ b/crates/jobs/src/adoption.rs
@@ -27,6 +27,9 @@
 use crate::record::JOB_KIND;
 use crate::record::JobRecord;
 use crate::record::JobStatus;
+use crate::record::RESULTS_KIND;
+use crate::record::ResultPart;
+use crate::record::ResultsObject;
 use crate::status_writer::malformed;
 use crate::status_writer::status_call;
 
@@ -211,9 +214,8 @@
         store_timeout: Duration,
     ) -> Result<LoadedJob, StoreError> {
         let pauses_before = self.pauses();
-        let claimed = job.status(&self.own_home, self.deps.max_object_bytes);
-        let call = status_call(id, job.revision, &claimed)?;
-        match self.deps.store.call_with_retries(CallClass::Claim, &call, store_timeout).await? {
+        let mut claimed = job.status(&self.own_home, self.deps.max_object_bytes);
+        match self.write_claim(id, job.revision, &mut claimed, store_timeout).await? {
             Reply::Object(object) => job.revision = object.revision,
             Reply::Conflict(Some(object)) => {
                 let found = JobStatus::decode(&object.status).ok();
@@ -251,6 +253,28 @@
         Ok(LoadedJob::Local(self.add_job_since(job, pauses_before)))
     }
 
+    /// Writes the status with which this daemon becomes the home; leaves the progress out of it if
+    /// the store finds it too large, since the results alone fitted before.
+    pub(crate) async fn write_claim(
+        &self,
+        id: &JobId,
+        revision: u64,
+        claimed: &mut JobStatus,
+        store_timeout: Duration,
+    ) -> Result<Reply, StoreError> {
+        let store = &self.deps.store;
+        let call = status_call(id, revision, claimed)?;
+        match store.call_with_retries(CallClass::Claim, &call, store_timeout).await {
+            Err(StoreError::TooLarge { size }) => {
+                warn!("event=job_claim_too_large job={id} bytes={size}");
+                claimed.progress.clear();
+                let call = status_call(id, revision, claimed)?;
+                store.call_with_retries(CallClass::Claim, &call, store_timeout).await
+            }
+            reply => reply,
+        }
+    }
+
     async fn read_job(
         &self,
         id: &JobId,
@@ -270,8 +294,7 @@
         let mut results = Vec::new();
         if let Some(status) = &status {
             for part in &status.result_parts {
-                let (kind, name) = (record::RESULTS_KIND, part.name.clone());
-                results.extend(self.read_part::<Vec<ItemResult>>(kind, name, store_timeout).await?);
+                results.extend(self.read_results(id, &part.name, store_timeout).await?);
             }
             results.extend(status.results.iter().cloned());
         }
@@ -285,6 +308,48 @@
         Ok(RecordedJob { job, home: status.map_or(value.home, |status| status.home) })
     }
 
+    async fn read_results(
+        &self,
+        id: &JobId,
+        part: &str,
+        store_timeout: Duration,
+    ) -> Result<Vec<ItemResult>, StoreError> {
+        let fragments = match self.read_part(RESULTS_KIND, part.to_owned(), store_timeout).await? {
+            ResultsObject::Results(results) => return Ok(results),
+            ResultsObject::Split { fragments } => fragments,
+        };
+        let mut text = String::new();
+        for fragment in 0..fragments {
+            let name = record::fragment_name(part, fragment);
+            text.push_str(&self.read_part::<String>(RESULTS_KIND, name, store_timeout).await?);
+        }
+        let result = record::decode_result(&text);
+        result.map(|result| vec![result]).map_err(|error| malformed(id, error.message))
+    }
+
+    /// Returns how many objects hold the result to which a part refers; 0 if the part holds it.
+    pub(crate) async fn fragment_count(
+        &self,
+        part: &ResultPart,
+        store_timeout: Duration,
+    ) -> Result<usize, StoreError> {
+        if part.count != 1 {
+            return Ok(0);
+        }
+        let call = Call::Get { kind: RESULTS_KIND, name: part.name.clone() };
+        let reply =
+            self.deps.store.call_with_retries(CallClass::Status, &call, store_timeout).await?;
+        let Reply::Object(object) = reply else { return Ok(0) };
+        match serde_json::from_slice(&object.value) {
+            Ok(ResultsObject::Split { fragments }) => Ok(fragments),
+            Ok(ResultsObject::Results(_)) => Ok(0),
+            Err(error) => {
+                warn!("event=job_part_malformed part={} error=\"{error}\"", part.name);
+                Ok(0)
+            }
+        }
+    }
+
     async fn read_part<T: serde::de::DeserializeOwned>(
         &self,
         kind: &'static str,
--- a/crates/jobs/src/handover.rs
+++ b/crates/jobs/src/handover.rs
@@ -10,7 +10,6 @@
 use log::warn;
 use serde::Deserialize;
 use serde::Serialize;
-use store::CallClass;
 use store::Reply;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -30,7 +29,6 @@
 use crate::record::JobStatus;
 use crate::record::ResultPart;
 use crate::status::StatusWriteReply;
-use crate::status_writer::status_call;
 
 /// How long a successor may take to write itself into the record.
 const SUCCESSOR_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -197,15 +195,7 @@
             let in_parts = record::count_in_parts(&status.result_parts);
             status.results.truncate(job.written_results().len().saturating_sub(in_parts));
         }
-        let call = match status_call(&id, job.revision, &status) {
-            Ok(call) => call,
-            Err(error) => {
-                warn!("event=handover_malformed job={id} error=\"{error}\"");
-                return StatusCode::BAD_REQUEST;
-            }
-        };
-        let written =
-            self.deps.store.call_with_retries(CallClass::Claim, &call, SUCCESSOR_TIMEOUT).await;
+        let written = self.write_claim(&id, job.revision, &mut status, SUCCESSOR_TIMEOUT).await;
         let revision = match written {
             Ok(Reply::Object(object)) => object.revision,
             Ok(Reply::Conflict(Some(object))) => match JobStatus::decode(&object.status) {
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -322,7 +322,7 @@
         let open = self.entries.iter().filter(|entry| entry.phase != Phase::Done);
         open.filter(|entry| entry.progress.events > 0 || entry.failures > 0)
             .take_while(|entry| {
-                let size = record::estimated_bytes(&entry.progress.text);
+                let size = record::encoded_bytes(&entry.item.id, &entry.progress.text);
                 let fits = size <= left;
                 left = left.saturating_sub(size);
                 fits
--- a/crates/jobs/src/manager.rs
+++ b/crates/jobs/src/manager.rs
@@ -45,6 +45,9 @@
 /// The due time of a job whose route sets none.
 const DEFAULT_DUE_MS: Millis = 60_000;
 
+/// The smallest limit to which refusals by the store reduce the size of a job's objects.
+const MIN_OBJECT_BYTES: usize = 16 << 10;
+
 /// The components of the daemon that the job manager uses.
 pub struct Dependencies {
     /// The platform's encoding of jobs.
@@ -91,9 +94,23 @@
     /// is sent and no result is shown meanwhile.
     pub is_unconfirmed: Cell<bool>,
     is_record_busy: Cell<bool>,
+    /// How often the store refused an object of the job as too large.
+    oversized_writes: Cell<u32>,
 }
 
 impl JobHandle {
+    /// Returns the size limit of the job's objects in bytes; each refusal of one as too large halves
+    /// it, since a store may count the size in another encoding.
+    pub fn max_object_bytes(&self, configured_bytes: usize) -> usize {
+        let halved_bytes = configured_bytes >> self.oversized_writes.get().min(usize::BITS - 1);
+        halved_bytes.max(MIN_OBJECT_BYTES.min(configured_bytes))
+    }
+
+    /// Records that the store refused an object of the job as too large.
+    pub fn record_oversized_write(&self) {
+        self.oversized_writes.set(self.oversized_writes.get().saturating_add(1));
+    }
+
     /// Returns whether a task is writing, handing over or removing the job's record.
     pub fn is_record_busy(&self) -> bool {
         self.is_record_busy.get()
@@ -374,5 +391,6 @@
         is_deposed: Cell::new(false),
         is_unconfirmed: Cell::new(false),
         is_record_busy: Cell::new(false),
+        oversized_writes: Cell::new(0),
     }
 }
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -32,6 +32,9 @@
 /// percent; inputs and results leave it free.
 const PROGRESS_PERCENT: usize = 8;
 
+/// The maximum size of the fields of a result, or of saved progress, beside the item's id and text.
+const OTHER_FIELDS_BYTES: usize = 128;
+
 /// The maximum number of objects that hold one input; a daemon calls the store for each of them.
 const MAX_INPUT_PARTS: usize = 1_000;
 
@@ -90,6 +93,19 @@
     pub count: usize,
 }
 
+/// The value of an object that holds results.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum ResultsObject {
+    /// The results.
+    Results(Vec<ItemResult>),
+    /// One result that is too large for an object, as encoded text in this many others.
+    Split {
+        /// The number of the objects, named by [`fragment_name`].
+        fragments: usize,
+    },
+}
+
 /// The reason why a record cannot be encoded or decoded.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RecordError {
@@ -144,14 +160,25 @@
     postcard::from_bytes(&bytes).map_err(invalid)
 }
 
+/// Encodes a result that is too large for an object as text.
+pub fn encode_result(result: &ItemResult) -> Result<String, RecordError> {
+    postcard::to_allocvec(result).map(|bytes| STANDARD.encode(bytes)).map_err(invalid)
+}
+
+/// Decodes a result from its text.
+pub fn decode_result(text: &str) -> Result<ItemResult, RecordError> {
+    let bytes = STANDARD.decode(text).map_err(invalid)?;
+    postcard::from_bytes(&bytes).map_err(invalid)
+}
+
 /// Returns whether an encoded input fits into its job's record.
 pub fn input_fits(text: &str, max_object_bytes: usize) -> bool {
     text.len() <= max_object_bytes * INPUT_PERCENT / 100
 }
 
-/// Splits an encoded input into parts that fit into one object each.
-pub fn split_input(text: &str, max_object_bytes: usize) -> Vec<&str> {
-    let size = (max_object_bytes * PART_PERCENT / 100).max(1);
+/// Splits an encoded input or result into parts that fit into one object each.
+pub fn split_text(text: &str, max_object_bytes: usize) -> Vec<&str> {
+    let size = max_part_bytes(max_object_bytes).max(1);
     let mut rest = text;
     let mut parts = Vec::new();
     while !rest.is_empty() {
@@ -169,13 +196,13 @@
     value_bytes: usize,
     max_object_bytes: usize,
 ) -> usize {
-    let room = (max_object_bytes * PART_PERCENT / 100).saturating_sub(value_bytes);
-    let size = |result: &ItemResult| estimated_bytes(&result.text);
+    let limit = max_part_bytes(max_object_bytes);
+    let room = limit.saturating_sub(value_bytes);
+    let size = |result: &ItemResult| encoded_bytes(&result.item, &result.text);
     let total: usize = results.iter().map(size).sum();
     if total <= room {
         return 0;
     }
-    let limit = max_object_bytes * PART_PERCENT / 100;
     let mut sum = 0;
     let fitting = results.iter().take_while(|result| {
         sum += size(result);
@@ -184,10 +211,25 @@
     fitting.count().max(1)
 }
 
-/// Returns the estimated size of an item with the output `text` in a record, including JSON escapes
-/// and field names.
-pub fn estimated_bytes(text: &str) -> usize {
-    text.len() + text.len() / 8 + 128
+/// Returns the size of an item with the output `text` in a record: the JSON of both and an upper
+/// bound for the other fields.
+pub fn encoded_bytes(item: &str, text: &str) -> usize {
+    json_string_bytes(item) + json_string_bytes(text) + OTHER_FIELDS_BYTES
+}
+
+/// Returns the size of a text as a JSON string.
+pub fn json_string_bytes(text: &str) -> usize {
+    let escaped = |byte: u8| match byte {
+        b'"' | b'\\' | b'\n' | b'\r' | b'\t' | 0x08 | 0x0c => 2,
+        0x00..=0x1f => 6,
+        _ => 1,
+    };
+    text.bytes().map(escaped).sum::<usize>() + 2
+}
+
+/// Returns the maximum size of one part of an input or of results, in bytes.
+pub fn max_part_bytes(max_object_bytes: usize) -> usize {
+    max_object_bytes * PART_PERCENT / 100
 }
 
 /// Returns the maximum size of the progress of unfinished items in a job's record, in bytes.
@@ -214,6 +256,11 @@
     format!("{job}.{}.{}.{number}", home.daemon, home.incarnation)
 }
 
+/// Returns the name of an object with a fragment of the result to which a part refers.
+pub fn fragment_name(part: &str, fragment: usize) -> String {
+    format!("{part}.{fragment}")
+}
+
 fn invalid(error: impl fmt::Display) -> RecordError {
     RecordError { message: error.to_string() }
 }
--- a/crates/jobs/src/retention.rs
+++ b/crates/jobs/src/retention.rs
@@ -144,7 +144,13 @@
     ) -> Result<(), StoreError> {
         let inputs = (0..input_parts).map(|part| record::input_part_name(id.as_str(), part));
         let inputs = inputs.map(|name| (INPUT_KIND, name));
-        let results = result_parts.iter().map(|part| (RESULTS_KIND, part.name.clone()));
+        let mut parts = Vec::new();
+        for part in result_parts {
+            let fragments = self.fragment_count(part, REMOVE_TIMEOUT).await?;
+            parts.extend((0..fragments).map(|number| record::fragment_name(&part.name, number)));
+            parts.push(part.name.clone());
+        }
+        let results = parts.into_iter().map(|name| (RESULTS_KIND, name));
         let objects = std::iter::once((JOB_KIND, id.to_string())).chain(inputs).chain(results);
         for (kind, name) in objects {
             let call = Call::Remove { kind, name };
--- a/crates/jobs/src/serve.rs
+++ b/crates/jobs/src/serve.rs
@@ -267,7 +267,7 @@
         let mut bytes = 0;
         let fitting = written.iter().take_while(|result| {
             let is_first = bytes == 0;
-            bytes += result.text.len() + result.item.len() + 64;
+            bytes += record::encoded_bytes(&result.item, &result.text);
             is_first || bytes <= MAX_RESULTS_BYTES
         });
         let results: Vec<ItemResult> = fitting.cloned().collect();
@@ -446,7 +446,7 @@
         if record::input_fits(&input, max_bytes) {
             value.input = input;
         } else {
-            let parts = record::split_input(&input, max_bytes);
+            let parts = record::split_text(&input, max_bytes);
             value.input_parts = parts.len();
             for (part, text) in parts.into_iter().enumerate() {
                 let name = record::input_part_name(id.as_str(), part);
--- a/crates/jobs/src/status_writer.rs
+++ b/crates/jobs/src/status_writer.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use log::info;
 use log::warn;
+use serde::Serialize;
 use store::Call;
 use store::CallClass;
 use store::Reply;
@@ -22,6 +23,7 @@
 use crate::record::JobStatus;
 use crate::record::RESULTS_KIND;
 use crate::record::ResultPart;
+use crate::record::ResultsObject;
 use crate::status::StatusWriteOutcome;
 use crate::status::StatusWriteReply;
 
@@ -54,9 +56,15 @@
                 }
                 StatusWrite::Deposed => break,
                 StatusWrite::Failed(error) => {
+                    if matches!(error, StoreError::TooLarge { .. }) {
+                        handle.record_oversized_write();
+                        self.deps.counters.count("job_objects_too_large");
+                    }
                     warn!(
-                        "event=results_not_written job={id} listed={} error=\"{error}\"",
-                        handle.job.borrow().written_results().len()
+                        "event=results_not_written job={id} listed={} max_object_bytes={} \
+                         error=\"{error}\"",
+                        handle.job.borrow().written_results().len(),
+                        handle.max_object_bytes(self.deps.max_object_bytes)
                     );
                     tokio::time::sleep(WRITE_RETRY_DELAY).await;
                 }
@@ -69,10 +77,11 @@
             return StatusWrite::Failed(error);
         }
         let started_ms = self.now_ms();
+        let max_bytes = handle.max_object_bytes(self.deps.max_object_bytes);
         let (status, revision) = {
             let mut job = handle.job.borrow_mut();
             job.begin_write(started_ms);
-            (job.status(&self.own_home, self.deps.max_object_bytes), job.revision)
+            (job.status(&self.own_home, max_bytes), job.revision)
         };
         let call = match status_call(id, revision, &status) {
             Ok(call) => call,
@@ -128,23 +137,49 @@
 
     /// Moves the first results into parts for as long as the record has no room for all.
     async fn spill(&self, id: &JobId, handle: &JobHandle) -> Result<(), StoreError> {
+        let max_bytes = handle.max_object_bytes(self.deps.max_object_bytes);
         loop {
             let moved: Vec<ItemResult> = {
                 let job = handle.job.borrow();
                 let mut inline = job.inline_results();
-                let max_bytes = self.deps.max_object_bytes;
                 inline.truncate(record::overflow_count(&inline, job.value_bytes, max_bytes));
                 inline
             };
             if moved.is_empty() {
                 return Ok(());
             }
-            let value = record::to_json(&moved).map_err(|error| malformed(id, error.message))?;
             let number = self.next_result_part.replace(self.next_result_part.get() + 1);
             let name = record::result_part_name(id.as_str(), &self.own_home, number);
+            let count = moved.len();
+            let mut object = ResultsObject::Results(moved);
+            let mut value = encode_part(id, &object)?;
+            if let ResultsObject::Results(moved) = &object
+                && let [result] = moved.as_slice()
+                && value.len() > record::max_part_bytes(max_bytes)
+            {
+                object = self.write_fragments(id, &name, result, max_bytes).await?;
+                value = encode_part(id, &object)?;
+            }
             self.write_part(RESULTS_KIND, name.clone(), value).await?;
-            handle.job.borrow_mut().add_result_part(ResultPart { name, count: moved.len() });
+            handle.job.borrow_mut().add_result_part(ResultPart { name, count });
+        }
+    }
+
+    /// Writes a result that is too large for an object into several; returns the part's value.
+    async fn write_fragments(
+        &self,
+        id: &JobId,
+        part: &str,
+        result: &ItemResult,
+        max_object_bytes: usize,
+    ) -> Result<ResultsObject, StoreError> {
+        let text = record::encode_result(result).map_err(|error| malformed(id, error.message))?;
+        let fragments = record::split_text(&text, max_object_bytes);
+        for (number, fragment) in fragments.iter().enumerate() {
+            let name = record::fragment_name(part, number);
+            self.write_part(RESULTS_KIND, name, encode_part(id, fragment)?).await?;
         }
+        Ok(ResultsObject::Split { fragments: fragments.len() })
     }
 
     /// Writes a part; one that exists already has the same content, from an earlier attempt.
@@ -169,6 +204,10 @@
     Ok(Call::SetStatus { kind: JOB_KIND, name: id.to_string(), revision: Some(revision), status })
 }
 
+fn encode_part<T: Serialize>(id: &JobId, value: &T) -> Result<Bytes, StoreError> {
+    record::to_json(value).map_err(|error| malformed(id, error.message))
+}
+
 pub(crate) fn malformed(id: &JobId, message: String) -> StoreError {
     StoreError::Malformed { key: id.to_string(), message }
 }
--- a/crates/jobs/tests/job.rs
+++ b/crates/jobs/tests/job.rs
@@ -191,7 +191,7 @@
     let text = record::encode_input(&submission).expect("the input can be encoded");
     assert!(record::input_fits(&text, 1 << 20));
     assert!(!record::input_fits(&text, 1_000));
-    let parts = record::split_input(&text, 1_000);
+    let parts = record::split_text(&text, 1_000);
     assert!(parts.len() > 1 && parts.iter().all(|part| part.len() <= 1_000));
     assert_eq!(
         record::decode_input(&parts.concat()).expect("the input can be decoded"),
@@ -213,6 +213,54 @@
     assert_eq!(record::overflow_count(&[result(20_000)], 0, 8_000), 1, "at least one result moves");
 }
 
+// Guards against records that are over the limit since their text grows when it is escaped.
+#[test]
+fn results_and_progress_within_their_limits_fit_into_an_object_whatever_their_text() {
+    const MAX_BYTES: usize = 1 << 20;
+    for text in ["\"", "\\", "\n", "\u{1}", "\u{1f}\u{7f}", "plain", "{\"a\":\"b\"}", "🚚ạ"] {
+        let result = |number: usize| ItemResult {
+            item: format!("i\"{number}").as_str().into(),
+            outcome: Outcome::Completed,
+            text: text.repeat(30_000 / text.len()).into(),
+        };
+        let mut results: Vec<ItemResult> = (0..100).map(result).collect();
+        let mut moved = record::overflow_count(&results, 1_000, MAX_BYTES);
+        while moved > 0 {
+            let part: Vec<ItemResult> = results.drain(..moved).collect();
+            let bytes = record::to_json(&part).expect("JSON").len();
+            assert!(bytes <= record::max_part_bytes(MAX_BYTES), "{bytes} bytes of {text:?}");
+            moved = record::overflow_count(&results, 1_000, MAX_BYTES);
+        }
+        let bytes = record::to_json(&results).expect("JSON").len() + 1_000;
+        assert!(bytes <= record::max_part_bytes(MAX_BYTES), "{bytes} bytes of {text:?}");
+        let encoded = record::to_json(&text).expect("JSON").len();
+        assert_eq!(record::json_string_bytes(text), encoded);
+
+        let mut job = job(100);
+        for _ in 0..100 {
+            let next = job.start_next(0).expect("an item is ready");
+            let text = text.repeat(3_000 / text.len());
+            job.record_progress(0, next.index, &output(&text, 40));
+        }
+        let limit = record::max_progress_bytes(MAX_BYTES);
+        let saved = record::to_json(&job.saved_progress(limit)).expect("JSON").len();
+        assert!(saved <= limit, "{saved} bytes of progress of {text:?}");
+    }
+}
+
+#[test]
+fn result_in_fragments_is_read_as_it_was() {
+    let result = ItemResult {
+        item: "i".into(),
+        outcome: Outcome::Completed,
+        text: "\u{1}\"🚚".repeat(1_000).into(),
+    };
+    let text = record::encode_result(&result).expect("the result is encoded");
+    let fragments = record::split_text(&text, 1_000);
+    assert!(fragments.iter().all(|part| record::to_json(part).expect("JSON").len() < 1_000));
+    assert_eq!(record::decode_result(&fragments.concat()), Ok(result));
+}
+
 #[test]
 fn new_home_resumes_items_from_checkpointed_progress() {
     let mut job = job(3);
