Notice within seconds that a watch of the store is silent

What callers saw: all open connections to the store went silent while new ones worked.

Cause: three daemons watch the store for all. A watch call waited for 20 s, and nothing showed that its connection carried nothing; a failed call was repeated as another watch call.

Change: the store answers an idle watch every 1,500 ms, which with one time-out stays within 3,000 ms. After a failed watch call the daemon lists. A watcher that loses the store has heartbeats tell the others at once.

Two tests of platform_store_silence.rs failed before: waiting watches that go silent, and a store that answers no watch call.

--- a/crates/daemon/tests/platform_home_pause.rs
+++ b/crates/daemon/tests/platform_home_pause.rs
@@ -1,6 +1,5 @@
 //! Tests the home of a job that is paused while another daemon ends or finishes the job.
 
-#[expect(dead_code, reason = "not all helpers are used here")]
 mod platform_fleet;
 
 use std::time::Duration;
--- a/crates/daemon/tests/platform_store_silence.rs
+++ b/crates/daemon/tests/platform_store_silence.rs
@@ -21,6 +21,8 @@
 const MAX_CONFIG_DELAY: Duration = Duration::from_secs(2);
 /// How long the store is silent; the daemon calls it again for changes meanwhile.
 const SILENCE: Duration = Duration::from_millis(3_000);
+/// How long after a disruption the bounds hold again, the settings' `contact_ms`.
+const IN_TOUCH_AFTER: Duration = Duration::from_millis(3_000);
 
 #[test]
 fn configuration_is_in_force_in_time_after_a_watch_call_went_unanswered() {
@@ -50,3 +52,45 @@
         }
     });
 }
+
+// Guards against an old configuration that stays in force since the watches' connections went silent.
+#[test]
+fn configuration_is_in_force_in_time_after_connections_of_watches_went_silent() {
+    run_local("silent-connections", |folder| async move {
+        let fleet = Fleet::start(folder, 4).await;
+        fleet.deployment.store.silence_waiting_watches();
+        sleep(IN_TOUCH_AFTER).await;
+        check_new_route_is_served_in_time(&fleet, "/after-silence/").await;
+    });
+}
+
+// Guards against watchers that go on watching though the store answers none of their watch calls.
+#[test]
+fn configuration_is_in_force_in_time_while_the_store_answers_no_watch_calls() {
+    run_local("silent-watches", |folder| async move {
+        let fleet = Fleet::start(folder, 4).await;
+        fleet.deployment.store.fault.set(StoreFault::SilentWatches);
+        sleep(IN_TOUCH_AFTER).await;
+        check_new_route_is_served_in_time(&fleet, "/without-watches/").await;
+    });
+}
+
+/// Adds a route and checks that every daemon serves it within the bound for a configuration.
+async fn check_new_route_is_served_in_time(fleet: &Fleet, prefix: &str) {
+    fleet.deployment.add_route(prefix);
+    let added = Instant::now();
+    for number in 0..fleet.daemons.len() {
+        let mut calls = 0;
+        loop {
+            calls += 1;
+            let lookup = OutgoingRequest::lookup(prefix, &format!("late-{number}-{calls}"));
+            let status =
+                Client.call(fleet.ingress(number), &lookup).await.expect("an answer").status;
+            if status == StatusCode::OK {
+                break;
+            }
+            assert!(added.elapsed() < MAX_CONFIG_DELAY, "daemon {number}: still {status}");
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use catalog::ReplicaChange;
-use log::debug;
 use log::info;
 use log::warn;
 use platform::names::CONFIGURATION_KIND;
@@ -30,8 +29,10 @@
 
 /// The number of daemons that watch one kind; two may be lost at the same time without a gap.
 const WATCHERS: usize = 3;
-/// How long the store may wait for changes before it answers a watch call.
-const WATCH_WAIT_MS: Millis = 20_000;
+/// How long the store may wait for changes before it answers a watch call. The answer shows that the
+/// connection still works: one that has gone silent is noticed this long and one time-out of a call
+/// (1,500 ms at most) after its last answer.
+const WATCH_WAIT_MS: Millis = 1_500;
 /// The shortest time between two calls of one watch; changes in between share an answer.
 const MIN_CALL_INTERVAL: Duration = Duration::from_millis(400);
 /// The delay before the next call after a failed one.
@@ -72,10 +73,14 @@
 ) {
     sleep(if is_first_start { FIRST_START_SETTLE } else { RESTART_SETTLE }).await;
     let mut cursor: Option<u64> = None;
+    let mut is_watching = false;
     loop {
         if !is_watcher(watched, &state, &store) {
-            if cursor.take().is_some() {
+            cursor = None;
+            if std::mem::take(&mut is_watching) {
                 info!("event=watch_ended kind={}", watched.kind());
+                // The other daemons learn that they must watch.
+                state.membership.borrow_mut().expedite_heartbeats();
                 if watched == Watched::Replicas {
                     state.replicas.borrow_mut().set_store_unreachable();
                 }
@@ -90,14 +95,20 @@
         };
         match result {
             Ok(next) => {
-                if cursor.is_none() {
+                if !std::mem::replace(&mut is_watching, true) {
                     info!("event=watch_started kind={} revision={next:?}", watched.kind());
                 }
                 cursor = next;
                 sleep(MIN_CALL_INTERVAL.saturating_sub(started.elapsed())).await;
             }
             Err(error) => {
-                debug!("event=watch_failed kind={} error=\"{error}\"", watched.kind());
+                // A store that does not answer watch calls may still answer lists.
+                if let Some(since) = cursor.take() {
+                    info!(
+                        "event=watch_failed kind={} since={since} error=\"{error}\"",
+                        watched.kind()
+                    );
+                }
                 sleep(RETRY_DELAY).await;
             }
         }
