Bound the memory of all answers of replicas together

What callers saw: nothing here yet; operators of similar systems report that a replica sent bytes without end, the machine ran out of memory, and the requests of other clients ended with it.

And a body over its limit counted as a lost connection, which is evidence that the request crashes replicas.

Change: the answers on connections to replicas share an eighth of the process's memory, and one may take an eighth of that; the first 32 KiB of each are not counted. An answer over its share marks its replica; one that finds the memory used up by others does not.

--- a/crates/daemon/tests/platform_answers.rs
+++ b/crates/daemon/tests/platform_answers.rs
@@ -53,6 +53,9 @@
 const REPLICAS: usize = 20;
 /// The number of replicas for tables of faulty answers, each of which ejects one of them for a while.
 const TABLE_REPLICAS: usize = 24;
+/// A quarter of the memory of the smallest known host, 88 MB: an eighth for the parts of answers that
+/// are counted together, the rest for what is not counted.
+const MAX_ANSWERS_KIB: usize = 88 * 1024 / 4;
 /// The number of events that a run writes before it breaks off.
 const EVENTS_BEFORE_BREAK: u64 = 2;
 /// The number of slots of a replica.
@@ -606,3 +609,31 @@
     let line = status.lines().find(|line| line.starts_with("VmHWM:")).expect("the line is there");
     line.split_whitespace().nth(1).and_then(|kib| kib.parse().ok()).expect("a number")
 }
+
+// Guards against endless bodies of many requests at once that exhaust the memory of a small host.
+#[test]
+fn memory_for_endless_bodies_of_many_requests_is_bounded_together() {
+    const REQUESTS: usize = 120;
+    run_local("endless-bodies", |folder| async move {
+        let requests = Requests::default();
+        let answer = recorded(&requests, |request, stream| {
+            let head = success_head(&request.id, "");
+            write_without_end(stream, head, vec![b'x'; 256 << 10], Duration::from_millis(1))
+        });
+        let fleet = start_with_raw_replicas(folder, PLAIN_SERVICE, REPLICAS, answer).await;
+        let daemon = fleet.ingress(0);
+        let process = fleet.daemons[0].id();
+        let before_kib = peak_memory_kib(process);
+        let lookups = (0..REQUESTS).map(|number| async move {
+            let answer = Client.lookup(daemon, LOOKUP, &format!("l{number}")).await;
+            answer.is_ok_and(|answer| answer.status.is_success())
+        });
+        let complete = join_all(lookups).await;
+        let grown_kib = peak_memory_kib(process) - before_kib;
+        println!("the peak memory of the daemon grew by {grown_kib} KiB");
+        assert!(!complete.contains(&true), "an endless body looks complete");
+        assert!(grown_kib < MAX_ANSWERS_KIB, "{grown_kib} KiB, over {MAX_ANSWERS_KIB} KiB");
+        let answer = Client.stream(daemon, STREAM, "r", EVENTS).await.expect("an answer");
+        assert_eq!(answer.status, StatusCode::OK, "another request ended with them");
+    });
+}
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -82,6 +82,8 @@
     Stalled,
     /// The replica answered with a server error.
     ServerError,
+    /// This daemon has no memory left for the answer, which is no fault of the replica.
+    NoMemory,
 }
 
 impl SendFailure {
@@ -97,6 +99,7 @@
             Self::BrokenOff => "broken_off",
             Self::Stalled => "stalled",
             Self::ServerError => "server_error",
+            Self::NoMemory => "no_memory",
         }
     }
 
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -211,5 +211,14 @@
         ExchangeError::Connect(_) | ExchangeError::NothingSent => SendFailure::Unreachable,
         ExchangeError::Lost(_) => SendFailure::NoAnswer,
         ExchangeError::Malformed(_) | ExchangeError::OverLimit(_) => SendFailure::Garbled,
+        ExchangeError::NoMemory => SendFailure::NoMemory,
+    }
+}
+
+/// Returns the failure of the request that an error inside the body of its answer causes.
+pub fn classify_body_error(error: &ExchangeError) -> SendFailure {
+    match classify_error(error) {
+        failure @ (SendFailure::Garbled | SendFailure::NoMemory) => failure,
+        _ => SendFailure::BrokenOff,
     }
 }
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -39,6 +39,7 @@
 use crate::exchange;
 use crate::exchange::ClientRequest;
 use crate::exchange::ReplicaAnswer;
+use crate::exchange::classify_body_error;
 use crate::gateway::Gateway;
 use crate::relay::StreamRelay;
 use crate::report::RequestReport;
@@ -374,9 +375,12 @@
                 response.headers_mut().remove(header::CONTENT_LENGTH);
                 return Ok(response);
             }
-            Ok(Err(_)) => {
-                self.crash_guard.record_loss(&lease.replica, request);
-                SendFailure::BrokenOff
+            Ok(Err(error)) => {
+                let failure = classify_body_error(&error);
+                if failure == SendFailure::BrokenOff {
+                    self.crash_guard.record_loss(&lease.replica, request);
+                }
+                failure
             }
             Err(_) => SendFailure::Stalled,
         };
@@ -432,6 +436,7 @@
                 | SendFailure::ReplicaLeaving
                 | SendFailure::TimedOut
                 | SendFailure::ServerError
+                | SendFailure::NoMemory
         ) {
             self.slots.record_failure(&replica.name, failure.as_str());
             self.pool.close_idle(replica.address);
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -22,7 +22,6 @@
 use upstream::EventPosition;
 use upstream::EventSplitter;
 use upstream::EventTooLong;
-use upstream::ExchangeError;
 use upstream::RunSequence;
 use wire::Millis;
 use wire::Route;
@@ -33,7 +32,7 @@
 use crate::crash_guard::SOUND_EVENTS;
 use crate::exchange;
 use crate::exchange::ClientRequest;
-use crate::exchange::classify_error;
+use crate::exchange::classify_body_error;
 use crate::forward::SendError;
 use crate::forward::end_to_end_headers;
 use crate::gateway::Gateway;
@@ -207,7 +206,12 @@
                     );
                     return Err(SendFailure::Garbled);
                 }
-                Ok(Some(_)) => {}
+                Ok(Some(_)) => {
+                    let kept_bytes = self.splitter.buffered_bytes();
+                    connection
+                        .set_kept_bytes(kept_bytes)
+                        .map_err(|error| classify_body_error(&error))?;
+                }
                 Ok(None) if self.is_complete(connection) => return Ok(None),
                 Ok(None) => return Err(SendFailure::BrokenOff),
                 Err(error) => return Err(classify_body_error(&error)),
@@ -393,10 +397,3 @@
         }
     }
 }
-
-fn classify_body_error(error: &ExchangeError) -> SendFailure {
-    match classify_error(error) {
-        SendFailure::Garbled => SendFailure::Garbled,
-        _ => SendFailure::BrokenOff,
-    }
-}
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -332,7 +332,7 @@
         if failure == SendFailure::Stalled || failure == SendFailure::NoAnswer {
             self.deps.slots.report_suspect(&replica.name);
         }
-        if failure != SendFailure::TurnedAway {
+        if !matches!(failure, SendFailure::TurnedAway | SendFailure::NoMemory) {
             self.deps.slots.record_failure(&replica.name, failure.as_str());
             self.deps.pool.close_idle(replica.address);
         }
@@ -403,10 +403,16 @@
             return Ok(true);
         }
         match connection.read_body().await {
-            Ok(Some(bytes)) => splitter.push(&bytes).map_err(|_| SendFailure::Garbled)?,
+            Ok(Some(bytes)) => {
+                splitter.push(&bytes).map_err(|_| SendFailure::Garbled)?;
+                let kept_bytes = splitter.buffered_bytes() + progress.text.capacity();
+                connection
+                    .set_kept_bytes(kept_bytes)
+                    .map_err(|error| exchange::classify_body_error(&error))?;
+            }
             Ok(None) if splitter.has_partial() => return Err(SendFailure::BrokenOff),
             Ok(None) => return Ok(false),
-            Err(_) => return Err(SendFailure::BrokenOff),
+            Err(error) => return Err(exchange::classify_body_error(&error)),
         }
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -41,6 +41,7 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use upstream::AnswerMemory;
 use upstream::ConnectionPool;
 use wire::Millis;
 use wire::NodeSettings;
@@ -63,6 +64,10 @@
 const DAEMON_KIND: &str = "daemons";
 /// The port of the metrics page.
 pub const METRICS_PORT: u16 = 9464;
+/// The share of the process's memory for answers of replicas, as a divisor.
+const ANSWER_MEMORY_DIVISOR: usize = 8;
+/// The least memory for answers of replicas, whatever the settings say.
+const MIN_ANSWER_MEMORY_BYTES: usize = 4 << 20;
 /// How long an idle connection to a replica is kept open if the replica does not set a time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// The timeout of a connect to a replica; a round trip takes a few milliseconds.
@@ -200,7 +205,9 @@
     let control = Rc::new(ControlClient::default());
     let relay = PeerRelay { membership: membership.clone(), control: control.clone() };
     store.set_relay(Rc::new(relay));
-    let pool = Rc::new(ConnectionPool::new(IDLE_TIMEOUT, CONNECT_TIMEOUT));
+    let memory = AnswerMemory::new(answer_memory_bytes(&settings));
+    let pool = ConnectionPool::with_answer_memory(IDLE_TIMEOUT, CONNECT_TIMEOUT, memory);
+    let pool = Rc::new(pool);
     slots.set_probe(Rc::new(StateProbe { pool: pool.clone() }));
     let delegates = Box::new(QuarantineDelegates { membership: membership.clone() });
     let crash_guard = Rc::new(CrashGuard::new(clock, counters.clone(), delegates));
@@ -303,6 +310,12 @@
     }
 }
 
+/// Returns how much memory the answers of replicas may take together, in bytes.
+fn answer_memory_bytes(settings: &NodeSettings) -> usize {
+    let memory_mb = usize::try_from(settings.memory_mb).unwrap_or(usize::MAX);
+    (memory_mb.saturating_mul(1 << 20) / ANSWER_MEMORY_DIVISOR).max(MIN_ANSWER_MEMORY_BYTES)
+}
+
 /// Returns how long clients may cache a directory answer, such that a leaving daemon still serves
 /// even those that cache it for longer.
 fn directory_keep_ms(settings: &NodeSettings) -> Millis {
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -7,6 +7,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -22,6 +23,8 @@
 
 use crate::decoder::AnswerDecoder;
 use crate::head::AnswerHead;
+use crate::memory::AnswerMemory;
+use crate::memory::Reservation;
 
 /// The system closes a connection whose sent bytes stay unacknowledged this long; a working path
 /// acknowledges within tens of milliseconds.
@@ -44,6 +47,8 @@
     Malformed(&'static str),
     /// The peer sent more bytes than a part of an answer may have.
     OverLimit(&'static str),
+    /// The memory for answers is used up, mostly by others.
+    NoMemory,
 }
 
 impl ExchangeError {
@@ -61,6 +66,7 @@
             Self::Lost(message) => write!(f, "the connection was lost: {message}"),
             Self::Malformed(message) => write!(f, "the answer is malformed: {message}"),
             Self::OverLimit(message) => write!(f, "the answer is over a limit: {message}"),
+            Self::NoMemory => f.write_str("the memory for answers is used up"),
         }
     }
 }
@@ -81,11 +87,22 @@
     request_ids: Vec<u64>,
     keep_alive_timeout_ms: Option<u64>,
     idle_since: Instant,
+    memory: Arc<AnswerMemory>,
+    reservation: Reservation,
 }
 
 impl Connection {
     /// Opens a connection to `peer` within `limit`.
     pub async fn open(peer: SocketAddr, limit: Duration) -> Result<Self, ExchangeError> {
+        Self::open_with_memory(peer, limit, AnswerMemory::new(usize::MAX)).await
+    }
+
+    /// Opens a connection to `peer` within `limit`, whose answers count towards `memory`.
+    pub async fn open_with_memory(
+        peer: SocketAddr,
+        limit: Duration,
+        memory: Arc<AnswerMemory>,
+    ) -> Result<Self, ExchangeError> {
         let stream = match timeout(limit, TcpStream::connect(peer)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(ExchangeError::Connect(error.to_string())),
@@ -111,6 +128,8 @@
             request_ids: Vec::new(),
             keep_alive_timeout_ms: None,
             idle_since: Instant::now(),
+            reservation: Reservation::new(memory.clone()),
+            memory,
         })
     }
 
@@ -180,6 +199,7 @@
             if self.write_and_read().await? == 0 {
                 return Err(self.connection_lost("it ended before the answer"));
             }
+            self.reservation.resize(self.decoder.received.capacity())?;
         }
     }
 
@@ -204,7 +224,15 @@
         }
     }
 
+    /// Sets how many bytes of the answer the caller keeps in memory; fails if they are too many.
+    pub fn set_kept_bytes(&mut self, kept_bytes: usize) -> Result<(), ExchangeError> {
+        let result = self.reservation.resize(kept_bytes);
+        self.log_over_limit(result)
+    }
+
     /// Reads the rest of the body, which may have at most `limit_bytes`.
+    ///
+    /// The body counts towards the memory for answers until it is dropped.
     pub async fn read_whole_body(&mut self, limit_bytes: usize) -> Result<Bytes, ExchangeError> {
         let mut body = Bytes::new();
         let mut parts = BytesMut::new();
@@ -219,8 +247,11 @@
             }
             parts.extend_from_slice(&std::mem::take(&mut body));
             parts.extend_from_slice(&part);
+            self.set_kept_bytes(parts.capacity())?;
         }
-        Ok(if parts.is_empty() { body } else { parts.freeze() })
+        let body = if parts.is_empty() { body } else { parts.freeze() };
+        let next = Reservation::new(self.memory.clone());
+        Ok(std::mem::replace(&mut self.reservation, next).attach(body))
     }
 
     /// Returns whether the answer has been read to its end.
@@ -248,6 +279,7 @@
     pub fn mark_idle(&mut self) {
         self.idle_since = Instant::now();
         self.decoder.received = BytesMut::new();
+        self.reservation = Reservation::new(self.memory.clone());
     }
 
     /// Returns whether an idle connection is still open and has no bytes to read.
@@ -304,8 +336,18 @@
     }
 
     fn log_over_limit<T>(&self, result: Result<T, ExchangeError>) -> Result<T, ExchangeError> {
-        if let Err(ExchangeError::OverLimit(reason)) = &result {
-            warn!("event=answer_over_limit peer={} reason=\"{reason}\"", self.peer);
+        match &result {
+            Err(ExchangeError::OverLimit(reason)) => {
+                warn!("event=answer_over_limit peer={} reason=\"{reason}\"", self.peer);
+            }
+            Err(ExchangeError::NoMemory) => {
+                warn!(
+                    "event=answer_without_memory peer={} used_bytes={}",
+                    self.peer,
+                    self.memory.used_bytes()
+                );
+            }
+            _ => {}
         }
         result
     }
--- a/crates/upstream/src/events.rs
+++ b/crates/upstream/src/events.rs
@@ -110,6 +110,11 @@
         self.partial_start < self.pending.len()
     }
 
+    /// Returns the size of the buffer in memory, in bytes.
+    pub fn buffered_bytes(&self) -> usize {
+        self.pending.capacity()
+    }
+
     /// Discards the buffered bytes.
     pub fn clear(&mut self) {
         *self = Self::default();
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod events;
 pub mod framing;
 pub mod head;
+pub mod memory;
 pub mod pool;
 pub mod sequence;
 
@@ -21,6 +22,7 @@
 pub use events::EventTooLong;
 pub use head::AnswerHead;
 pub use head::RequestWriter;
+pub use memory::AnswerMemory;
 pub use pool::ConnectionPool;
 pub use sequence::EventPosition;
 pub use sequence::RunSequence;
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,6 +13,7 @@
 use crate::connection::Connection;
 use crate::connection::ExchangeError;
 use crate::head::AnswerHead;
+use crate::memory::AnswerMemory;
 
 /// A connection is not reused this long before its keep-alive time ends: longer than a round trip
 /// and a delayed wake-up of this process together.
@@ -22,20 +24,35 @@
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
     max_idle: Duration,
     connect_timeout: Duration,
+    memory: Arc<AnswerMemory>,
 }
 
 impl ConnectionPool {
     /// Creates an empty pool, which keeps a connection for its keep-alive time and at most for
     /// `max_idle`.
     pub fn new(max_idle: Duration, connect_timeout: Duration) -> Self {
-        Self { idle: RefCell::new(HashMap::new()), max_idle, connect_timeout }
+        Self::with_answer_memory(max_idle, connect_timeout, AnswerMemory::new(usize::MAX))
+    }
+
+    /// Like [`Self::new`], with a limit for the memory of all answers together, for peers that are not
+    /// trusted.
+    pub fn with_answer_memory(
+        max_idle: Duration,
+        connect_timeout: Duration,
+        memory: Arc<AnswerMemory>,
+    ) -> Self {
+        Self { idle: RefCell::new(HashMap::new()), max_idle, connect_timeout, memory }
+    }
+
+    async fn open(&self, peer: SocketAddr) -> Result<Connection, ExchangeError> {
+        Connection::open_with_memory(peer, self.connect_timeout, self.memory.clone()).await
     }
 
     /// Returns the most recently used idle connection to `peer`, or opens one.
     pub async fn get(&self, peer: SocketAddr) -> Result<Connection, ExchangeError> {
         match self.take_idle(peer) {
             Some(connection) => Ok(connection),
-            None => Connection::open(peer, self.connect_timeout).await,
+            None => self.open(peer).await,
         }
     }
 
@@ -50,7 +67,7 @@
     ) -> Result<Connection, ExchangeError> {
         match self.take_idle_where(peer, |connection| !connection.has_carried(id)) {
             Some(connection) => Ok(connection),
-            None => Connection::open(peer, self.connect_timeout).await,
+            None => self.open(peer).await,
         }
     }
 
@@ -81,7 +98,7 @@
         connection.queue_request(request.clone());
         let head = match connection.read_head(method).await {
             Err(ExchangeError::NothingSent) => {
-                connection = Connection::open(peer, self.connect_timeout).await?;
+                connection = self.open(peer).await?;
                 connection.queue_request(request);
                 connection.read_head(method).await?
             }
