Log how old a daemon's knowledge of the store is at each send

Daemons now tell each other with each heartbeat since when and until when they have had answers of the store, as an attachment with a topic that older builds ignore. request_sent and the new item_sent log the revision of the list and the time since any daemon is known to have heard from the store; replica_listed, replica_gone and missing_replicas_held log for how long the fleet has been in touch with the store, and replica_listed the revision at which the record was last confirmed. Decisions are unchanged.

--- /dev/null
+++ b/crates/catalog/src/contact.rs
@@ -0,0 +1,126 @@
+//! For how long the store has answered the daemons of the fleet without a gap.
+//!
+//! Records expire only while the store is down for all, not while one daemon cannot reach it. Each
+//! daemon reports its own latest answer, never one that it heard of: otherwise the delays of the
+//! reports would add up from daemon to daemon and hide an outage.
+
+use serde::Deserialize;
+use serde::Serialize;
+use wire::Millis;
+
+/// The longest time without an answer to any daemon that does not count as an outage. Records
+/// expire after three missed heartbeats of a replica, which takes an outage of over two seconds.
+pub const MAX_CONTACT_GAP_MS: Millis = 1_300;
+/// The time between two ticks, normally 50 ms, from which on this daemon counts as paused.
+const PAUSE_THRESHOLD_MS: Millis = 400;
+/// How long after a pause answers and reports may have arrived during the pause.
+const AFTER_PAUSE_MS: Millis = 300;
+
+/// What a daemon tells its peers about the store's answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ContactReport {
+    /// The age of the answer since which any daemon has had answers without a gap.
+    pub since_age_ms: Millis,
+    /// The age of the sender's own latest answer.
+    pub latest_age_ms: Millis,
+}
+
+/// The time in which some daemon has had answers of the store without a gap.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoreContact {
+    interval: Option<Interval>,
+    own_latest_ms: Option<Millis>,
+    ticked_ms: Option<Millis>,
+    /// Before this time, what arrives may have been waiting during a pause of this daemon.
+    unreliable_until_ms: Millis,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Interval {
+    since_ms: Millis,
+    latest_ms: Millis,
+}
+
+impl StoreContact {
+    /// Records that the store answered a call of this daemon at `answered_ms`.
+    pub fn record_answer(&mut self, now_ms: Millis, answered_ms: Millis) {
+        if self.is_unreliable(now_ms) || answered_ms < self.unreliable_until_ms {
+            return;
+        }
+        let answered_ms = answered_ms.min(now_ms);
+        self.own_latest_ms = self.own_latest_ms.max(Some(answered_ms));
+        self.extend(Interval { since_ms: answered_ms, latest_ms: answered_ms });
+    }
+
+    /// Merges the report of a peer.
+    pub fn merge(&mut self, now_ms: Millis, report: ContactReport) {
+        if self.is_unreliable(now_ms) {
+            return;
+        }
+        let latest_ms = now_ms.saturating_sub(report.latest_age_ms);
+        let since_ms = now_ms.saturating_sub(report.since_age_ms).min(latest_ms);
+        self.extend(Interval { since_ms, latest_ms });
+    }
+
+    /// Returns the report for peers; `None` if this daemon has had no answer in the interval.
+    pub fn report(&self, now_ms: Millis) -> Option<ContactReport> {
+        let since_ms = self.interval?.since_ms;
+        let latest_ms = self.own_latest_ms.filter(|latest_ms| *latest_ms >= since_ms)?;
+        Some(ContactReport {
+            since_age_ms: now_ms.saturating_sub(since_ms),
+            latest_age_ms: now_ms.saturating_sub(latest_ms),
+        })
+    }
+
+    /// Notices pauses of this daemon.
+    pub fn tick(&mut self, now_ms: Millis) {
+        if self.is_paused(now_ms) {
+            self.unreliable_until_ms = now_ms + AFTER_PAUSE_MS;
+        }
+        self.ticked_ms = Some(now_ms);
+    }
+
+    /// Returns when the contact began, or `None` before the first answer.
+    pub fn since_ms(&self) -> Option<Millis> {
+        self.interval.map(|interval| interval.since_ms)
+    }
+
+    /// Returns when any daemon is known to have had an answer, or `None` before the first one.
+    pub fn latest_ms(&self) -> Option<Millis> {
+        self.interval.map(|interval| interval.latest_ms)
+    }
+
+    /// Returns whether the contact lasted for `duration_ms`, up to the latest answer.
+    pub fn has_lasted(&self, duration_ms: Millis) -> bool {
+        self.interval.is_some_and(|interval| {
+            interval.latest_ms.saturating_sub(interval.since_ms) >= duration_ms
+        })
+    }
+
+    /// Returns whether there may have been an outage since the latest answer.
+    pub fn is_interrupted(&self, now_ms: Millis) -> bool {
+        self.latest_ms().is_none_or(|latest_ms| now_ms > latest_ms + MAX_CONTACT_GAP_MS)
+    }
+
+    fn is_paused(&self, now_ms: Millis) -> bool {
+        self.ticked_ms.is_some_and(|ticked_ms| now_ms >= ticked_ms + PAUSE_THRESHOLD_MS)
+    }
+
+    fn is_unreliable(&self, now_ms: Millis) -> bool {
+        now_ms < self.unreliable_until_ms || self.is_paused(now_ms)
+    }
+
+    /// Joins an interval that touches the known one; of two separate ones the later counts.
+    fn extend(&mut self, other: Interval) {
+        let joined = match self.interval {
+            None => other,
+            Some(known) if other.since_ms > known.latest_ms + MAX_CONTACT_GAP_MS => other,
+            Some(known) if known.since_ms > other.latest_ms + MAX_CONTACT_GAP_MS => known,
+            Some(known) => Interval {
+                since_ms: known.since_ms.min(other.since_ms),
+                latest_ms: known.latest_ms.max(other.latest_ms),
+            },
+        };
+        self.interval = Some(joined);
+    }
+}
--- a/crates/catalog/src/replicas.rs
+++ b/crates/catalog/src/replicas.rs
@@ -11,6 +11,8 @@
 use wire::ReplicaName;
 use wire::ReplicaRecord;
 
+use crate::contact::ContactReport;
+use crate::contact::StoreContact;
 use crate::leaving::Incarnation;
 use crate::leaving::LeavingReplicas;
 use crate::view::ReplicaView;
@@ -56,6 +58,7 @@
     is_store_unreachable: bool,
     hold_until_ms: Millis,
     leaving: LeavingReplicas,
+    contact: StoreContact,
 }
 
 impl ReplicaSet {
@@ -69,6 +72,26 @@
         self.generation
     }
 
+    /// Returns the fleet's contact with the store.
+    pub fn contact(&self) -> &StoreContact {
+        &self.contact
+    }
+
+    /// Records that the store answered a call of this daemon at `answered_ms`.
+    pub fn record_store_answer(&mut self, now_ms: Millis, answered_ms: Millis) {
+        self.contact.record_answer(now_ms, answered_ms);
+    }
+
+    /// Merges the report of a peer on the store's answers.
+    pub fn merge_contact(&mut self, now_ms: Millis, report: ContactReport) {
+        self.contact.merge(now_ms, report);
+    }
+
+    /// Returns the revision at which the record of a replica is known to have been in the store.
+    pub fn confirmed_revision(&self, name: &ReplicaName) -> Option<u64> {
+        self.entries.get(name).map(|entry| entry.confirmed_revision)
+    }
+
     /// Returns the records in use, including missing ones on hold.
     pub fn records(&self) -> impl Iterator<Item = &ReplicaRecord> {
         self.entries.values().map(|entry| &entry.record)
@@ -327,6 +350,7 @@
 
     /// Forgets the announcements of replicas that have not been listed for a long time.
     pub fn tick(&mut self, now_ms: Millis) {
+        self.contact.tick(now_ms);
         let entries = &self.entries;
         self.leaving.tick(now_ms, |incarnation| {
             let entry = entries.get(&incarnation.name);
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -19,6 +19,7 @@
 use slots::NoSlot;
 use slots::SlotLease;
 use slots::SlotRequest;
+use slots::client::ListState;
 use tokio::time::timeout;
 use upstream::EventSplitter;
 use upstream::RunSequence;
@@ -230,7 +231,7 @@
         let lease = lease.map_err(SendError::NoSlot)?;
         let admitted_ms = self.crash_guard.admit(request).map_err(SendError::Quarantined)?;
         sends.replica = Some(lease.replica.name.clone());
-        log_send(request, &lease, attempt, now_ms);
+        log_send(request, &lease, attempt, now_ms, self.slots.list_state());
         let lease = Rc::new(lease);
         let head =
             self.clone().exchange(call.clone(), lease.clone(), policy.give_up_at_ms, admitted_ms);
@@ -505,11 +506,17 @@
 }
 
 /// Logs that a request is sent to a replica, with the load by which the replica was chosen.
-fn log_send(request: &ClientRequest, lease: &SlotLease, attempt: &Attempt, now_ms: Millis) {
+fn log_send(
+    request: &ClientRequest,
+    lease: &SlotLease,
+    attempt: &Attempt,
+    now_ms: Millis,
+    list: ListState,
+) {
     let (load, age_ms) = lease.load.unwrap_or_default();
     info!(
         "event=request_sent id={} replica={} granted={} slots={} online={} batch={} waiting={} \
-         load_age_ms={age_ms} runs={} left_ms={}",
+         load_age_ms={age_ms} runs={} left_ms={} {list}",
         request.id,
         lease.replica.name,
         lease.is_granted,
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -148,6 +148,13 @@
         let replica = lease.replica.name.clone();
         let started_ms = self.now_ms();
         let events_before = run.progress.events;
+        info!(
+            "event=item_sent item={} job={} replica={replica} granted={} from_event={events_before} {}",
+            run.item.id,
+            handle.job.borrow().id,
+            lease.is_granted,
+            self.deps.slots.list_state()
+        );
         let mut progress = run.progress.clone();
         let (end, cause) = tokio::select! {
             end = self.stream_item(&handle, &run, &lease, &mut progress) => end,
--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use catalog::ContactReport;
 use catalog::Incarnation;
 use catalog::ReplicaView;
 use gate::CrashGuard;
@@ -15,12 +16,14 @@
 use peers::Heartbeat;
 use peers::Topic;
 use peers::Transport;
+use peers::heartbeat::Attachment;
 use peers::heartbeat::Datagram;
 use peers::heartbeat::Identity;
 use peers::heartbeat::LostDaemon;
 use peers::heartbeat::Readiness;
 use peers::membership::MemberAction;
 use peers::transport::decode;
+use peers::transport::encode;
 use quarantine::QuarantineView;
 use rand::seq::SliceRandom;
 use slots::Slots;
@@ -97,6 +100,7 @@
             let now_ms = self.state.clock.now_ms();
             self.job_manager.check_for_pause();
             self.update_readiness();
+            self.state.record_store_answer(&self.store);
             self.state.replicas.borrow_mut().tick(now_ms);
             self.slots.tick();
             self.send_leaving_notices(now_ms);
@@ -191,13 +195,28 @@
 
     fn heartbeat(&self) -> Heartbeat {
         let membership = self.state.membership.borrow();
+        let mut attachments = vec![self.slots.encode_loads(), self.job_manager.encode_jobs()];
+        attachments.extend(self.encode_contact());
         Heartbeat {
             identity: membership.own().clone(),
             readiness: membership.own_readiness(),
             reaches_store: self.store.reachability() == Reachability::Reachable,
             configuration_version: self.state.in_force.borrow().version(),
             replicas_revision: self.state.replicas.borrow().revision(),
-            attachments: vec![self.slots.encode_loads(), self.job_manager.encode_jobs()],
+            attachments,
+        }
+    }
+
+    /// Encodes the report on the store's answers, which daemons of builds before it ignore.
+    fn encode_contact(&self) -> Option<Attachment> {
+        let report = self.state.replicas.borrow().contact().report(self.state.clock.now_ms())?;
+        Some(Attachment { topic: Topic::Replicas, payload: encode(Topic::Replicas, &report) })
+    }
+
+    fn merge_contact(&self, payload: &[u8]) {
+        if let Some(report) = decode::<ContactReport>(Topic::Replicas, payload) {
+            let now_ms = self.state.clock.now_ms();
+            self.state.replicas.borrow_mut().merge_contact(now_ms, report);
         }
     }
 
@@ -324,9 +343,9 @@
                         &attachment.payload,
                     );
                 }
+                Topic::Replicas => self.merge_contact(&attachment.payload),
                 Topic::Heartbeat
                 | Topic::Members
-                | Topic::Replicas
                 | Topic::Lost
                 | Topic::Leaving
                 | Topic::Quarantine => {}
--- a/crates/node/src/platform_state.rs
+++ b/crates/node/src/platform_state.rs
@@ -27,6 +27,7 @@
 use rand::seq::IteratorRandom;
 use slots::Slots;
 use store::LoggedVersions;
+use store::ObjectClient;
 use tokio::time::sleep;
 use wire::Configuration;
 use wire::Millis;
@@ -130,6 +131,14 @@
         }
     }
 
+    /// Records the latest answer of the store to a call of this daemon.
+    pub fn record_store_answer(&self, store: &ObjectClient) {
+        let Some(age) = store.last_fresh_answer_age() else { return };
+        let now_ms = self.clock.now_ms();
+        let answered_ms = now_ms.saturating_sub(age.as_millis() as Millis);
+        self.replicas.borrow_mut().record_store_answer(now_ms, answered_ms);
+    }
+
     /// Decodes a configuration and puts it in force if it is newer; a malformed one is ignored.
     pub fn update_configuration(&self, json: &Bytes, source: Source) {
         let source_name = source.as_str();
@@ -166,18 +175,26 @@
         if source.is_pushed_at_once() {
             self.recent_changes.borrow_mut().record(self.clock.now_ms(), previous);
         }
-        let (revision, source_name) = (self.replicas.borrow().revision(), source.as_str());
+        let source_name = source.as_str();
+        let replicas = self.replicas.borrow();
+        let (revision, contact_ms) = (replicas.revision(), self.contact_ms(&replicas));
         for change in changes {
             match change {
                 ReplicaChange::Set(record) => info!(
                     "event=replica_listed replica={} service={} address={} slots={} draining={} \
-                     revision={revision} source={source_name}",
-                    record.name, record.service, record.address, record.slots, record.is_draining
+                     revision={revision} confirmed={} contact_ms={contact_ms} source={source_name}",
+                    record.name,
+                    record.service,
+                    record.address,
+                    record.slots,
+                    record.is_draining,
+                    replicas.confirmed_revision(&record.name).unwrap_or_default()
                 ),
                 ReplicaChange::Gone(name) => {
                     self.slots.remove_replica(name);
                     info!(
-                        "event=replica_gone replica={name} revision={revision} source={source_name}"
+                        "event=replica_gone replica={name} revision={revision} \
+                         contact_ms={contact_ms} source={source_name}"
                     );
                 }
             }
@@ -187,6 +204,12 @@
         }
     }
 
+    /// Returns for how long the fleet has had answers of the store without a gap, for the log.
+    pub fn contact_ms(&self, replicas: &ReplicaSet) -> Millis {
+        let now_ms = self.clock.now_ms();
+        replicas.contact().since_ms().map_or(0, |since_ms| now_ms.saturating_sub(since_ms))
+    }
+
     /// Requests the newer configuration of a peer, and then of others that have one, until this daemon
     /// has the newest that any of them reports.
     pub async fn pull_configuration(&self, peer: SocketAddr) {
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -166,9 +166,13 @@
             let now_ms = state.clock.now_ms();
             let changes = state.replicas.borrow_mut().replace(now_ms, revision, records);
             state.handle_replica_changes(&changes, Source::Store);
-            let held = state.replicas.borrow().held_count();
+            let replicas = state.replicas.borrow();
+            let held = replicas.held_count();
             if held > 0 {
-                info!("event=missing_replicas_held count={held} revision={revision}");
+                info!(
+                    "event=missing_replicas_held count={held} revision={revision} contact_ms={}",
+                    state.contact_ms(&replicas)
+                );
             }
         }
     }
@@ -211,6 +215,7 @@
 /// Starts the hold of missing records if the store has been unreachable since its last answer. This
 /// comes before an answer is applied, so that the hold covers the records that it lacks.
 fn start_hold_after_outage(state: &PlatformState, store: &ObjectClient) {
+    state.record_store_answer(store);
     let mut replicas = state.replicas.borrow_mut();
     if state.handled_outages.replace(store.outages()) != store.outages() {
         replicas.set_store_unreachable();
--- a/crates/slots/src/client.rs
+++ b/crates/slots/src/client.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::fmt;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::rc::Weak;
@@ -90,6 +91,22 @@
     pub is_misdirected: bool,
 }
 
+/// The list of replicas at the time of a send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListState {
+    /// The revision of the list.
+    pub revision: u64,
+    /// The time since any daemon is known to have had an answer of the store.
+    pub store_age_ms: Option<Millis>,
+}
+
+impl fmt::Display for ListState {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let age_ms = self.store_age_ms.map_or(-1, |age_ms| age_ms as i64);
+        write!(formatter, "list_revision={} store_age_ms={age_ms}", self.revision)
+    }
+}
+
 /// Queries the state of a replica.
 pub trait Probe {
     /// Queries a replica's state; `use_new_connection` avoids idle connections, which may be dead.
@@ -399,6 +416,17 @@
         }
     }
 
+    /// Returns what a choice of a replica was based on, as logged with each send.
+    pub fn list_state(&self) -> ListState {
+        let replicas = self.replicas.borrow();
+        let now_ms = self.clock.now_ms();
+        let heard_ms = replicas.contact().latest_ms();
+        ListState {
+            revision: replicas.revision(),
+            store_age_ms: heard_ms.map(|heard_ms| now_ms.saturating_sub(heard_ms)),
+        }
+    }
+
     pub(crate) fn is_usable(&self, replica: &ReplicaRecord) -> bool {
         self.replicas.borrow().is_usable(replica)
     }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -89,6 +89,7 @@
     writes: RefCell<CallBudget>,
     reads: RefCell<CallBudget>,
     last_answered: Cell<Instant>,
+    last_fresh_answer: Cell<Option<Instant>>,
     latency_ms: Cell<f64>,
     timeout_ms: Cell<Millis>,
     reachability: Cell<Reachability>,
@@ -116,6 +117,7 @@
             writes: RefCell::new(CallBudget::new(writes_per_s, 0)),
             reads: RefCell::new(CallBudget::new(reads_per_s, 0)),
             last_answered: Cell::new(Instant::now()),
+            last_fresh_answer: Cell::new(None),
             latency_ms: Cell::new(0.0),
             timeout_ms: Cell::new(CALL_TIMEOUT_MS),
             reachability: Cell::new(Reachability::Reachable),
@@ -143,6 +145,12 @@
         self.reachability.get()
     }
 
+    /// Returns how long ago the store last answered a call of this daemon, stale reads left out: their
+    /// answers do not show that it accepts writes. `None` before the first answer.
+    pub fn last_fresh_answer_age(&self) -> Option<Duration> {
+        self.last_fresh_answer.get().map(|answered_at| answered_at.elapsed())
+    }
+
     /// Returns how often the store has become unreachable since the start.
     pub fn outages(&self) -> u64 {
         self.outages.get()
@@ -373,6 +381,9 @@
         );
         if is_answered {
             self.last_answered.set(now);
+            if !matches!(call, Call::Page { may_be_stale: true, .. }) {
+                self.last_fresh_answer.set(Some(now));
+            }
             if !matches!(call, Call::Changes { .. }) {
                 let latency_ms = (now - started_at).as_secs_f64() * 1000.0;
                 self.counters.observe("store_call_ms", latency_ms as u64);
