Hold missing records only after an outage that no daemon was spared

A daemon that lost its own calls for half a second held each record that its next list lacked for 2.3 s from its own return, although others had reached the store all the while; peers copied the hold under the newer revision, also those that had been told of the removal, and each further lost call started all holds anew.

Records expire only while the store is down for all, so the outage is now what the fleet knows, not one daemon. Each heartbeat carries since when any daemon has had answers without a gap, and the age of the sender's own latest one. A record that an answer lacks is removed at once after 2.3 s of contact, and is held otherwise; every daemon ends holds by the shared contact, which its own lost calls cannot shorten or restart. A hold of a peer counts only under the same condition. is_store_unreachable, handled_outages and ObjectClient::outages are gone.

As a hold now decides whether a replica is used, the return of a record must reach each peer that holds it. The seeded runs of lapsed_records showed one that did not: a watcher that lists only after the return sees no change, and its difference lacks the record. A list soon after an outage and a merged complete list now end the kept changes, and a difference is passed on with all that it names.

--- a/crates/catalog/src/contact.rs
+++ b/crates/catalog/src/contact.rs
@@ -97,6 +97,11 @@
         })
     }
 
+    /// Returns whether the contact has lasted for `duration_ms` and still does.
+    pub fn is_unbroken_for(&self, now_ms: Millis, duration_ms: Millis) -> bool {
+        self.has_lasted(duration_ms) && !self.is_interrupted(now_ms)
+    }
+
     /// Returns whether there may have been an outage since the latest answer.
     pub fn is_interrupted(&self, now_ms: Millis) -> bool {
         self.latest_ms().is_none_or(|latest_ms| now_ms > latest_ms + MAX_CONTACT_GAP_MS)
--- a/crates/catalog/src/replicas.rs
+++ b/crates/catalog/src/replicas.rs
@@ -1,7 +1,9 @@
 //! The set of live replicas, updated from the store or from the view of a peer.
 //!
-//! Only an answer of the store places, clears or ends the hold of a missing record, and every
-//! revision is one of the store. A daemon that does not watch the store copies the result.
+//! Only an answer of the store adds a record, finds it missing or removes it, and every revision is
+//! one of the store. A daemon that does not watch the store copies the result. A missing record may
+//! have expired in an outage, so it stays in use until the fleet has been in contact with the store
+//! for `MISSING_HOLD_MS`, which each daemon determines by the reports of all.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -11,6 +13,7 @@
 use wire::ReplicaName;
 use wire::ReplicaRecord;
 
+use crate::change::ReplicaChange;
 use crate::contact::ContactReport;
 use crate::contact::StoreContact;
 use crate::leaving::Incarnation;
@@ -19,10 +22,13 @@
 use crate::view::ViewEntry;
 use crate::view::digest;
 
-/// How long missing records are kept on hold, that is, in use, once the store is reachable again:
-/// records that expired during an outage are renewed within two seconds, and a renewal takes a
-/// moment to be seen.
+/// How long missing records are kept on hold, that is, in use, once the store answers some daemon
+/// again: records that expired during an outage are renewed within two seconds, and a renewal takes
+/// a moment to be seen.
 pub const MISSING_HOLD_MS: Millis = 2_300;
+/// How much longer a hold lasts at a daemon that is not told of its end: a record that returned in
+/// time may still be on its way there.
+pub const HOLD_SPREAD_MS: Millis = 300;
 /// The number of changes kept for peers; a peer that lags further behind gets the complete list.
 const MAX_CHANGES: usize = 512;
 
@@ -32,17 +38,17 @@
     record: ReplicaRecord,
     /// The latest revision at which the store or a peer is known to have had the record.
     confirmed_revision: u64,
-    /// For a record that is missing from the store, when its hold ends.
-    hold_until_ms: Option<Millis>,
+    /// Set for a record that is missing from the store.
+    missing: Option<Missing>,
 }
 
-/// A change of one replica.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ReplicaChange {
-    /// The replica is new or its record has changed.
-    Set(ReplicaRecord),
-    /// The replica was removed.
-    Gone(ReplicaName),
+/// The hold of a record that is missing from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Missing {
+    /// When this daemon learned that the record is missing.
+    noticed_ms: Millis,
+    /// Whether the hold has ended, so that the replica is gone unless the record returns.
+    has_hold_ended: bool,
 }
 
 /// The replicas in use, with the recent changes.
@@ -55,8 +61,6 @@
     /// Every change after this revision is in `recent_changes`.
     complete_after: u64,
     generation: u64,
-    is_store_unreachable: bool,
-    hold_until_ms: Millis,
     leaving: LeavingReplicas,
     contact: StoreContact,
 }
@@ -92,7 +96,7 @@
         self.entries.get(name).map(|entry| entry.confirmed_revision)
     }
 
-    /// Returns the records in use, including missing ones on hold.
+    /// Returns the records, including missing ones.
     pub fn records(&self) -> impl Iterator<Item = &ReplicaRecord> {
         self.entries.values().map(|entry| &entry.record)
     }
@@ -104,13 +108,19 @@
 
     /// Returns the records of the replicas that may get new requests.
     pub fn usable_records(&self) -> impl Iterator<Item = &ReplicaRecord> {
-        self.records().filter(|record| self.accepts_requests(record))
+        let usable = self.entries.values().filter(|entry| self.accepts_requests(entry));
+        usable.map(|entry| &entry.record)
     }
 
     /// Returns whether the replica of a record is in use and may get new requests.
     pub fn is_usable(&self, replica: &ReplicaRecord) -> bool {
         self.is_listed(&Incarnation::from(replica))
-            && self.get(&replica.name).is_some_and(|listed| self.accepts_requests(listed))
+            && self.entries.get(&replica.name).is_some_and(|entry| self.accepts_requests(entry))
+    }
+
+    /// Returns whether the record of a replica is missing from the store.
+    pub fn is_missing(&self, name: &ReplicaName) -> bool {
+        self.entries.get(name).is_some_and(|entry| entry.missing.is_some())
     }
 
     /// Records that a replica has announced that it leaves; returns whether that is new.
@@ -130,38 +140,38 @@
         self.leaving.contains(replica)
     }
 
-    fn accepts_requests(&self, record: &ReplicaRecord) -> bool {
-        !record.is_draining && !self.is_leaving(record)
+    fn accepts_requests(&self, entry: &Entry) -> bool {
+        !entry.record.is_draining
+            && !entry.missing.is_some_and(|missing| missing.has_hold_ended)
+            && !self.is_leaving(&entry.record)
     }
 
-    /// Sets the store as unreachable or not watched by this daemon; records that are missing from its
-    /// next answer may only have expired.
-    pub fn set_store_unreachable(&mut self) {
-        self.is_store_unreachable = true;
+    /// Returns when the next hold ends, so that a new list must show whether the record is gone.
+    pub fn next_hold_end_ms(&self) -> Option<Millis> {
+        let ends_ms = self.missing().map(|missing| match self.contact.since_ms() {
+            _ if missing.has_hold_ended => missing.noticed_ms,
+            Some(since_ms) => missing.noticed_ms.max(since_ms.saturating_add(MISSING_HOLD_MS)),
+            None => missing.noticed_ms.saturating_add(MISSING_HOLD_MS),
+        });
+        ends_ms.min()
     }
 
-    /// Sets the store as reachable; after an outage this starts the hold of missing records.
-    pub fn set_store_reachable(&mut self, now_ms: Millis) {
-        if self.is_store_unreachable {
-            self.is_store_unreachable = false;
-            self.hold_until_ms = now_ms + MISSING_HOLD_MS;
-            for entry in self.entries.values_mut().filter(|entry| entry.hold_until_ms.is_some()) {
-                entry.hold_until_ms = Some(self.hold_until_ms);
-            }
-        }
+    /// Returns the number of missing records that are on hold.
+    pub fn held_count(&self) -> usize {
+        self.missing().filter(|missing| !missing.has_hold_ended).count()
     }
 
-    /// Returns when the next hold ends, so that a new list must show whether the record is gone.
-    pub fn next_hold_end_ms(&self) -> Option<Millis> {
-        self.entries.values().filter_map(|entry| entry.hold_until_ms).min()
+    fn missing(&self) -> impl Iterator<Item = Missing> {
+        self.entries.values().filter_map(|entry| entry.missing)
     }
 
-    /// Returns the number of records on hold.
-    pub fn held_count(&self) -> usize {
-        self.entries.values().filter(|entry| entry.hold_until_ms.is_some()).count()
+    /// Returns whether a record that an answer of the store lacks cannot have expired in an outage.
+    fn is_removal_certain(&self, now_ms: Millis) -> bool {
+        self.contact.is_unbroken_for(now_ms, MISSING_HOLD_MS)
     }
 
-    /// Replaces the set by the complete list of a revision and returns the changes.
+    /// Replaces the set by the complete list of a revision and returns the changes. The answer with
+    /// the list is to be recorded before, as with `apply`.
     pub fn replace(
         &mut self,
         now_ms: Millis,
@@ -184,11 +194,16 @@
                 Removal::None => {}
             }
         }
-        if !changes.is_empty() || !held.is_empty() {
+        let may_hide_return = !self.contact.has_lasted(2 * MISSING_HOLD_MS);
+        if !changes.is_empty() || !held.is_empty() || may_hide_return {
             self.revision = revision;
         }
         self.record_changes(&changes);
         self.record_for_peers(held);
+        if may_hide_return {
+            // Peers may hold a record that expired and returned unchanged since the list before.
+            self.complete_after = revision;
+        }
         changes
     }
 
@@ -218,13 +233,17 @@
     /// Merges the view of a peer and returns the changes.
     ///
     /// A difference is merged only if it is newer and starts at a revision that is known here; a
-    /// complete list also if it differs from this one under the same revision; a record on hold does
-    /// not come back by it, since the hold may have ended here. A record that is confirmed here at a
-    /// newer revision than the view's stays, and this set then counts as newer.
+    /// complete list also if it differs from this one under the same revision; a missing record does
+    /// not come back by it, since it may have been removed here. A record that is confirmed here at a
+    /// newer revision than the view's stays, and this set then counts as newer. A hold of the peer
+    /// counts only if the contact with the store does not show here that the record is gone.
     pub fn merge_view(&mut self, now_ms: Millis, view: ReplicaView) -> Vec<ReplicaChange> {
         let is_applicable = match view.since {
             Some(since) => view.revision > self.revision && since <= self.revision,
-            None => view.revision >= self.revision && view.digest != self.digest(),
+            None => {
+                view.revision > self.revision
+                    || view.revision == self.revision && view.digest != self.digest()
+            }
         };
         if !is_applicable {
             return Vec::new();
@@ -243,20 +262,25 @@
         let newest_kept = kept.iter().filter_map(|name| self.entries.get(name));
         let newest_kept = newest_kept.map(|entry| entry.confirmed_revision).max();
         let mut changes = Vec::new();
+        // Passed on even if they change nothing here: other peers may lack them.
+        let mut passed_on = kept.clone();
         for name in gone {
+            passed_on.push(name.clone());
             if self.entries.remove(&name).is_some() {
                 changes.push(ReplicaChange::Gone(name));
             }
         }
+        passed_on.extend(view.entries.iter().map(|entry| entry.record.name.clone()));
         for entry in view.entries {
             changes.extend(self.merge_entry(now_ms, view.revision, entry));
         }
         self.revision = view.revision;
-        self.record_changes(&changes);
-        if let Some(revision) = newest_kept {
-            self.revision = revision;
-            self.record_for_peers(kept);
+        if view.since.is_none() {
+            self.complete_after = self.complete_after.max(view.revision);
         }
+        self.count_changes(&changes);
+        self.revision = newest_kept.unwrap_or(view.revision);
+        self.record_for_peers(passed_on);
         changes
     }
 
@@ -267,28 +291,35 @@
         entry: ViewEntry,
     ) -> Option<ReplicaChange> {
         let known = self.entries.get(&entry.record.name);
-        let has_hold_ended =
-            known.is_none() && entry.hold_left_ms.is_some() && self.revision == revision;
-        if has_hold_ended || known.is_some_and(|known| known.confirmed_revision > revision) {
+        let is_missing = entry.hold_left_ms.is_some();
+        let was_removed = known.is_none() && is_missing && self.revision == revision;
+        let is_known_newer = known.is_some_and(|known| {
+            known.confirmed_revision > revision
+                || is_missing && known.missing.is_none() && known.confirmed_revision == revision
+        });
+        if was_removed || is_known_newer {
             return None;
         }
-        let hold_until_ms =
-            entry.hold_left_ms.map(|left_ms| now_ms.saturating_add(left_ms.min(MISSING_HOLD_MS)));
+        let known_missing = known.and_then(|known| known.missing);
+        let missing = is_missing.then(|| known_missing.unwrap_or_else(|| self.new_hold(now_ms)));
         let is_same_record = known.is_some_and(|known| known.record == entry.record);
-        let was_held = known.is_some_and(|known| known.hold_until_ms.is_some());
-        let is_same = is_same_record && was_held == hold_until_ms.is_some();
+        let is_same = is_same_record && known_missing.is_some() == is_missing;
         let record = entry.record;
-        let merged = Entry { record: record.clone(), confirmed_revision: revision, hold_until_ms };
+        let merged = Entry { record: record.clone(), confirmed_revision: revision, missing };
         self.entries.insert(record.name.clone(), merged);
         (!is_same).then_some(ReplicaChange::Set(record))
     }
 
+    fn new_hold(&self, now_ms: Millis) -> Missing {
+        Missing { noticed_ms: now_ms, has_hold_ended: self.is_removal_certain(now_ms) }
+    }
+
     /// Returns the complete set as a view for peers.
     pub fn view(&self, now_ms: Millis) -> ReplicaView {
         ReplicaView {
             revision: self.revision,
             since: None,
-            entries: self.entries.values().map(|entry| view_entry(entry, now_ms)).collect(),
+            entries: self.entries.values().map(|entry| self.view_entry(entry, now_ms)).collect(),
             gone: Vec::new(),
             digest: self.digest(),
         }
@@ -311,12 +342,22 @@
         ReplicaView {
             revision: self.revision,
             since: Some(since),
-            entries: entries.map(|entry| view_entry(entry, now_ms)).collect(),
+            entries: entries.map(|entry| self.view_entry(entry, now_ms)).collect(),
             gone: gone.into_iter().cloned().collect(),
             digest: self.digest(),
         }
     }
 
+    fn view_entry(&self, entry: &Entry, now_ms: Millis) -> ViewEntry {
+        let hold_left_ms = entry.missing.map(|missing| match self.contact.since_ms() {
+            Some(since_ms) if !missing.has_hold_ended => {
+                since_ms.saturating_add(MISSING_HOLD_MS).saturating_sub(now_ms)
+            }
+            _ => 0,
+        });
+        ViewEntry { record: entry.record.clone(), hold_left_ms }
+    }
+
     /// Returns a digest of the records in the set.
     pub fn digest(&self) -> u64 {
         digest(self.records())
@@ -324,18 +365,17 @@
 
     /// Keeps changes at the current revision for peers.
     fn record_changes(&mut self, changes: &[ReplicaChange]) {
+        self.count_changes(changes);
+        self.record_for_peers(changes.iter().map(|change| change.name().clone()));
+    }
+
+    fn count_changes(&mut self, changes: &[ReplicaChange]) {
         self.generation += u64::from(!changes.is_empty());
-        let mut names = Vec::with_capacity(changes.len());
         for change in changes {
-            match change {
-                ReplicaChange::Set(record) => names.push(record.name.clone()),
-                ReplicaChange::Gone(name) => {
-                    self.leaving.record_removal(name);
-                    names.push(name.clone());
-                }
+            if let ReplicaChange::Gone(name) = change {
+                self.leaving.record_removal(name);
             }
         }
-        self.record_for_peers(names);
     }
 
     fn record_for_peers(&mut self, names: impl IntoIterator<Item = ReplicaName>) {
@@ -348,40 +388,63 @@
         }
     }
 
-    /// Forgets the announcements of replicas that have not been listed for a long time.
-    pub fn tick(&mut self, now_ms: Millis) {
+    /// Ends the holds of records that have not returned in time and forgets the announcements of
+    /// replicas that have not been listed for a long time; returns the replicas whose holds ended.
+    ///
+    /// The records stay until an answer of the store, or a peer that had one, removes them.
+    pub fn tick(&mut self, now_ms: Millis) -> Vec<ReplicaName> {
         self.contact.tick(now_ms);
+        let ended = self.end_holds();
+        self.generation += u64::from(!ended.is_empty());
         let entries = &self.entries;
         self.leaving.tick(now_ms, |incarnation| {
             let entry = entries.get(&incarnation.name);
             entry.is_some_and(|entry| Incarnation::from(&entry.record) == *incarnation)
         });
+        ended
+    }
+
+    fn end_holds(&mut self) -> Vec<ReplicaName> {
+        let Some(latest_ms) = self.contact.latest_ms() else { return Vec::new() };
+        if !self.contact.has_lasted(MISSING_HOLD_MS + HOLD_SPREAD_MS) {
+            return Vec::new();
+        }
+        let mut ended = Vec::new();
+        for (name, entry) in &mut self.entries {
+            let Some(missing) = &mut entry.missing else { continue };
+            // The contact may be an old one if its latest answer came before the record went missing.
+            if !missing.has_hold_ended && missing.noticed_ms <= latest_ms {
+                missing.has_hold_ended = true;
+                ended.push(name.clone());
+            }
+        }
+        ended
     }
 
     /// Sets a record that the store has at a revision. The return of a record on hold is a change
     /// too, since peers may have copied the hold.
     fn set(&mut self, revision: u64, record: ReplicaRecord) -> Option<ReplicaChange> {
-        let entry =
-            Entry { record: record.clone(), confirmed_revision: revision, hold_until_ms: None };
+        let entry = Entry { record: record.clone(), confirmed_revision: revision, missing: None };
         let old = self.entries.insert(record.name.clone(), entry);
-        let is_same = old.is_some_and(|old| old.record == record && old.hold_until_ms.is_none());
+        let is_same = old.is_some_and(|old| old.record == record && old.missing.is_none());
         (!is_same).then_some(ReplicaChange::Set(record))
     }
 
     /// Removes a record that the store does not have, or places it on hold.
     fn remove(&mut self, now_ms: Millis, name: &ReplicaName) -> Removal {
-        let is_after_outage = self.is_store_unreachable || now_ms < self.hold_until_ms;
+        let is_certain = self.is_removal_certain(now_ms);
         let Some(entry) = self.entries.get_mut(name) else { return Removal::None };
-        match entry.hold_until_ms {
-            None if is_after_outage => {
-                entry.hold_until_ms = Some(self.hold_until_ms.max(now_ms));
-                return Removal::Held;
+        match entry.missing {
+            None if !is_certain => {
+                entry.missing = Some(Missing { noticed_ms: now_ms, has_hold_ended: false });
+                Removal::Held
+            }
+            Some(missing) if !is_certain && !missing.has_hold_ended => Removal::None,
+            _ => {
+                self.entries.remove(name);
+                Removal::Done
             }
-            Some(until_ms) if is_after_outage || now_ms < until_ms => return Removal::None,
-            _ => {}
         }
-        self.entries.remove(name);
-        Removal::Done
     }
 }
 
@@ -394,10 +457,3 @@
     /// It was removed.
     Done,
 }
-
-fn view_entry(entry: &Entry, now_ms: Millis) -> ViewEntry {
-    ViewEntry {
-        record: entry.record.clone(),
-        hold_left_ms: entry.hold_until_ms.map(|until_ms| until_ms.saturating_sub(now_ms)),
-    }
-}
--- a/crates/catalog/tests/configuration_and_replicas.rs
+++ b/crates/catalog/tests/configuration_and_replicas.rs
@@ -8,6 +8,7 @@
 use catalog::ReplicaSet;
 use catalog::replicas::MISSING_HOLD_MS;
 use wire::Configuration;
+use wire::Millis;
 use wire::ReplicaRecord;
 use wire::route::IngressLimits;
 
@@ -24,6 +25,17 @@
     }
 }
 
+/// Records answers of the store without a gap in a period.
+fn keep_contact(set: &mut ReplicaSet, from_ms: Millis, to_ms: Millis) {
+    for answered_ms in (from_ms..to_ms).step_by(500).chain([to_ms]) {
+        set.record_store_answer(answered_ms, answered_ms);
+    }
+}
+
+fn usable_names(set: &ReplicaSet) -> Vec<String> {
+    set.usable_records().map(|record| record.name.to_string()).collect()
+}
+
 fn configuration(version: u64) -> Arc<Configuration> {
     let limits = IngressLimits { header_bytes: 1, body_bytes: 1, header_ms: 1, idle_ms: 1 };
     Arc::new(Configuration::new(version, limits, Vec::new(), Vec::new()))
@@ -62,7 +74,8 @@
 fn missing_record_is_removed_at_once_while_store_is_reachable() {
     let mut set = ReplicaSet::default();
     set.replace(0, 10, vec![replica("a"), replica("b")]);
-    let change = set.apply(1, 11, ReplicaChange::Gone("a".into()));
+    keep_contact(&mut set, 0, MISSING_HOLD_MS);
+    let change = set.apply(MISSING_HOLD_MS, 11, ReplicaChange::Gone("a".into()));
     assert_eq!(change, Some(ReplicaChange::Gone("a".into())));
     assert_eq!(names(&set), ["b"]);
 }
@@ -71,14 +84,18 @@
 fn record_expired_during_outage_is_held_until_renewed() {
     let mut set = ReplicaSet::default();
     set.replace(0, 10, vec![replica("a"), replica("b")]);
-    set.set_store_unreachable();
-    set.set_store_reachable(100);
-    assert!(set.replace(110, 20, Vec::new()).is_empty());
-    assert_eq!(names(&set), ["a", "b"]);
-    set.apply(500, 21, ReplicaChange::Set(replica("a")));
+    keep_contact(&mut set, 0, 5_000);
+    let back_ms = 10_000;
+    set.record_store_answer(back_ms, back_ms);
+    assert!(set.replace(back_ms + 10, 20, Vec::new()).is_empty());
+    assert_eq!(usable_names(&set), ["a", "b"]);
+    set.apply(back_ms + 400, 21, ReplicaChange::Set(replica("a")));
     let end_ms = set.next_hold_end_ms().unwrap_or_default();
-    assert_eq!(end_ms, 100 + MISSING_HOLD_MS);
+    assert_eq!(end_ms, back_ms + MISSING_HOLD_MS);
+    keep_contact(&mut set, back_ms, end_ms - 1);
     assert!(set.replace(end_ms - 1, 22, vec![replica("a")]).is_empty());
+    assert_eq!(usable_names(&set), ["a", "b"]);
+    set.record_store_answer(end_ms, end_ms);
     let gone = set.replace(end_ms, 23, vec![replica("a")]);
     assert_eq!(gone, [ReplicaChange::Gone("b".into())]);
     assert_eq!(names(&set), ["a"]);
@@ -89,11 +106,12 @@
 fn no_record_is_removed_while_store_is_unreachable() {
     let mut set = ReplicaSet::default();
     set.replace(0, 10, vec![replica("a")]);
-    set.set_store_unreachable();
+    keep_contact(&mut set, 0, 5_000);
     set.tick(60_000);
     assert_eq!(set.apply(60_000, 11, ReplicaChange::Gone("a".into())), None);
     assert!(set.replace(60_001, 12, Vec::new()).is_empty());
-    assert_eq!(names(&set), ["a"]);
+    assert!(set.tick(60_050).is_empty());
+    assert_eq!((names(&set), usable_names(&set)), (vec!["a".to_owned()], vec!["a".to_owned()]));
 }
 
 #[test]
@@ -127,9 +145,9 @@
     watcher.replace(0, 10, vec![replica("a")]);
     let mut peer = ReplicaSet::default();
     peer.merge_view(0, watcher.view(0));
-    watcher.set_store_unreachable();
-    watcher.set_store_reachable(0);
+    watcher.record_store_answer(0, 0);
     watcher.replace(1, 30, Vec::new());
+    keep_contact(&mut watcher, 0, MISSING_HOLD_MS);
     watcher.replace(MISSING_HOLD_MS, 31, Vec::new());
     peer.merge_view(MISSING_HOLD_MS, watcher.view(MISSING_HOLD_MS));
     assert!(names(&peer).is_empty());
@@ -142,6 +160,7 @@
     let mut peer = ReplicaSet::default();
     peer.merge_view(0, watcher.view_since(0, 0));
     watcher.apply(1, 11, ReplicaChange::Set(replica("b")));
+    keep_contact(&mut watcher, 1, 1 + MISSING_HOLD_MS);
     watcher.apply(2, 12, ReplicaChange::Gone("r7".into()));
     watcher.apply(3, 13, ReplicaChange::Set(ReplicaRecord { is_draining: true, ..replica("r8") }));
     let view = watcher.view_since(3, peer.revision());
@@ -163,9 +182,8 @@
     let mut peer = ReplicaSet::default();
     peer.merge_view(0, watcher.view(0));
     // Only at this peer "a" went missing during an outage, and its hold ended at revision 11.
-    peer.set_store_unreachable();
     peer.apply(1, 10, ReplicaChange::Gone("a".into()));
-    peer.set_store_reachable(1);
+    keep_contact(&mut peer, 1, 1 + MISSING_HOLD_MS);
     peer.replace(1 + MISSING_HOLD_MS, 11, vec![replica("b")]);
     assert_eq!((names(&peer).join(" "), peer.revision()), ("b".to_owned(), 11));
     watcher.apply(2, 11, ReplicaChange::Set(ReplicaRecord { is_draining: true, ..replica("a") }));
@@ -206,9 +224,8 @@
 fn numbers_near_the_largest_do_not_overflow() {
     let mut set = ReplicaSet::default();
     set.replace(0, u64::MAX, vec![replica("a"), replica("b")]);
-    set.set_store_unreachable();
     set.apply(1, u64::MAX, ReplicaChange::Gone("a".into()));
-    set.set_store_reachable(2);
+    keep_contact(&mut set, 2, 3_000);
     let gone = set.replace(3_000, u64::MAX, vec![replica("b")]);
     assert_eq!(gone, [ReplicaChange::Gone("a".into())]);
     let mut view = set.view(3_000);
--- a/crates/catalog/tests/lapsed_records.rs
+++ b/crates/catalog/tests/lapsed_records.rs
@@ -7,6 +7,7 @@
 use catalog::ReplicaChange;
 use catalog::ReplicaSet;
 use catalog::ReplicaView;
+use catalog::replicas::HOLD_SPREAD_MS;
 use catalog::replicas::MISSING_HOLD_MS;
 use rand::Rng;
 use rand::SeedableRng;
@@ -22,6 +23,9 @@
 /// Records are renewed within this time after the store's return.
 const RENEWAL_MS: Millis = 2_000;
 const STEP_MS: Millis = 50;
+const HEARTBEAT_MS: Millis = 200;
+/// How long after the store's first answer replicas whose records have not returned get requests.
+const GONE_AFTER_MS: Millis = MISSING_HOLD_MS + HOLD_SPREAD_MS + 5 * HEARTBEAT_MS;
 
 fn replica(number: usize) -> ReplicaRecord {
     ReplicaRecord {
@@ -44,9 +48,8 @@
     set.records().map(|record| record.name.to_string()).collect()
 }
 
-fn start_outage(watcher: &mut ReplicaSet, now_ms: Millis) {
-    watcher.set_store_unreachable();
-    watcher.set_store_reachable(now_ms);
+fn usable_names(set: &ReplicaSet) -> BTreeSet<String> {
+    set.usable_records().map(|record| record.name.to_string()).collect()
 }
 
 // Guards against live replicas being dropped everywhere after an outage in which their records lapsed.
@@ -54,7 +57,7 @@
 fn record_that_returns_unchanged_is_not_dropped_by_peers() {
     let mut watcher = ReplicaSet::default();
     watcher.replace(0, 10, vec![replica(0), replica(1)]);
-    start_outage(&mut watcher, 5_000);
+    watcher.record_store_answer(5_000, 5_000);
     watcher.replace(5_000, 20, vec![ReplicaRecord { slots: 4, ..replica(1) }]);
     let mut peer = ReplicaSet::default();
     peer.merge_view(5_010, watcher.view(5_010));
@@ -64,6 +67,38 @@
     assert!(peer.revision() <= watcher.revision(), "only the store numbers changes");
     peer.merge_view(8_000, watcher.view_since(8_000, peer.revision()));
     assert_eq!((peer.next_hold_end_ms(), peer.digest()), (None, watcher.digest()));
+    assert_eq!(usable_names(&peer).len(), 2);
+}
+
+// Guards against a replica that stays unusable although its record came back after the hold.
+#[test]
+fn record_that_returns_after_the_hold_is_usable_again_at_all_daemons() {
+    let mut watcher = ReplicaSet::default();
+    let mut peer = ReplicaSet::default();
+    watcher.replace(0, 10, all_replicas());
+    peer.merge_view(0, watcher.view(0));
+    watcher.record_store_answer(5_000, 5_000);
+    watcher.apply(5_000, 20, ReplicaChange::Gone("r0".into()));
+    peer.merge_view(5_010, watcher.view_since(5_010, 10));
+    let generation = peer.generation();
+    for now_ms in (5_050..5_000 + 2 * MISSING_HOLD_MS).step_by(STEP_MS as usize) {
+        watcher.record_store_answer(now_ms, now_ms);
+        let report = watcher.contact().report(now_ms).expect("the store answers");
+        for set in [&mut watcher, &mut peer] {
+            set.merge_contact(now_ms, report);
+            set.tick(now_ms);
+        }
+    }
+    for set in [&watcher, &peer] {
+        assert_eq!((usable_names(set).len(), names(set).len()), (REPLICAS - 1, REPLICAS));
+    }
+    assert_ne!(peer.generation(), generation);
+    let now_ms = 5_000 + 2 * MISSING_HOLD_MS;
+    watcher.apply(now_ms, 21, ReplicaChange::Set(replica(0)));
+    peer.merge_view(now_ms, watcher.view_since(now_ms, peer.revision()));
+    for set in [&watcher, &peer] {
+        assert_eq!(usable_names(set).len(), REPLICAS);
+    }
 }
 
 // Guards against a peer's older removal of a record that the store has listed again since.
@@ -117,6 +152,7 @@
 
 impl Daemon {
     fn read(&mut self, now_ms: Millis, store: &Store) {
+        self.set.record_store_answer(now_ms, now_ms);
         let hold_has_ended = self.set.next_hold_end_ms().is_some_and(|end_ms| end_ms <= now_ms);
         match self.cursor {
             Some(cursor) if !hold_has_ended => {
@@ -169,6 +205,32 @@
         }
     }
 
+    /// Lets each daemon hear from each other one every `HEARTBEAT_MS`, with losses, and ask for what it
+    /// lacks.
+    fn exchange_heartbeats(&mut self, now_ms: Millis) {
+        for from in 0..DAEMONS {
+            for to in (0..DAEMONS).filter(|to| *to != from) {
+                let turn = now_ms / STEP_MS + from as Millis;
+                let is_due = turn.is_multiple_of(HEARTBEAT_MS / STEP_MS);
+                if !is_due || self.random.gen_bool(0.2) {
+                    continue;
+                }
+                let report = self.daemons[from].set.contact().report(now_ms);
+                if let Some(report) = report {
+                    self.daemons[to].set.merge_contact(now_ms, report);
+                }
+                let since = self.daemons[to].set.revision();
+                if self.daemons[from].set.revision() > since {
+                    let view = self.daemons[from].set.view_since(now_ms, since);
+                    self.daemons[to].set.merge_view(now_ms, view);
+                }
+            }
+        }
+        for daemon in &mut self.daemons {
+            daemon.set.tick(now_ms);
+        }
+    }
+
     fn pulled_view(&mut self, now_ms: Millis, from: usize, to: usize) -> ReplicaView {
         let since = self.daemons[to].set.revision();
         let is_complete = self.random.gen_bool(0.3);
@@ -204,9 +266,9 @@
             .map(|number| (fleet.random.gen_range(0..RENEWAL_MS), number))
             .collect();
         for watcher in &mut fleet.daemons[..WATCHERS] {
-            start_outage(&mut watcher.set, 0);
             watcher.cursor = None;
         }
+        let mut first_answer_ms = None;
         let cut_off = fleet.random.gen_range(0..WATCHERS);
         for now_ms in (0..2 * MISSING_HOLD_MS).step_by(STEP_MS as usize) {
             renewals.retain(|(at_ms, number)| {
@@ -219,13 +281,19 @@
             let reader = fleet.random.gen_range(0..WATCHERS);
             if reader != cut_off {
                 fleet.daemons[reader].read(now_ms, &fleet.store);
+                first_answer_ms = first_answer_ms.or(Some(now_ms));
             }
+            let is_over =
+                first_answer_ms.is_some_and(|first_ms| now_ms >= first_ms + GONE_AFTER_MS);
             (0..4).for_each(|_| fleet.exchange_views(now_ms));
+            fleet.exchange_heartbeats(now_ms);
             for (number, daemon) in fleet.daemons.iter().enumerate() {
+                let usable = usable_names(&daemon.set);
+                let is_dead_usable = usable.contains(&replica(dead).name.to_string());
                 assert!(
-                    names(&daemon.set).len() >= REPLICAS - 1,
-                    "seed {seed}: daemon {number} has {:?} at {now_ms} ms",
-                    names(&daemon.set)
+                    usable.len() == REPLICAS - usize::from(!is_dead_usable)
+                        && !(is_dead_usable && is_over),
+                    "seed {seed}: daemon {number} uses {usable:?} at {now_ms} ms, r{dead} is gone"
                 );
             }
         }
@@ -242,3 +310,24 @@
         }
     }
 }
+
+// Guards against a hold that stays at a peer since the daemon that it asks never saw the record go.
+#[test]
+fn return_reaches_a_peer_through_a_daemon_that_did_not_see_the_record_go() {
+    let (mut first, mut second) = (ReplicaSet::default(), ReplicaSet::default());
+    let (mut peer, mut relay) = (ReplicaSet::default(), ReplicaSet::default());
+    for set in [&mut first, &mut second] {
+        set.replace(0, 10, all_replicas());
+        set.record_store_answer(5_000, 5_000);
+    }
+    peer.merge_view(0, first.view(0));
+    relay.merge_view(0, first.view(0));
+    first.apply(5_000, 20, ReplicaChange::Gone("r0".into()));
+    peer.merge_view(5_010, first.view_since(5_010, 10));
+    assert!(peer.is_missing(&"r0".into()));
+    // The record is back before the second watcher lists, so that nothing changes there.
+    second.replace(5_100, 21, all_replicas());
+    relay.merge_view(5_110, second.view_since(5_110, 10));
+    peer.merge_view(5_120, relay.view_since(5_120, peer.revision()));
+    assert!(!peer.is_missing(&"r0".into()));
+}
--- a/crates/catalog/tests/leaving.rs
+++ b/crates/catalog/tests/leaving.rs
@@ -7,6 +7,7 @@
 use catalog::ReplicaSet;
 use catalog::leaving::UNLISTED_KEEP_MS;
 use catalog::replicas::MISSING_HOLD_MS;
+use wire::Millis;
 use wire::ReplicaRecord;
 
 fn replica(name: &str) -> ReplicaRecord {
@@ -22,10 +23,19 @@
     }
 }
 
+/// Records that the store has been in contact for so long that a missing record is gone.
+fn keep_contact(set: &mut ReplicaSet, until_ms: Millis) {
+    for answered_ms in (until_ms - 2 * MISSING_HOLD_MS..=until_ms).step_by(100) {
+        set.tick(answered_ms);
+        set.record_store_answer(answered_ms, answered_ms);
+    }
+}
+
 /// Returns a set with two replicas of which the first has announced that it leaves.
 fn set_with_leaving(leaving: &ReplicaRecord) -> ReplicaSet {
     let mut set = ReplicaSet::default();
     set.replace(0, 10, vec![leaving.clone(), replica("other")]);
+    keep_contact(&mut set, 2 * MISSING_HOLD_MS);
     assert!(set.is_usable(leaving));
     assert!(set.record_leaving(0, Incarnation::from(leaving)), "the announcement is new");
     assert!(!set.record_leaving(1, Incarnation::from(leaving)), "the announcement is known");
@@ -108,7 +118,7 @@
     let leaving = replica("a");
     let mut set = set_with_leaving(&leaving);
     let listed_ms = 5 * UNLISTED_KEEP_MS;
-    set.tick(listed_ms);
+    keep_contact(&mut set, listed_ms);
     set.apply(listed_ms, 11, ReplicaChange::Gone("a".into()));
     set.tick(listed_ms + UNLISTED_KEEP_MS - 1);
     assert!(set.is_leaving(&leaving));
--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -101,7 +101,7 @@
             self.job_manager.check_for_pause();
             self.update_readiness();
             self.state.record_store_answer(&self.store);
-            self.state.replicas.borrow_mut().tick(now_ms);
+            self.state.end_holds();
             self.slots.tick();
             self.send_leaving_notices(now_ms);
             self.crash_guard.tick();
--- a/crates/node/src/platform_state.rs
+++ b/crates/node/src/platform_state.rs
@@ -92,8 +92,6 @@
     pub ingress_lifecycle: Rc<ServerLifecycle>,
     /// The malformed records of replicas that were logged.
     pub logged_records: RefCell<LoggedVersions>,
-    /// The outages of the store after which the hold of missing records was started.
-    pub handled_outages: Cell<u64>,
     /// The configuration as it is handed to peers.
     pub configuration_sender: ConfigurationSender,
     is_pulling_configuration: Cell<bool>,
@@ -122,7 +120,6 @@
             control,
             ingress_lifecycle,
             logged_records: RefCell::default(),
-            handled_outages: Cell::new(0),
             configuration_sender: ConfigurationSender::default(),
             is_pulling_configuration: Cell::new(false),
             is_pulling_replicas: Cell::new(false),
@@ -131,7 +128,25 @@
         }
     }
 
-    /// Records the latest answer of the store to a call of this daemon.
+    /// Ends the holds of missing records whose time is over and wakes the requests that may wait for
+    /// a slot there.
+    pub fn end_holds(&self) {
+        let ended = self.replicas.borrow_mut().tick(self.clock.now_ms());
+        if ended.is_empty() {
+            return;
+        }
+        let replicas = self.replicas.borrow();
+        for name in ended {
+            info!(
+                "event=missing_replica_unusable replica={name} revision={} contact_ms={}",
+                replicas.revision(),
+                self.contact_ms(&replicas)
+            );
+        }
+        self.slots.wake_waiting();
+    }
+
+    /// Records the latest answer of the store to a call of this daemon, stale reads left out.
     pub fn record_store_answer(&self, store: &ObjectClient) {
         let Some(age) = store.last_fresh_answer_age() else { return };
         let now_ms = self.clock.now_ms();
@@ -182,12 +197,13 @@
             match change {
                 ReplicaChange::Set(record) => info!(
                     "event=replica_listed replica={} service={} address={} slots={} draining={} \
-                     revision={revision} confirmed={} contact_ms={contact_ms} source={source_name}",
+                     missing={} revision={revision} confirmed={} contact_ms={contact_ms} source={source_name}",
                     record.name,
                     record.service,
                     record.address,
                     record.slots,
                     record.is_draining,
+                    replicas.is_missing(&record.name),
                     replicas.confirmed_revision(&record.name).unwrap_or_default()
                 ),
                 ReplicaChange::Gone(name) => {
@@ -199,6 +215,7 @@
                 }
             }
         }
+        self.slots.wake_waiting();
         if source.is_pushed_at_once() {
             self.membership.borrow_mut().expedite_heartbeats();
         }
@@ -285,7 +302,7 @@
 
     /// Merges the view of a peer and returns `false` if the lists differ under the same revision.
     ///
-    /// Two watchers can have different lists at one revision if only one has seen an outage and holds
+    /// Two watchers can have different lists at one revision if only one knows of an outage and holds
     /// the missing records; the digest shows this.
     pub fn merge_peer_view(&self, view: ReplicaView) -> bool {
         let (revision, digest) = (view.revision, view.digest);
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -81,9 +81,6 @@
                 info!("event=watch_ended kind={}", watched.kind());
                 // The other daemons learn that they must watch.
                 state.membership.borrow_mut().expedite_heartbeats();
-                if watched == Watched::Replicas {
-                    state.replicas.borrow_mut().set_store_unreachable();
-                }
             }
             sleep(ELECTION_INTERVAL).await;
             continue;
@@ -161,7 +158,7 @@
             }
         }
         Watched::Replicas => {
-            start_hold_after_outage(state, store);
+            state.record_store_answer(store);
             let records = objects.iter().filter_map(|object| read_replica(object, state)).collect();
             let now_ms = state.clock.now_ms();
             let changes = state.replicas.borrow_mut().replace(now_ms, revision, records);
@@ -192,9 +189,7 @@
         reply = store.call_once(CallClass::Bundle, &call) => reply?,
         () = hold_end(watched, state) => return Ok(None),
     };
-    if watched == Watched::Replicas {
-        start_hold_after_outage(state, store);
-    }
+    state.record_store_answer(store);
     let changes = match reply {
         Reply::Changes(changes) => changes,
         Reply::HistoryGone => {
@@ -212,17 +207,6 @@
     Ok(Some(changes.revision.max(since)))
 }
 
-/// Starts the hold of missing records if the store has been unreachable since its last answer. This
-/// comes before an answer is applied, so that the hold covers the records that it lacks.
-fn start_hold_after_outage(state: &PlatformState, store: &ObjectClient) {
-    state.record_store_answer(store);
-    let mut replicas = state.replicas.borrow_mut();
-    if state.handled_outages.replace(store.outages()) != store.outages() {
-        replicas.set_store_unreachable();
-    }
-    replicas.set_store_reachable(state.clock.now_ms());
-}
-
 /// Waits for the end of the next hold of a replica's record, if there is any.
 async fn hold_end(watched: Watched, state: &PlatformState) {
     let end_ms = match watched {
--- a/crates/slots/src/client.rs
+++ b/crates/slots/src/client.rs
@@ -275,10 +275,15 @@
             "event=replica_leaving replica={} address={} started_unix_ms={} said_by={said_by}",
             incarnation.name, incarnation.address, incarnation.started_unix_ms
         );
-        self.inner.borrow().pending.values().for_each(|pending| pending.wake());
+        self.wake_waiting();
         true
     }
 
+    /// Makes the requests that wait for a slot check whether their replicas are still usable.
+    pub fn wake_waiting(&self) {
+        self.inner.borrow().pending.values().for_each(|pending| pending.wake());
+    }
+
     /// Sets the probe that queries the state of replicas.
     pub fn set_probe(&self, probe: Rc<dyn Probe>) {
         *self.probe.borrow_mut() = Some(probe);
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -93,7 +93,6 @@
     latency_ms: Cell<f64>,
     timeout_ms: Cell<Millis>,
     reachability: Cell<Reachability>,
-    outages: Cell<u64>,
     reachable_again: Notify,
     relay: RefCell<Option<Rc<dyn Relay>>>,
     logged: RefCell<LoggedVersions>,
@@ -121,7 +120,6 @@
             latency_ms: Cell::new(0.0),
             timeout_ms: Cell::new(CALL_TIMEOUT_MS),
             reachability: Cell::new(Reachability::Reachable),
-            outages: Cell::new(0),
             reachable_again: Notify::new(),
             relay: RefCell::new(None),
             logged: RefCell::default(),
@@ -151,11 +149,6 @@
         self.last_fresh_answer.get().map(|answered_at| answered_at.elapsed())
     }
 
-    /// Returns how often the store has become unreachable since the start.
-    pub fn outages(&self) -> u64 {
-        self.outages.get()
-    }
-
     /// Sets the number of daemons that share the call rates.
     pub fn set_live_daemons(&self, live_daemons: usize) {
         self.writes.borrow_mut().set_live_daemons(live_daemons);
@@ -404,7 +397,6 @@
         if is_unreachable
             && self.reachability.replace(Reachability::Unreachable) == Reachability::Reachable
         {
-            self.outages.set(self.outages.get() + 1);
             let error = result.as_ref().err().map(ToString::to_string).unwrap_or_default();
             warn!("event=dependency_lost dependency=store verb={} error=\"{error}\"", call.verb());
         }
