Notice within a second that no watcher hears from the store

Watch calls for replicas are now answered after 500 ms, so that the fleet's contact with the store has no longer gaps, and if no daemon is known to have had an answer for 0.8 s, the next four by rank read the list, 100 ms apart.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod configuration_transfer;
 pub mod control;
 pub mod directory;
+pub mod election;
 pub mod heartbeats;
 pub mod leaving_notices;
 pub mod metrics;
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -24,21 +24,22 @@
 use wire::ReplicaRecord;
 use wire::rendezvous;
 
+use crate::election::REPLICA_WATCH_WAIT_MS;
+use crate::election::WATCHERS;
+use crate::election::is_standby_due;
 use crate::platform_state::PlatformState;
 use crate::platform_state::Source;
 
-/// The number of daemons that watch one kind; two may be lost at the same time without a gap.
-const WATCHERS: usize = 3;
-/// How long the store may wait for changes before it answers a watch call. The answer shows that the
-/// connection still works: one that has gone silent is noticed this long and one time-out of a call
-/// (1,500 ms at most) after its last answer.
-const WATCH_WAIT_MS: Millis = 1_500;
+/// How long the store may wait for changes of the configuration before it answers a watch call. The
+/// answer shows that the connection still works: one that has gone silent is noticed this long and
+/// one time-out of a call (1,500 ms at most) after its last answer.
+const CONFIGURATION_WATCH_WAIT_MS: Millis = 1_500;
 /// The shortest time between two calls of one watch; changes in between share an answer.
 const MIN_CALL_INTERVAL: Duration = Duration::from_millis(400);
 /// The delay before the next call after a failed one.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// The time between two checks whether a daemon that does not watch has become a watcher.
-const ELECTION_INTERVAL: Duration = Duration::from_millis(250);
+const ELECTION_INTERVAL: Duration = Duration::from_millis(100);
 /// How long a daemon waits for peers before it determines the watchers when the whole fleet starts
 /// for the first time and no daemon knows another.
 const FIRST_START_SETTLE: Duration = Duration::from_millis(600);
@@ -62,6 +63,13 @@
             Self::Replicas => REPLICA_KIND,
         }
     }
+
+    fn wait_ms(self) -> Millis {
+        match self {
+            Self::Configuration => CONFIGURATION_WATCH_WAIT_MS,
+            Self::Replicas => REPLICA_WATCH_WAIT_MS,
+        }
+    }
 }
 
 /// Watches one kind of objects whenever this daemon is one of its watchers.
@@ -75,7 +83,8 @@
     let mut cursor: Option<u64> = None;
     let mut is_watching = false;
     loop {
-        if !is_watcher(watched, &state, &store) {
+        let role = role(watched, &state, &store);
+        if role == Role::None {
             cursor = None;
             if std::mem::take(&mut is_watching) {
                 info!("event=watch_ended kind={}", watched.kind());
@@ -85,6 +94,9 @@
             sleep(ELECTION_INTERVAL).await;
             continue;
         }
+        if role == Role::Standby && !is_watching {
+            info!("event=watch_standby kind={} {}", watched.kind(), state.slots.list_state());
+        }
         let started = Instant::now();
         let result = match cursor {
             None => list(watched, &state, &store).await.map(Some),
@@ -96,6 +108,10 @@
                     info!("event=watch_started kind={} revision={next:?}", watched.kind());
                 }
                 cursor = next;
+                if role == Role::Standby {
+                    // The other standbys learn that the store answers.
+                    state.membership.borrow_mut().expedite_heartbeats();
+                }
                 sleep(MIN_CALL_INTERVAL.saturating_sub(started.elapsed())).await;
             }
             Err(error) => {
@@ -112,19 +128,42 @@
     }
 }
 
-/// Returns whether this daemon is one of the watchers of a kind.
+/// The part of this daemon in watching a kind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Role {
+    /// It does not watch.
+    None,
+    /// It reads the objects once, since the watchers seem to have no answers.
+    Standby,
+    /// It watches.
+    Watcher,
+}
+
+/// Returns the role of this daemon for a kind.
 ///
 /// Daemons that cannot reach the store are left out, unless no known daemon can.
-fn is_watcher(watched: Watched, state: &PlatformState, store: &ObjectClient) -> bool {
+fn role(watched: Watched, state: &PlatformState, store: &ObjectClient) -> Role {
     let membership = state.membership.borrow();
     if store.reachability() == Reachability::Unreachable
         && membership.alive().any(|peer| peer.reaches_store)
     {
-        return false;
+        return Role::None;
     }
     let others = membership.alive().filter(|peer| peer.reaches_store);
     let others = others.map(|peer| &peer.identity.name);
-    rendezvous::is_among_highest(watched.kind(), &membership.own().name, others, WATCHERS)
+    let rank = rendezvous::rank(watched.kind(), &membership.own().name, others);
+    if rank < WATCHERS {
+        return Role::Watcher;
+    }
+    let latest_ms = state.replicas.borrow().contact().latest_ms();
+    let is_silent = latest_ms.is_some_and(|latest_ms| {
+        let silent_ms = state.clock.now_ms().saturating_sub(latest_ms);
+        is_standby_due(rank, silent_ms, membership.longest_period_ms())
+    });
+    match watched {
+        Watched::Replicas if is_silent => Role::Standby,
+        _ => Role::None,
+    }
 }
 
 /// Reads all objects of a kind and returns the revision from which to watch.
@@ -183,7 +222,7 @@
     state: &PlatformState,
     store: &ObjectClient,
 ) -> Result<Option<u64>, StoreError> {
-    let call = Call::Changes { kind: watched.kind(), since, wait_ms: WATCH_WAIT_MS };
+    let call = Call::Changes { kind: watched.kind(), since, wait_ms: watched.wait_ms() };
     let reply = tokio::select! {
         biased;
         reply = store.call_once(CallClass::Bundle, &call) => reply?,
--- a/crates/peers/src/membership.rs
+++ b/crates/peers/src/membership.rs
@@ -137,6 +137,12 @@
         (daemons * PERIOD_PER_DAEMON_MS).clamp(MIN_HEARTBEAT_PERIOD_MS, MAX_HEARTBEAT_PERIOD_MS)
     }
 
+    /// Returns the longest time between two heartbeats from one daemon that runs.
+    pub fn longest_period_ms(&self) -> Millis {
+        let periods = if self.is_large_fleet() { REMOTE_HEARTBEAT_PERIODS } else { 1 };
+        self.period_ms() * periods
+    }
+
     /// Handles a heartbeat of another daemon.
     pub fn handle_heartbeat(&mut self, now_ms: Millis, heartbeat: &Heartbeat) -> Vec<MemberAction> {
         let identity = &heartbeat.identity;
