Pass returns on to peers that hold a record, and count the time before a daemon's start

Three faults of the shared contact, found in review by unit tests; no caller has seen them. An answer of a watch call that shows only the return of a record changed nothing at that watcher, so a peer that had copied the hold could keep the record missing and, once the hold was over, the replica out of use (test return_that_a_watch_call_shows_without_the_removal_reaches_peers failed before). Soon after an outage such an answer now counts as news for peers. A hold that a watch event begins is logged, and a watcher lists at once when a hold is over instead of beginning another call.

--- a/crates/catalog/src/contact.rs
+++ b/crates/catalog/src/contact.rs
@@ -29,16 +29,17 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StoreContact {
     interval: Option<Interval>,
-    own_latest_ms: Option<Millis>,
+    own_latest_ms: Option<i64>,
     ticked_ms: Option<Millis>,
     /// Before this time, what arrives may have been waiting during a pause of this daemon.
     unreliable_until_ms: Millis,
 }
 
+/// Times on this daemon's clock, which are negative before its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Interval {
-    since_ms: Millis,
-    latest_ms: Millis,
+    since_ms: i64,
+    latest_ms: i64,
 }
 
 impl StoreContact {
@@ -47,7 +48,7 @@
         if self.is_unreliable(now_ms) || answered_ms < self.unreliable_until_ms {
             return;
         }
-        let answered_ms = answered_ms.min(now_ms);
+        let answered_ms = signed(answered_ms.min(now_ms));
         self.own_latest_ms = self.own_latest_ms.max(Some(answered_ms));
         self.extend(Interval { since_ms: answered_ms, latest_ms: answered_ms });
     }
@@ -57,8 +58,8 @@
         if self.is_unreliable(now_ms) {
             return;
         }
-        let latest_ms = now_ms.saturating_sub(report.latest_age_ms);
-        let since_ms = now_ms.saturating_sub(report.since_age_ms).min(latest_ms);
+        let latest_ms = signed(now_ms) - signed(report.latest_age_ms);
+        let since_ms = (signed(now_ms) - signed(report.since_age_ms)).min(latest_ms);
         self.extend(Interval { since_ms, latest_ms });
     }
 
@@ -67,8 +68,8 @@
         let since_ms = self.interval?.since_ms;
         let latest_ms = self.own_latest_ms.filter(|latest_ms| *latest_ms >= since_ms)?;
         Some(ContactReport {
-            since_age_ms: now_ms.saturating_sub(since_ms),
-            latest_age_ms: now_ms.saturating_sub(latest_ms),
+            since_age_ms: age_ms(now_ms, since_ms),
+            latest_age_ms: age_ms(now_ms, latest_ms),
         })
     }
 
@@ -80,21 +81,31 @@
         self.ticked_ms = Some(now_ms);
     }
 
-    /// Returns when the contact began, or `None` before the first answer.
-    pub fn since_ms(&self) -> Option<Millis> {
+    /// Returns when the contact began, or `None` before the first answer. The time is negative if that
+    /// was before the start of this daemon's clock.
+    pub fn since_ms(&self) -> Option<i64> {
         self.interval.map(|interval| interval.since_ms)
     }
 
     /// Returns when any daemon is known to have had an answer, or `None` before the first one.
-    pub fn latest_ms(&self) -> Option<Millis> {
+    pub fn latest_ms(&self) -> Option<i64> {
         self.interval.map(|interval| interval.latest_ms)
     }
 
+    /// Returns the time since any daemon is known to have had an answer, or `None` before the first.
+    pub fn latest_age_ms(&self, now_ms: Millis) -> Option<Millis> {
+        self.latest_ms().map(|latest_ms| age_ms(now_ms, latest_ms))
+    }
+
+    /// Returns the time since the contact began, or `None` before the first answer.
+    pub fn since_age_ms(&self, now_ms: Millis) -> Option<Millis> {
+        self.since_ms().map(|since_ms| age_ms(now_ms, since_ms))
+    }
+
     /// Returns whether the contact lasted for `duration_ms`, up to the latest answer.
     pub fn has_lasted(&self, duration_ms: Millis) -> bool {
-        self.interval.is_some_and(|interval| {
-            interval.latest_ms.saturating_sub(interval.since_ms) >= duration_ms
-        })
+        self.interval
+            .is_some_and(|interval| interval.latest_ms - interval.since_ms >= signed(duration_ms))
     }
 
     /// Returns whether the contact has lasted for `duration_ms` and still does.
@@ -104,7 +115,7 @@
 
     /// Returns whether there may have been an outage since the latest answer.
     pub fn is_interrupted(&self, now_ms: Millis) -> bool {
-        self.latest_ms().is_none_or(|latest_ms| now_ms > latest_ms + MAX_CONTACT_GAP_MS)
+        self.latest_age_ms(now_ms).is_none_or(|age_ms| age_ms > MAX_CONTACT_GAP_MS)
     }
 
     fn is_paused(&self, now_ms: Millis) -> bool {
@@ -119,13 +130,29 @@
     fn extend(&mut self, other: Interval) {
         let joined = match self.interval {
             None => other,
-            Some(known) if other.since_ms > known.latest_ms + MAX_CONTACT_GAP_MS => other,
-            Some(known) if known.since_ms > other.latest_ms + MAX_CONTACT_GAP_MS => known,
-            Some(known) => Interval {
+            Some(known) if known.touches(other) => Interval {
                 since_ms: known.since_ms.min(other.since_ms),
                 latest_ms: known.latest_ms.max(other.latest_ms),
             },
+            Some(known) if known.latest_ms > other.latest_ms => known,
+            Some(_) => other,
         };
         self.interval = Some(joined);
     }
 }
+
+impl Interval {
+    fn touches(self, other: Self) -> bool {
+        let gap_ms = signed(MAX_CONTACT_GAP_MS);
+        other.since_ms <= self.latest_ms + gap_ms && self.since_ms <= other.latest_ms + gap_ms
+    }
+}
+
+/// Converts a time or an age; those of peers are bounded, so that sums cannot overflow.
+fn signed(ms: Millis) -> i64 {
+    ms.min(1 << 60) as i64
+}
+
+fn age_ms(now_ms: Millis, at_ms: i64) -> Millis {
+    (signed(now_ms) - at_ms).max(0) as Millis
+}
--- a/crates/catalog/src/replicas.rs
+++ b/crates/catalog/src/replicas.rs
@@ -150,7 +150,7 @@
     pub fn next_hold_end_ms(&self) -> Option<Millis> {
         let ends_ms = self.missing().map(|missing| match self.contact.since_ms() {
             _ if missing.has_hold_ended => missing.noticed_ms,
-            Some(since_ms) => missing.noticed_ms.max(since_ms.saturating_add(MISSING_HOLD_MS)),
+            Some(since_ms) => missing.noticed_ms.max(hold_end_ms(since_ms)),
             None => missing.noticed_ms.saturating_add(MISSING_HOLD_MS),
         });
         ends_ms.min()
@@ -194,7 +194,7 @@
                 Removal::None => {}
             }
         }
-        let may_hide_return = !self.contact.has_lasted(2 * MISSING_HOLD_MS);
+        let may_hide_return = self.may_hide_return();
         if !changes.is_empty() || !held.is_empty() || may_hide_return {
             self.revision = revision;
         }
@@ -215,7 +215,12 @@
         change: ReplicaChange,
     ) -> Option<ReplicaChange> {
         let (change, held) = match change {
-            ReplicaChange::Set(record) => (self.set(revision, record), None),
+            ReplicaChange::Set(record) => {
+                let name = record.name.clone();
+                let change = self.set(revision, record);
+                let is_hidden_return = change.is_none() && self.may_hide_return();
+                (change, is_hidden_return.then_some(name))
+            }
             ReplicaChange::Gone(name) => match self.remove(now_ms, &name) {
                 Removal::Done => (Some(ReplicaChange::Gone(name)), None),
                 Removal::Held => (None, Some(name)),
@@ -230,6 +235,12 @@
         change
     }
 
+    /// Returns whether peers may hold a record that expired and returned unchanged since the answer
+    /// before, so that an answer which changes nothing here is news to them.
+    fn may_hide_return(&self) -> bool {
+        !self.contact.has_lasted(2 * MISSING_HOLD_MS)
+    }
+
     /// Merges the view of a peer and returns the changes.
     ///
     /// A difference is merged only if it is newer and starts at a revision that is known here; a
@@ -351,7 +362,7 @@
     fn view_entry(&self, entry: &Entry, now_ms: Millis) -> ViewEntry {
         let hold_left_ms = entry.missing.map(|missing| match self.contact.since_ms() {
             Some(since_ms) if !missing.has_hold_ended => {
-                since_ms.saturating_add(MISSING_HOLD_MS).saturating_sub(now_ms)
+                hold_end_ms(since_ms).saturating_sub(now_ms)
             }
             _ => 0,
         });
@@ -413,7 +424,7 @@
         for (name, entry) in &mut self.entries {
             let Some(missing) = &mut entry.missing else { continue };
             // The contact may be an old one if its latest answer came before the record went missing.
-            if !missing.has_hold_ended && missing.noticed_ms <= latest_ms {
+            if !missing.has_hold_ended && missing.noticed_ms as i64 <= latest_ms {
                 missing.has_hold_ended = true;
                 ended.push(name.clone());
             }
@@ -448,6 +459,11 @@
     }
 }
 
+/// Returns when holds end if the contact with the store began at `since_ms`.
+fn hold_end_ms(since_ms: i64) -> Millis {
+    since_ms.saturating_add(MISSING_HOLD_MS as i64).max(0) as Millis
+}
+
 /// What became of a record that the store does not have.
 enum Removal {
     /// Nothing: there is no such record, or its hold goes on.
--- a/crates/catalog/tests/configuration_and_replicas.rs
+++ b/crates/catalog/tests/configuration_and_replicas.rs
@@ -132,6 +132,7 @@
 fn change_without_effect_keeps_the_revision() {
     let mut set = ReplicaSet::default();
     set.replace(0, 10, vec![replica("a")]);
+    keep_contact(&mut set, 0, 2 * MISSING_HOLD_MS);
     assert_eq!(set.apply(1, 15, ReplicaChange::Set(replica("a"))), None);
     assert_eq!(set.revision(), 10);
     let restarted = ReplicaRecord { started_unix_ms: 2, ..replica("a") };
@@ -211,6 +212,7 @@
 fn generation_changes_with_every_change_of_set() {
     let mut set = ReplicaSet::default();
     set.replace(0, 10, vec![replica("a")]);
+    keep_contact(&mut set, 0, 2 * MISSING_HOLD_MS);
     let first = set.generation();
     set.apply(1, 11, ReplicaChange::Set(replica("a")));
     assert_eq!(set.generation(), first, "the record is the same");
--- a/crates/catalog/tests/lapsed_records.rs
+++ b/crates/catalog/tests/lapsed_records.rs
@@ -331,3 +331,21 @@
     peer.merge_view(5_120, relay.view_since(5_120, peer.revision()));
     assert!(!peer.is_missing(&"r0".into()));
 }
+
+// Guards against a hold that stays at a peer since one answer showed another watcher only the return.
+#[test]
+fn return_that_a_watch_call_shows_without_the_removal_reaches_peers() {
+    let (mut first, mut second) = (ReplicaSet::default(), ReplicaSet::default());
+    for set in [&mut first, &mut second] {
+        set.replace(0, 10, all_replicas());
+        set.record_store_answer(5_000, 5_000);
+    }
+    let mut peer = ReplicaSet::default();
+    peer.merge_view(0, first.view(0));
+    first.apply(5_000, 20, ReplicaChange::Gone("r0".into()));
+    peer.merge_view(5_010, first.view_since(5_010, 10));
+    assert!(peer.is_missing(&"r0".into()));
+    second.apply(5_100, 21, ReplicaChange::Set(replica(0)));
+    peer.merge_view(5_120, second.view_since(5_120, peer.revision()));
+    assert!(!peer.is_missing(&"r0".into()));
+}
--- a/crates/node/src/platform_state.rs
+++ b/crates/node/src/platform_state.rs
@@ -221,10 +221,16 @@
         }
     }
 
+    /// Returns whether the hold of a missing record is over, so that a new list must show whether the
+    /// record is gone.
+    pub fn is_hold_over(&self) -> bool {
+        let end_ms = self.replicas.borrow().next_hold_end_ms();
+        end_ms.is_some_and(|end_ms| end_ms <= self.clock.now_ms())
+    }
+
     /// Returns for how long the fleet has had answers of the store without a gap, for the log.
     pub fn contact_ms(&self, replicas: &ReplicaSet) -> Millis {
-        let now_ms = self.clock.now_ms();
-        replicas.contact().since_ms().map_or(0, |since_ms| now_ms.saturating_sub(since_ms))
+        replicas.contact().since_age_ms(self.clock.now_ms()).unwrap_or_default()
     }
 
     /// Requests the newer configuration of a peer, and then of others that have one, until this daemon
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -98,6 +98,9 @@
             info!("event=watch_standby kind={} {}", watched.kind(), state.slots.list_state());
         }
         let started = Instant::now();
+        if watched == Watched::Replicas && state.is_hold_over() {
+            cursor = None;
+        }
         let result = match cursor {
             None => list(watched, &state, &store).await.map(Some),
             Some(since) => wait_for_changes(watched, since, &state, &store).await,
@@ -155,11 +158,9 @@
     if rank < WATCHERS {
         return Role::Watcher;
     }
-    let latest_ms = state.replicas.borrow().contact().latest_ms();
-    let is_silent = latest_ms.is_some_and(|latest_ms| {
-        let silent_ms = state.clock.now_ms().saturating_sub(latest_ms);
-        is_standby_due(rank, silent_ms, membership.longest_period_ms())
-    });
+    let silent_ms = state.replicas.borrow().contact().latest_age_ms(state.clock.now_ms());
+    let is_silent = silent_ms
+        .is_some_and(|silent_ms| is_standby_due(rank, silent_ms, membership.longest_period_ms()));
     match watched {
         Watched::Replicas if is_silent => Role::Standby,
         _ => Role::None,
@@ -202,14 +203,7 @@
             let now_ms = state.clock.now_ms();
             let changes = state.replicas.borrow_mut().replace(now_ms, revision, records);
             state.handle_replica_changes(&changes, Source::Store);
-            let replicas = state.replicas.borrow();
-            let held = replicas.held_count();
-            if held > 0 {
-                info!(
-                    "event=missing_replicas_held count={held} revision={revision} contact_ms={}",
-                    state.contact_ms(&replicas)
-                );
-            }
+            log_held(state, 0, revision);
         }
     }
     Ok(revision)
@@ -237,15 +231,29 @@
         }
         _ => return Err(unexpected_reply(watched)),
     };
+    let held_before = state.replicas.borrow().held_count();
     let applied: Vec<ReplicaChange> = changes
         .changes
         .iter()
         .filter_map(|change| apply(watched, change, changes.revision_of(change), state))
         .collect();
     state.handle_replica_changes(&applied, Source::Store);
+    log_held(state, held_before, changes.revision);
     Ok(Some(changes.revision.max(since)))
 }
 
+/// Logs that more missing records are on hold than before an answer of the store.
+fn log_held(state: &PlatformState, held_before: usize, revision: u64) {
+    let replicas = state.replicas.borrow();
+    let held = replicas.held_count();
+    if held > held_before {
+        info!(
+            "event=missing_replicas_held count={held} revision={revision} contact_ms={}",
+            state.contact_ms(&replicas)
+        );
+    }
+}
+
 /// Waits for the end of the next hold of a replica's record, if there is any.
 async fn hold_end(watched: Watched, state: &PlatformState) {
     let end_ms = match watched {
--- a/crates/slots/src/client.rs
+++ b/crates/slots/src/client.rs
@@ -425,10 +425,9 @@
     pub fn list_state(&self) -> ListState {
         let replicas = self.replicas.borrow();
         let now_ms = self.clock.now_ms();
-        let heard_ms = replicas.contact().latest_ms();
         ListState {
             revision: replicas.revision(),
-            store_age_ms: heard_ms.map(|heard_ms| now_ms.saturating_sub(heard_ms)),
+            store_age_ms: replicas.contact().latest_age_ms(now_ms),
         }
     }
 
