--- a/crates/node/src/platform_state.rs
+++ b/crates/node/src/platform_state.rs
@@ -27,6 +27,7 @@
 use rand::seq::IteratorRandom;
 use slots::Slots;
 use store::LoggedVersions;
+use store::ObjectClient;
 use tokio::time::sleep;
 use wire::Configuration;
 use wire::Millis;
@@ -91,8 +92,6 @@
     pub ingress_lifecycle: Rc<ServerLifecycle>,
     /// The malformed records of replicas that were logged.
     pub logged_records: RefCell<LoggedVersions>,
-    /// The outages of the store after which the hold of missing records was started.
-    pub handled_outages: Cell<u64>,
     /// The configuration as it is handed to peers.
     pub configuration_sender: ConfigurationSender,
     is_pulling_configuration: Cell<bool>,
@@ -121,7 +120,6 @@
             control,
             ingress_lifecycle,
             logged_records: RefCell::default(),
-            handled_outages: Cell::new(0),
             configuration_sender: ConfigurationSender::default(),
             is_pulling_configuration: Cell::new(false),
             is_pulling_replicas: Cell::new(false),
@@ -130,6 +128,32 @@
         }
     }
 
+    /// Ends the holds of missing records whose time is over and wakes the requests that may wait for
+    /// a slot there.
+    pub fn end_holds(&self) {
+        let ended = self.replicas.borrow_mut().tick(self.clock.now_ms());
+        if ended.is_empty() {
+            return;
+        }
+        let replicas = self.replicas.borrow();
+        for name in ended {
+            info!(
+                "event=missing_replica_unusable replica={name} revision={} contact_ms={}",
+                replicas.revision(),
+                self.contact_ms(&replicas)
+            );
+        }
+        self.slots.wake_waiting();
+    }
+
+    /// Records the latest answer of the store to a call of this daemon, stale reads left out.
+    pub fn record_store_answer(&self, store: &ObjectClient) {
+        let Some(age) = store.last_fresh_answer_age() else { return };
+        let now_ms = self.clock.now_ms();
+        let answered_ms = now_ms.saturating_sub(age.as_millis() as Millis);
+        self.replicas.borrow_mut().record_store_answer(now_ms, answered_ms);
+    }
+
     /// Decodes a configuration and puts it in force if it is newer; a malformed one is ignored.
     pub fn update_configuration(&self, json: &Bytes, source: Source) {
         let source_name = source.as_str();
@@ -166,27 +190,49 @@
         if source.is_pushed_at_once() {
             self.recent_changes.borrow_mut().record(self.clock.now_ms(), previous);
         }
-        let (revision, source_name) = (self.replicas.borrow().revision(), source.as_str());
+        let source_name = source.as_str();
+        let replicas = self.replicas.borrow();
+        let (revision, contact_ms) = (replicas.revision(), self.contact_ms(&replicas));
         for change in changes {
             match change {
                 ReplicaChange::Set(record) => info!(
                     "event=replica_listed replica={} service={} address={} slots={} draining={} \
-                     revision={revision} source={source_name}",
-                    record.name, record.service, record.address, record.slots, record.is_draining
+                     missing={} revision={revision} confirmed={} contact_ms={contact_ms} source={source_name}",
+                    record.name,
+                    record.service,
+                    record.address,
+                    record.slots,
+                    record.is_draining,
+                    replicas.is_missing(&record.name),
+                    replicas.confirmed_revision(&record.name).unwrap_or_default()
                 ),
                 ReplicaChange::Gone(name) => {
                     self.slots.remove_replica(name);
                     info!(
-                        "event=replica_gone replica={name} revision={revision} source={source_name}"
+                        "event=replica_gone replica={name} revision={revision} \
+                         contact_ms={contact_ms} source={source_name}"
                     );
                 }
             }
         }
+        self.slots.wake_waiting();
         if source.is_pushed_at_once() {
             self.membership.borrow_mut().expedite_heartbeats();
         }
     }
 
+    /// Returns whether the hold of a missing record is over, so that a new list must show whether the
+    /// record is gone.
+    pub fn is_hold_over(&self) -> bool {
+        let end_ms = self.replicas.borrow().next_hold_end_ms();
+        end_ms.is_some_and(|end_ms| end_ms <= self.clock.now_ms())
+    }
+
+    /// Returns for how long the fleet has had answers of the store without a gap, for the log.
+    pub fn contact_ms(&self, replicas: &ReplicaSet) -> Millis {
+        replicas.contact().since_age_ms(self.clock.now_ms()).unwrap_or_default()
+    }
+
     /// Requests the newer configuration of a peer, and then of others that have one, until this daemon
     /// has the newest that any of them reports.
     pub async fn pull_configuration(&self, peer: SocketAddr) {
@@ -262,7 +308,7 @@
 
     /// Merges the view of a peer and returns `false` if the lists differ under the same revision.
     ///
-    /// Two watchers can have different lists at one revision if only one has seen an outage and holds
+    /// Two watchers can have different lists at one revision if only one knows of an outage and holds
     /// the missing records; the digest shows this.
     pub fn merge_peer_view(&self, view: ReplicaView) -> bool {
         let (revision, digest) = (view.revision, view.digest);
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -24,21 +24,22 @@
 use wire::ReplicaRecord;
 use wire::rendezvous;
 
+use crate::election::REPLICA_WATCH_WAIT_MS;
+use crate::election::WATCHERS;
+use crate::election::is_standby_due;
 use crate::platform_state::PlatformState;
 use crate::platform_state::Source;
 
-/// The number of daemons that watch one kind; two may be lost at the same time without a gap.
-const WATCHERS: usize = 3;
-/// How long the store may wait for changes before it answers a watch call. The answer shows that the
-/// connection still works: one that has gone silent is noticed this long and one time-out of a call
-/// (1,500 ms at most) after its last answer.
-const WATCH_WAIT_MS: Millis = 1_500;
+/// How long the store may wait for changes of the configuration before it answers a watch call. The
+/// answer shows that the connection still works: one that has gone silent is noticed this long and
+/// one time-out of a call (1,500 ms at most) after its last answer.
+const CONFIGURATION_WATCH_WAIT_MS: Millis = 1_500;
 /// The shortest time between two calls of one watch; changes in between share an answer.
 const MIN_CALL_INTERVAL: Duration = Duration::from_millis(400);
 /// The delay before the next call after a failed one.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// The time between two checks whether a daemon that does not watch has become a watcher.
-const ELECTION_INTERVAL: Duration = Duration::from_millis(250);
+const ELECTION_INTERVAL: Duration = Duration::from_millis(100);
 /// How long a daemon waits for peers before it determines the watchers when the whole fleet starts
 /// for the first time and no daemon knows another.
 const FIRST_START_SETTLE: Duration = Duration::from_millis(600);
@@ -62,6 +63,13 @@
             Self::Replicas => REPLICA_KIND,
         }
     }
+
+    fn wait_ms(self) -> Millis {
+        match self {
+            Self::Configuration => CONFIGURATION_WATCH_WAIT_MS,
+            Self::Replicas => REPLICA_WATCH_WAIT_MS,
+        }
+    }
 }
 
 /// Watches one kind of objects whenever this daemon is one of its watchers.
@@ -75,20 +83,24 @@
     let mut cursor: Option<u64> = None;
     let mut is_watching = false;
     loop {
-        if !is_watcher(watched, &state, &store) {
+        let role = role(watched, &state, &store);
+        if role == Role::None {
             cursor = None;
             if std::mem::take(&mut is_watching) {
                 info!("event=watch_ended kind={}", watched.kind());
                 // The other daemons learn that they must watch.
                 state.membership.borrow_mut().expedite_heartbeats();
-                if watched == Watched::Replicas {
-                    state.replicas.borrow_mut().set_store_unreachable();
-                }
             }
             sleep(ELECTION_INTERVAL).await;
             continue;
         }
+        if role == Role::Standby && !is_watching {
+            info!("event=watch_standby kind={} {}", watched.kind(), state.slots.list_state());
+        }
         let started = Instant::now();
+        if watched == Watched::Replicas && state.is_hold_over() {
+            cursor = None;
+        }
         let result = match cursor {
             None => list(watched, &state, &store).await.map(Some),
             Some(since) => wait_for_changes(watched, since, &state, &store).await,
@@ -99,6 +111,10 @@
                     info!("event=watch_started kind={} revision={next:?}", watched.kind());
                 }
                 cursor = next;
+                if role == Role::Standby {
+                    // The other standbys learn that the store answers.
+                    state.membership.borrow_mut().expedite_heartbeats();
+                }
                 sleep(MIN_CALL_INTERVAL.saturating_sub(started.elapsed())).await;
             }
             Err(error) => {
@@ -115,19 +131,40 @@
     }
 }
 
-/// Returns whether this daemon is one of the watchers of a kind.
+/// The part of this daemon in watching a kind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Role {
+    /// It does not watch.
+    None,
+    /// It reads the objects once, since the watchers seem to have no answers.
+    Standby,
+    /// It watches.
+    Watcher,
+}
+
+/// Returns the role of this daemon for a kind.
 ///
 /// Daemons that cannot reach the store are left out, unless no known daemon can.
-fn is_watcher(watched: Watched, state: &PlatformState, store: &ObjectClient) -> bool {
+fn role(watched: Watched, state: &PlatformState, store: &ObjectClient) -> Role {
     let membership = state.membership.borrow();
     if store.reachability() == Reachability::Unreachable
         && membership.alive().any(|peer| peer.reaches_store)
     {
-        return false;
+        return Role::None;
     }
     let others = membership.alive().filter(|peer| peer.reaches_store);
     let others = others.map(|peer| &peer.identity.name);
-    rendezvous::is_among_highest(watched.kind(), &membership.own().name, others, WATCHERS)
+    let rank = rendezvous::rank(watched.kind(), &membership.own().name, others);
+    if rank < WATCHERS {
+        return Role::Watcher;
+    }
+    let silent_ms = state.replicas.borrow().contact().latest_age_ms(state.clock.now_ms());
+    let is_silent = silent_ms
+        .is_some_and(|silent_ms| is_standby_due(rank, silent_ms, membership.longest_period_ms()));
+    match watched {
+        Watched::Replicas if is_silent => Role::Standby,
+        _ => Role::None,
+    }
 }
 
 /// Reads all objects of a kind and returns the revision from which to watch.
@@ -161,15 +198,12 @@
             }
         }
         Watched::Replicas => {
-            start_hold_after_outage(state, store);
+            state.record_store_answer(store);
             let records = objects.iter().filter_map(|object| read_replica(object, state)).collect();
             let now_ms = state.clock.now_ms();
             let changes = state.replicas.borrow_mut().replace(now_ms, revision, records);
             state.handle_replica_changes(&changes, Source::Store);
-            let held = state.replicas.borrow().held_count();
-            if held > 0 {
-                info!("event=missing_replicas_held count={held} revision={revision}");
-            }
+            log_held(state, 0, revision);
         }
     }
     Ok(revision)
@@ -182,15 +216,13 @@
     state: &PlatformState,
     store: &ObjectClient,
 ) -> Result<Option<u64>, StoreError> {
-    let call = Call::Changes { kind: watched.kind(), since, wait_ms: WATCH_WAIT_MS };
+    let call = Call::Changes { kind: watched.kind(), since, wait_ms: watched.wait_ms() };
     let reply = tokio::select! {
         biased;
         reply = store.call_once(CallClass::Bundle, &call) => reply?,
         () = hold_end(watched, state) => return Ok(None),
     };
-    if watched == Watched::Replicas {
-        start_hold_after_outage(state, store);
-    }
+    state.record_store_answer(store);
     let changes = match reply {
         Reply::Changes(changes) => changes,
         Reply::HistoryGone => {
@@ -199,23 +231,27 @@
         }
         _ => return Err(unexpected_reply(watched)),
     };
+    let held_before = state.replicas.borrow().held_count();
     let applied: Vec<ReplicaChange> = changes
         .changes
         .iter()
         .filter_map(|change| apply(watched, change, changes.revision_of(change), state))
         .collect();
     state.handle_replica_changes(&applied, Source::Store);
+    log_held(state, held_before, changes.revision);
     Ok(Some(changes.revision.max(since)))
 }
 
-/// Starts the hold of missing records if the store has been unreachable since its last answer. This
-/// comes before an answer is applied, so that the hold covers the records that it lacks.
-fn start_hold_after_outage(state: &PlatformState, store: &ObjectClient) {
-    let mut replicas = state.replicas.borrow_mut();
-    if state.handled_outages.replace(store.outages()) != store.outages() {
-        replicas.set_store_unreachable();
+/// Logs that more missing records are on hold than before an answer of the store.
+fn log_held(state: &PlatformState, held_before: usize, revision: u64) {
+    let replicas = state.replicas.borrow();
+    let held = replicas.held_count();
+    if held > held_before {
+        info!(
+            "event=missing_replicas_held count={held} revision={revision} contact_ms={}",
+            state.contact_ms(&replicas)
+        );
     }
-    replicas.set_store_reachable(state.clock.now_ms());
 }
 
 /// Waits for the end of the next hold of a replica's record, if there is any.
