Hold records that a complete list of a peer lacks after an outage

A daemon that starts in an outage of the store lists at its return, at the newest revision, a list without the records that expired; it never knew them, so it holds none. Peers pulled that list and dropped all live replicas at once, until the records returned (up to 2 s).

Cause: the absence of a record from a peer's complete list counted as its certain removal, whatever the peer could know. A difference names its removals, and these are certain at their first sender; a complete list does not.

Fix: an absent record of a complete list is treated like one that an answer of the store lacks: removed if the contact with the store shows that it cannot have expired, held otherwise.

--- a/crates/catalog/src/replicas.rs
+++ b/crates/catalog/src/replicas.rs
@@ -246,8 +246,8 @@
     /// A difference is merged only if it is newer and starts at a revision that is known here; a
     /// complete list also if it differs from this one under the same revision; a missing record does
     /// not come back by it, since it may have been removed here. A record that is confirmed here at a
-    /// newer revision than the view's stays, and this set then counts as newer. A hold of the peer
-    /// counts only if the contact with the store does not show here that the record is gone.
+    /// newer revision than the view's stays, and this set then counts as newer. Whether a record that is
+    /// missing at the peer may have expired is decided by the contact with the store known here.
     pub fn merge_view(&mut self, now_ms: Millis, view: ReplicaView) -> Vec<ReplicaChange> {
         let is_applicable = match view.since {
             Some(since) => view.revision > self.revision && since <= self.revision,
@@ -277,7 +277,12 @@
         let mut passed_on = kept.clone();
         for name in gone {
             passed_on.push(name.clone());
-            if self.entries.remove(&name).is_some() {
+            let is_removed = match view.since {
+                Some(_) => self.entries.remove(&name).is_some(),
+                // A peer that started in an outage never knew the records that expired in it.
+                None => matches!(self.remove(now_ms, &name), Removal::Done),
+            };
+            if is_removed {
                 changes.push(ReplicaChange::Gone(name));
             }
         }
--- a/crates/catalog/tests/configuration_and_replicas.rs
+++ b/crates/catalog/tests/configuration_and_replicas.rs
@@ -150,6 +150,8 @@
     watcher.replace(1, 30, Vec::new());
     keep_contact(&mut watcher, 0, MISSING_HOLD_MS);
     watcher.replace(MISSING_HOLD_MS, 31, Vec::new());
+    let report = watcher.contact().report(MISSING_HOLD_MS).expect("the store answered");
+    peer.merge_contact(MISSING_HOLD_MS, report);
     peer.merge_view(MISSING_HOLD_MS, watcher.view(MISSING_HOLD_MS));
     assert!(names(&peer).is_empty());
 }
--- a/crates/catalog/tests/departures.rs
+++ b/crates/catalog/tests/departures.rs
@@ -83,3 +83,21 @@
     let held_ms = end_ms - back_ms;
     assert!((MISSING_HOLD_MS..=MISSING_HOLD_MS + HOLD_SPREAD_MS + 100).contains(&held_ms));
 }
+
+// Guards against live replicas that are dropped since a daemon that started in an outage never knew their records.
+#[test]
+fn complete_list_of_a_daemon_that_started_in_an_outage_drops_no_record() {
+    let mut set = ReplicaSet::default();
+    set.record_store_answer(0, 0);
+    set.replace(0, 12, vec![replica("a"), replica("b")]);
+    let mut started = ReplicaSet::default();
+    started.record_store_answer(9_000, 9_000);
+    started.replace(9_000, 26, vec![]);
+    set.merge_view(9_010, started.view_since(9_010, set.revision()));
+    assert_eq!(usable_names(&set), ["a", "b"]);
+    started.apply(10_000, 27, ReplicaChange::Set(replica("a")));
+    set.merge_view(10_010, started.view_since(10_010, set.revision()));
+    set.merge_contact(12_000, ContactReport { since_age_ms: 3_000, latest_age_ms: 0 });
+    set.tick(12_010);
+    assert_eq!(usable_names(&set), ["a"]);
+}
