Log which requests a crash lost and the evidence of a quarantine

Operators saw items held because of a part and could not tell from the logs whether the part crashes replicas or was quarantined by mistake: no line named the requests lost in a crash, the sound answers or the outcome of a trial.

replica_crashed lists the lost requests (16 at most, and how many more), part_quarantined the crashed incarnations with their ages, the age of the last sound answer known here and the suspects beside it, part_trial the request or item, trial_ended its outcome, and item_held when the next trial is due.

--- a/crates/gate/src/crash_guard.rs
+++ b/crates/gate/src/crash_guard.rs
@@ -3,6 +3,8 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,6 +25,7 @@
 use wire::Millis;
 use wire::ReplicaName;
 use wire::ReplicaRecord;
+use wire::RequestId;
 
 use crate::exchange::ClientRequest;
 
@@ -37,29 +40,45 @@
 /// How long further losses at a crashed replica count without a probe: a new process may already
 /// listen at its address.
 const CRASH_MEMORY: Duration = Duration::from_millis(1_000);
+/// The most requests or suspects that one log line lists, and the most trials whose outcome is awaited.
+const MAX_LISTED: usize = 16;
 
 /// What is known of a replica that lost requests.
 enum Loss {
-    /// A probe is under way; the suspects of each lost request.
-    Probing(Vec<Vec<Suspect>>),
+    /// A probe is under way.
+    Probing(Vec<LostRequest>),
     /// Its process is gone.
     Crashed,
 }
 
+/// A request that was lost with a replica.
+struct LostRequest {
+    id: RequestId,
+    suspects: Vec<Suspect>,
+}
+
 /// The quarantine of one daemon.
 pub struct CrashGuard {
     clock: BootClock,
     counters: Counters,
     quarantine: RefCell<Quarantine>,
     losses: RefCell<HashMap<ReplicaName, Loss>>,
+    /// The requests that are trials and have no outcome yet, the oldest first.
+    trials: RefCell<VecDeque<RequestId>>,
     delegates: Box<dyn Delegates>,
 }
 
 impl CrashGuard {
     /// Creates a quarantine without evidence.
     pub fn new(clock: BootClock, counters: Counters, delegates: Box<dyn Delegates>) -> Self {
-        let (quarantine, losses) = (RefCell::default(), RefCell::default());
-        Self { clock, counters, quarantine, losses, delegates }
+        Self {
+            clock,
+            counters,
+            quarantine: RefCell::default(),
+            losses: RefCell::default(),
+            trials: RefCell::default(),
+            delegates,
+        }
     }
 
     /// Returns a part because of which an item must wait, if there is one.
@@ -69,6 +88,11 @@
         quarantine.blocking_suspect(self.clock.now_ms(), &suspects, &*self.delegates)
     }
 
+    /// Returns in how long the next trial of a suspect is due, or `None` if it has none left.
+    pub fn trial_due_in_ms(&self, suspect: Suspect) -> Option<Millis> {
+        self.quarantine.borrow().trial_due_in_ms(self.clock.now_ms(), suspect)
+    }
+
     /// Checks a request before it asks for a slot; returns a suspect because of which it is refused.
     pub fn refuse_early(&self, request: &ClientRequest) -> Option<Suspect> {
         let suspects = self.suspects_of(request);
@@ -82,7 +106,7 @@
         let suspects = self.suspects_of(request);
         let now_ms = self.clock.now_ms();
         let admitted = self.quarantine.borrow_mut().admit(now_ms, &suspects, &*self.delegates);
-        self.log_changes();
+        self.log_changes_of(Some(&request.id));
         admitted.map(|()| now_ms)
     }
 
@@ -90,6 +114,7 @@
     pub fn record_not_run(&self, admitted_ms: Millis, request: &ClientRequest) {
         let suspects = self.suspects_of(request);
         self.quarantine.borrow_mut().cancel_trials(admitted_ms, &suspects);
+        self.log_trial_end(request, "not_run");
     }
 
     /// Records that an answer to a request has progressed or is complete.
@@ -98,6 +123,7 @@
         if !suspects.is_empty() {
             self.quarantine.borrow_mut().record_sound(self.clock.now_ms(), &suspects);
             self.log_changes();
+            self.log_trial_end(request, "sound");
         }
     }
 
@@ -110,15 +136,21 @@
         if suspects.is_empty() {
             return;
         }
+        self.log_trial_end(request, "lost");
+        let lost_request = LostRequest { id: request.id.clone(), suspects };
         let mut losses = self.losses.borrow_mut();
         if let Some(loss) = losses.get_mut(&replica.name) {
             match loss {
-                Loss::Probing(lost) => lost.push(suspects),
-                Loss::Crashed => self.record_crash(&replica.name, &suspects),
+                Loss::Probing(lost) => lost.push(lost_request),
+                Loss::Crashed => {
+                    let LostRequest { id, suspects } = lost_request;
+                    info!("event=request_lost_in_crash id={id} replica={}", replica.name);
+                    self.record_crash(&replica.name, &suspects);
+                }
             }
             return;
         }
-        losses.insert(replica.name.clone(), Loss::Probing(vec![suspects]));
+        losses.insert(replica.name.clone(), Loss::Probing(vec![lost_request]));
         let (guard, address, name) = (self.clone(), replica.address, replica.name.clone());
         spawn_local(async move { guard.probe(address, name).await });
     }
@@ -145,11 +177,14 @@
 
     fn confirm_crash(&self, name: &ReplicaName) {
         self.counters.count("part_crashes");
-        info!("event=replica_crashed replica={name}");
         let loss = self.losses.borrow_mut().insert(name.clone(), Loss::Crashed);
-        if let Some(Loss::Probing(lost)) = loss {
-            lost.iter().for_each(|suspects| self.record_crash(name, suspects));
-        }
+        let lost = if let Some(Loss::Probing(lost)) = loss { lost } else { Vec::new() };
+        info!(
+            "event=replica_crashed replica={name} lost={} requests={}",
+            lost.len(),
+            join(lost.iter().map(|request| &request.id))
+        );
+        lost.iter().for_each(|request| self.record_crash(name, &request.suspects));
     }
 
     fn record_crash(&self, name: &ReplicaName, suspects: &[Suspect]) {
@@ -186,50 +221,114 @@
     }
 
     fn log_changes(&self) {
+        self.log_changes_of(None);
+    }
+
+    /// Logs the changes since the last call; `id` is the request that caused them, if one did.
+    fn log_changes_of(&self, id: Option<&RequestId>) {
         let changes = self.quarantine.borrow_mut().take_changes();
         if changes.is_empty() {
             return;
         }
         for change in changes {
-            self.log_change(change);
+            self.log_change(change, id);
         }
         let (parts, requests) = self.quarantine.borrow().quarantined_counts();
         self.counters.set_gauge("quarantined_parts", parts as u64);
         self.counters.set_gauge("quarantined_fingerprints", requests as u64);
     }
 
-    fn log_change(&self, change: Change) {
+    fn log_change(&self, change: Change, id: Option<&RequestId>) {
         match change {
-            Change::Marked { suspect: Suspect::Part(part), crashes } => {
-                info!("event=part_marked part={part} crashes={crashes}");
-            }
-            Change::Marked { suspect: Suspect::Request(fingerprint), crashes } => {
-                info!("event=fingerprint_marked fingerprint={fingerprint} crashes={crashes}");
-            }
-            Change::Quarantined { suspect: Suspect::Part(part), crashes } => {
-                self.counters.count("parts_quarantined");
-                info!("event=part_quarantined part={part} crashes={crashes}");
-            }
-            Change::Quarantined { suspect: Suspect::Request(fingerprint), crashes } => {
-                self.counters.count("fingerprints_quarantined");
-                info!("event=fingerprint_quarantined fingerprint={fingerprint} crashes={crashes}");
+            Change::Marked { suspect, crashes } => {
+                info!("event={}_marked {suspect} crashes={crashes}", kind_of(suspect));
             }
-            Change::TrialBegun { suspect: Suspect::Part(part) } => {
-                info!("event=part_trial part={part}")
+            Change::Quarantined { suspect, crashes } => {
+                self.counters.count(match suspect {
+                    Suspect::Part(_) => "parts_quarantined",
+                    Suspect::Request(_) => "fingerprints_quarantined",
+                });
+                info!(
+                    "event={}_quarantined {suspect} crashes={crashes} {}",
+                    kind_of(suspect),
+                    self.describe_evidence(suspect)
+                );
             }
-            Change::TrialBegun { suspect: Suspect::Request(fingerprint) } => {
-                info!("event=fingerprint_trial fingerprint={fingerprint}");
+            Change::TrialBegun { suspect } => {
+                let id_text = id.map_or("-", RequestId::as_str);
+                info!("event={}_trial {suspect} id={id_text}", kind_of(suspect));
+                self.remember_trial(id);
             }
-            Change::Lifted { suspect: Suspect::Part(part) } => {
-                self.counters.count("parts_released");
-                info!("event=part_released part={part}");
-            }
-            Change::Lifted { suspect: Suspect::Request(fingerprint) } => {
-                self.counters.count("fingerprints_released");
-                info!("event=fingerprint_released fingerprint={fingerprint}");
+            Change::Lifted { suspect } => {
+                self.counters.count(match suspect {
+                    Suspect::Part(_) => "parts_released",
+                    Suspect::Request(_) => "fingerprints_released",
+                });
+                info!("event={}_released {suspect}", kind_of(suspect));
             }
         }
     }
+
+    /// Returns the log fields of the evidence against a suspect: each crash with its age, the age of
+    /// the last sound answer known here, and which other suspects its crashes count against.
+    fn describe_evidence(&self, suspect: Suspect) -> String {
+        let quarantine = self.quarantine.borrow();
+        let Some(evidence) = quarantine.evidence(self.clock.now_ms(), suspect) else {
+            return String::new();
+        };
+        let incarnations =
+            evidence.crashes.iter().map(|crash| format!("{}:{}", crash.incarnation, crash.age_ms));
+        let sound_age = evidence.sound_age_ms.map_or("-".to_owned(), |age_ms| age_ms.to_string());
+        format!(
+            "incarnations={} sound_age_ms={sound_age} beside={}",
+            join(incarnations),
+            join(quarantine.suspects_beside(suspect))
+        )
+    }
+
+    fn remember_trial(&self, id: Option<&RequestId>) {
+        let Some(id) = id else { return };
+        let mut trials = self.trials.borrow_mut();
+        if !trials.contains(id) {
+            trials.push_back(id.clone());
+        }
+        if trials.len() > MAX_LISTED {
+            trials.pop_front();
+        }
+    }
+
+    /// Logs the outcome of a request that was a trial.
+    fn log_trial_end(&self, request: &ClientRequest, outcome: &str) {
+        let mut trials = self.trials.borrow_mut();
+        let Some(index) = trials.iter().position(|id| *id == request.id) else { return };
+        trials.remove(index);
+        info!("event=trial_ended id={} outcome={outcome}", request.id);
+    }
+}
+
+/// Returns the first part of the name of events about a suspect.
+fn kind_of(suspect: Suspect) -> &'static str {
+    match suspect {
+        Suspect::Part(_) => "part",
+        Suspect::Request(_) => "fingerprint",
+    }
+}
+
+/// Returns a bounded list for a log line.
+fn join(values: impl IntoIterator<Item = impl Display>) -> String {
+    let mut listed = Vec::new();
+    let mut count = 0;
+    for value in values {
+        count += 1;
+        if count <= MAX_LISTED {
+            listed.push(value.to_string());
+        }
+    }
+    match (count, count.saturating_sub(MAX_LISTED)) {
+        (0, _) => "-".to_owned(),
+        (_, 0) => listed.join(","),
+        (_, more) => format!("{},+{more}", listed.join(",")),
+    }
 }
 
 /// Returns the suspects of a request: its parts, and itself unless it is an item.
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -124,7 +124,13 @@
         let mut job = handle.job.borrow_mut();
         if job.hold(self.now_ms(), run.index) {
             self.deps.counters.count("items_held");
-            info!("event=item_held item={} job={} {suspect}", run.item.id, job.id);
+            let trial_in_ms = self.deps.crash_guard.trial_due_in_ms(suspect);
+            info!(
+                "event=item_held item={} job={} {suspect} trial_in_ms={}",
+                run.item.id,
+                job.id,
+                trial_in_ms.map_or("-".to_owned(), |trial_in_ms| trial_in_ms.to_string())
+            );
         }
     }
 
--- a/crates/quarantine/src/core.rs
+++ b/crates/quarantine/src/core.rs
@@ -18,6 +18,7 @@
 use crate::record::is_protected;
 use crate::record::signed;
 use crate::suspect::Suspect;
+use crate::view::EvidenceView;
 use crate::view::MAX_VIEW_SUSPECTS;
 use crate::view::PartView;
 use crate::view::QuarantineView;
@@ -264,6 +265,30 @@
         (parts.len(), requests.len())
     }
 
+    /// Returns what is known of a suspect, with the age of the last sound answer known to this daemon.
+    pub fn evidence(&self, now_ms: Millis, suspect: Suspect) -> Option<EvidenceView> {
+        let record = self.records.get(&suspect)?;
+        let sound_ms = self.sounds.get(&suspect).copied().max(record.last_sound_ms());
+        Some(record.to_view(signed(now_ms), sound_ms))
+    }
+
+    /// Returns in how long the next trial of a quarantined suspect is due, or `None` if it has none left.
+    pub fn trial_due_in_ms(&self, now_ms: Millis, suspect: Suspect) -> Option<Millis> {
+        let due_ms = self.records.get(&suspect)?.trial_due_ms()?;
+        Some((due_ms - signed(now_ms)).max(0) as Millis)
+    }
+
+    /// Returns the other suspects against which a crash of this one counts too.
+    pub fn suspects_beside(&self, suspect: Suspect) -> Vec<Suspect> {
+        let Some(record) = self.records.get(&suspect) else { return Vec::new() };
+        let others = self.records.iter().filter(|(other, other_record)| {
+            **other != suspect && record.count_shared(other_record) > 0
+        });
+        let mut beside: Vec<Suspect> = others.map(|(other, _)| *other).collect();
+        beside.sort();
+        beside
+    }
+
     /// Returns whether there is evidence about any request, so that fingerprints are needed.
     pub fn has_suspect_requests(&self) -> bool {
         self.records.keys().any(|suspect| suspect.is_request())
--- a/crates/quarantine/src/part.rs
+++ b/crates/quarantine/src/part.rs
@@ -35,3 +35,9 @@
         Self(rendezvous::hash(name.as_str().as_bytes()) as u32)
     }
 }
+
+impl fmt::Display for ReplicaIncarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -101,6 +101,10 @@
         self.sound_ms.unwrap_or(i64::MIN)
     }
 
+    pub(crate) fn last_sound_ms(&self) -> Option<i64> {
+        self.sound_ms
+    }
+
     /// Adds a crash unless a sound answer speaks against it; returns whether it was added.
     pub(crate) fn add_crash(&mut self, now_ms: i64, crash: Crash) -> bool {
         self.updated_ms = now_ms;
@@ -141,11 +145,16 @@
 
     /// Returns whether a request may be sent as a trial of the quarantined suspect.
     pub(crate) fn is_trial_due(&self, now_ms: i64) -> bool {
+        self.trial_due_ms().is_some_and(|due_ms| now_ms >= due_ms)
+    }
+
+    /// Returns when the next trial is due, or `None` if there is none left.
+    pub(crate) fn trial_due_ms(&self) -> Option<i64> {
         let last_ms = self.last_crash_ms().max(self.trial_ms);
         let is_first_of_request = self.is_request && self.trials == 0;
         let after_ms =
             if is_first_of_request { FIRST_REQUEST_TRIAL_AFTER_MS } else { TRIAL_AFTER_MS };
-        self.trials < MAX_TRIALS && now_ms >= last_ms + after_ms
+        (self.trials < MAX_TRIALS).then_some(last_ms + after_ms)
     }
 
     pub(crate) fn begin_trial(&mut self, now_ms: i64) {
