Refuse jobs with an item that has a quarantined part

A job was accepted with 202 although one of its items had a part of the prompt that this daemon had already quarantined; the item was held and neither run nor given up (job_accepted and item_held in the same millisecond). Such items were looked at only once the job was written.

The submission is checked before the record is written. The refusal is 503, not run, names the item and the part, and its Retry-After is the time until the next trial. If a job with the id is in the store, the submission is a repeat and gets its 202. Reading the store first costs one call, only for jobs that would be refused.

job_with_quarantined_part_is_refused_and_none_of_its_items_runs failed before: 202 in place of 503.

--- a/crates/daemon/tests/platform_quarantine.rs
+++ b/crates/daemon/tests/platform_quarantine.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use http::header::RETRY_AFTER;
 use platform_stub::Client;
 use platform_stub::client::ItemResult;
 use platform_stub::client::NewItem;
@@ -117,21 +118,26 @@
     });
 }
 
+/// Returns a job of 12 items, the first `bad` of which hold the crashing part.
+fn job_with_crashing_part(name: &str, bad: usize) -> Vec<NewItem> {
+    items(name, 12, EVENTS)
+        .into_iter()
+        .enumerate()
+        .map(|(number, item)| {
+            let part = if number < bad { CRASHING_PART } else { "a2" };
+            let id = if number < bad { format!("{name}-bad-{number}") } else { item.id };
+            let prompt_prefix = Some(format!("a1:10,{part}:10,d{number:x}:5"));
+            NewItem { id, prompt_prefix, ..item }
+        })
+        .collect()
+}
+
 #[test]
 fn items_with_crashing_part_wait_and_other_items_are_run() {
     run_local("quarantine-items", |folder| async move {
         let fleet = Fleet::start(folder, 2).await;
         fleet.deployment.restart_crashed_replicas(DOWNTIME);
-        let job: Vec<NewItem> = items("j", 12, EVENTS)
-            .into_iter()
-            .enumerate()
-            .map(|(number, item)| {
-                let part = if number < 4 { CRASHING_PART } else { "a2" };
-                let id = if number < 4 { format!("j-bad-{number}") } else { item.id };
-                let prompt_prefix = Some(format!("a1:10,{part}:10,d{number:x}:5"));
-                NewItem { id, prompt_prefix, ..item }
-            })
-            .collect();
+        let job = job_with_crashing_part("j", 4);
         let accepted =
             Client.submit_job(fleet.ingress(0), JOBS, "j", &job).await.expect("an answer");
         assert_eq!(accepted.status, StatusCode::ACCEPTED);
@@ -143,6 +149,33 @@
     });
 }
 
+#[test]
+fn job_with_quarantined_part_is_refused_and_none_of_its_items_runs() {
+    run_local("quarantine-job", |folder| async move {
+        let fleet = Fleet::start(folder, 2).await;
+        fleet.deployment.restart_crashed_replicas(DOWNTIME);
+        let first = job_with_crashing_part("j", 4);
+        let submit = async |daemon: usize, name: &str, job: &[NewItem]| {
+            Client.submit_job(fleet.ingress(daemon), JOBS, name, job).await.expect("an answer")
+        };
+        assert_eq!(submit(0, "j", &first).await.status, StatusCode::ACCEPTED);
+        sleep(Duration::from_millis(CONTACT_MS)).await;
+        for daemon in 0..2 {
+            let name = format!("k{daemon}");
+            let answer = submit(daemon, &name, &job_with_crashing_part(&name, 1)).await;
+            assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "daemon {daemon}");
+            assert!(answer.headers.contains_key(RETRY_AFTER));
+            let message = String::from_utf8_lossy(&answer.body).into_owned();
+            assert!(message.contains(&format!("{name}-bad-0")), "{message}");
+            assert!(message.contains(CRASHING_PART) && message.contains("not run"), "{message}");
+            assert_eq!(submit(daemon, "j", &first).await.status, StatusCode::ACCEPTED, "a repeat");
+        }
+        sleep(Duration::from_secs(1)).await;
+        let log = fleet.deployment.log.borrow();
+        assert_eq!(log.ids().filter(|id| id.starts_with('k')).count(), 0, "items of refused jobs");
+    });
+}
+
 /// Sends the crashing request again and again, by turns to all daemons, beside sound requests that
 /// share the given parts with it, if any; returns which of the sound ones were served, with the
 /// time of their sending.
--- a/crates/gate/src/crash_guard.rs
+++ b/crates/gate/src/crash_guard.rs
@@ -88,6 +88,18 @@
         quarantine.blocking_suspect(self.clock.now_ms(), &suspects, &*self.delegates)
     }
 
+    /// Checks an item of a job before the job is accepted; returns a part because of which it is
+    /// refused.
+    pub fn refuse_item(&self, parts: &[PromptPart]) -> Option<Suspect> {
+        let suspects: Vec<Suspect> = parts.iter().copied().map(Suspect::Part).collect();
+        self.quarantine.borrow_mut().refuse_item(self.clock.now_ms(), &suspects)
+    }
+
+    /// Returns whether any prompt part is quarantined.
+    pub fn has_quarantined_parts(&self) -> bool {
+        self.quarantine.borrow().quarantined_counts().0 > 0
+    }
+
     /// Returns in how long the next trial of a suspect is due, or `None` if it has none left.
     pub fn trial_due_in_ms(&self, suspect: Suspect) -> Option<Millis> {
         self.quarantine.borrow().trial_due_in_ms(self.clock.now_ms(), suspect)
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod message;
 pub mod pause;
 pub mod progress;
+mod quarantine_check;
 pub mod record;
 pub mod retention;
 pub mod run_time;
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -28,6 +28,7 @@
 use wire::ReplicaName;
 use wire::RequestId;
 
+use crate::item::Item;
 use crate::job::ItemRun;
 use crate::job::ItemRunEnd;
 use crate::job::ItemUrgency;
@@ -104,7 +105,8 @@
             let next = selection::most_urgent(now_ms, candidates);
             let Some((urgency, handle)) = next else { return };
             let Some(run) = handle.job.borrow_mut().start_next(now_ms) else { return };
-            let parts = self.prompt_parts(handle, &run);
+            let host = handle.job.borrow().host.clone();
+            let parts = self.prompt_parts(&host, &run.item);
             if let Some(suspect) = self.deps.crash_guard.blocking_part(&parts) {
                 self.hold_item(handle, &run, suspect);
                 continue;
@@ -114,9 +116,9 @@
         }
     }
 
-    fn prompt_parts(&self, handle: &JobHandle, run: &ItemRun) -> Vec<PromptPart> {
-        let host = handle.job.borrow().host.clone();
-        let headers = self.deps.job_codec.encode_item_headers(&run.item, &host);
+    /// Returns the parts of an item's prompt that other requests may share.
+    pub(crate) fn prompt_parts(&self, host: &str, item: &Item) -> Vec<PromptPart> {
+        let headers = self.deps.job_codec.encode_item_headers(item, host);
         self.deps.ingress_codec.decode_prompt_parts(&headers)
     }
 
--- a/crates/jobs/src/serve.rs
+++ b/crates/jobs/src/serve.rs
@@ -37,6 +37,7 @@
 use crate::manager::JobHandle;
 use crate::manager::JobLocation;
 use crate::manager::JobManager;
+use crate::quarantine_check::Novelty;
 use crate::record;
 use crate::record::Home;
 use crate::record::INPUT_KIND;
@@ -351,9 +352,14 @@
             .decode_submission(&body)
             .map_err(|bad| Refusal::not_run(Reason::BadRequest, bad.message))?;
         drop(body);
-        self.check_quota(id, route, &submission)?;
         let wait_ms = meta.deadline_ms.unwrap_or(DEFAULT_SUBMIT_DEADLINE_MS);
         let store_timeout = Duration::from_millis(wait_ms.saturating_sub(ANSWER_RESERVE_MS).max(1));
+        let checked = self.check_quarantine(id, &route.host, &submission, store_timeout);
+        if let Novelty::Repeated = checked.await? {
+            info!("event=job_repeated job={id}");
+            return Ok(());
+        }
+        self.check_quota(id, route, &submission)?;
         let pauses_before = self.pauses();
         let submitted_ms = self.now_ms();
         let host = &*route.host;
--- a/crates/quarantine/src/core.rs
+++ b/crates/quarantine/src/core.rs
@@ -185,6 +185,24 @@
         Some(blocking)
     }
 
+    /// Checks an item of a job before the job is accepted; returns a suspect because of which it is
+    /// refused. A refused item counts as a request that came.
+    ///
+    /// While a trial is due, or a request tells two suspects apart, the item is no reason to refuse.
+    pub fn refuse_item(&mut self, now_ms: Millis, suspects: &[Suspect]) -> Option<Suspect> {
+        let now_ms = signed(now_ms);
+        let refused = suspects.iter().copied().find(|suspect| {
+            let record = self.records.get(suspect).filter(|record| record.is_quarantined);
+            record.is_some_and(|record| {
+                !record.is_trial_due(now_ms) && !self.is_distinguishing(record, suspects)
+            })
+        })?;
+        if let Some(record) = self.records.get_mut(&refused) {
+            record.add_request(now_ms);
+        }
+        Some(refused)
+    }
+
     /// Records a request that is about to be sent; returns a suspect because of which it must not
     /// be.
     pub fn admit(
@@ -241,18 +259,24 @@
         if suspect.is_request() {
             return Permit::Refused;
         }
-        let is_distinguishing = self.records.iter().any(|(other, other_record)| {
-            other_record.is_quarantined
-                && !suspects.contains(other)
-                && record.is_explained_by(other_record)
-        });
-        if is_distinguishing && record.is_distinguishing_due(now_ms, delegates.is_reporter(suspect))
+        if self.is_distinguishing(record, suspects)
+            && record.is_distinguishing_due(now_ms, delegates.is_reporter(suspect))
         {
             return Permit::Distinguishing;
         }
         Permit::Refused
     }
 
+    /// Returns whether all crashes of a suspect count against another quarantined one that the request
+    /// does not have.
+    fn is_distinguishing(&self, record: &SuspectRecord, suspects: &[Suspect]) -> bool {
+        self.records.iter().any(|(other, other_record)| {
+            other_record.is_quarantined
+                && !suspects.contains(other)
+                && record.is_explained_by(other_record)
+        })
+    }
+
     fn is_quarantined(&self, suspect: Suspect) -> bool {
         self.records.get(&suspect).is_some_and(|record| record.is_quarantined)
     }
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -248,6 +248,19 @@
     assert_eq!(quarantine.admit(70_200, &[wrong], NEVER), Ok(()));
 }
 
+#[test]
+fn item_of_a_new_job_is_refused_for_every_part_that_it_would_be_held_for() {
+    let (first, deadly) = (part("a1"), part("dead"));
+    let mut quarantine = quarantined(10_000, &[deadly]);
+    assert_eq!(quarantine.refuse_item(10_000, &[first, deadly]), Some(deadly));
+    assert_eq!(quarantine.refuse_item(10_000, &[first]), None);
+    let due_ms = 10_000 + quarantine.trial_due_in_ms(10_000, deadly).expect("a trial is left");
+    assert_eq!(quarantine.refuse_item(due_ms - 1, &[deadly]), Some(deadly));
+    let mut both = quarantined(10_000, &[first, deadly]);
+    assert_eq!(both.refuse_item(10_000, &[first, deadly]), Some(first));
+    assert_eq!(both.refuse_item(10_000, &[first]), None, "its run tells the two apart");
+}
+
 #[test]
 fn part_is_forgotten_ten_minutes_after_its_last_request_anywhere() {
     let deadly = part("dead");
