Let any daemon try a quarantined part again, within seconds

Items with a quarantined part waited for 60 s after the last crash, and for ever if the one daemon that owned the trials held none of them: in the reported record no trial and no release follows. A sound part that was quarantined by mistake was refused as long.

Daemons are ranked for each suspect and begin trials one after the other, in groups that double in size, so that each learns of an earlier trial first. The first trial of a part comes 3 s after the last crash, further ones 10 s after the last with items and 60 s with requests; two in all, up to four while fewer than seven crashes are known. Trials whose send reached no replica are counted apart and merged as a maximum: they came back with a peer's message before.

--- a/crates/gate/src/crash_guard.rs
+++ b/crates/gate/src/crash_guard.rs
@@ -100,7 +100,7 @@
         self.quarantine.borrow().quarantined_counts().0 > 0
     }
 
-    /// Returns in how long the next trial of a suspect is due, or `None` if it has none left.
+    /// Returns in how long the next trial of a suspect with an item is due, or `None` if it has none left.
     pub fn trial_due_in_ms(&self, suspect: Suspect) -> Option<Millis> {
         self.quarantine.borrow().trial_due_in_ms(self.clock.now_ms(), suspect)
     }
@@ -125,7 +125,7 @@
     /// Records that a request that was admitted at `admitted_ms` was not run, so that it was no trial.
     pub fn record_not_run(&self, admitted_ms: Millis, request: &ClientRequest) {
         let suspects = self.suspects_of(request);
-        self.quarantine.borrow_mut().cancel_trials(admitted_ms, &suspects);
+        self.quarantine.borrow_mut().cancel_trials(self.clock.now_ms(), admitted_ms, &suspects);
         self.log_trial_end(request, "not_run");
     }
 
@@ -167,9 +167,9 @@
         spawn_local(async move { guard.probe(address, name).await });
     }
 
-    /// Returns the suspects of a request, without the fingerprint if no request is suspect.
+    /// Returns the suspects of a request, without the fingerprint if there is no evidence.
     fn suspects_of(&self, request: &ClientRequest) -> Vec<Suspect> {
-        if self.quarantine.borrow().has_suspect_requests() {
+        if self.quarantine.borrow().has_suspects() {
             return all_suspects(request);
         }
         request.prompt_parts.iter().copied().map(Suspect::Part).collect()
--- a/crates/node/src/quarantine_delegates.rs
+++ b/crates/node/src/quarantine_delegates.rs
@@ -17,8 +17,8 @@
     pub membership: Rc<RefCell<Membership>>,
 }
 
-impl QuarantineDelegates {
-    fn is_among_first(&self, suspect: Suspect, count: usize) -> bool {
+impl Delegates for QuarantineDelegates {
+    fn trial_rank(&self, suspect: Suspect) -> Option<usize> {
         let membership = self.membership.borrow();
         let ready = membership.ready_daemons();
         let own = &membership.own().name;
@@ -28,16 +28,10 @@
             Suspect::Part(part) => format!("part/{part}"),
             Suspect::Request(fingerprint) => format!("request/{fingerprint}"),
         };
-        is_ready && rendezvous::is_among_highest(&key, own, others, count)
-    }
-}
-
-impl Delegates for QuarantineDelegates {
-    fn is_trial_owner(&self, suspect: Suspect) -> bool {
-        self.is_among_first(suspect, 1)
+        is_ready.then(|| rendezvous::rank(&key, own, others))
     }
 
     fn is_reporter(&self, suspect: Suspect) -> bool {
-        self.is_among_first(suspect, REPORTERS)
+        self.trial_rank(suspect).is_some_and(|rank| rank < REPORTERS)
     }
 }
--- /dev/null
+++ b/crates/quarantine/src/admission.rs
@@ -0,0 +1,189 @@
+//! Decides which requests with quarantined suspects may be sent, and when.
+
+use wire::Millis;
+
+use crate::core::Change;
+use crate::core::Delegates;
+use crate::core::Quarantine;
+use crate::record::SuspectRecord;
+use crate::record::signed;
+use crate::suspect::Suspect;
+
+/// How much later than the daemons of a group those of the next group begin a trial; a group has
+/// twice as many daemons as the one before.
+const TRIAL_STAGGER_MS: i64 = 1_000;
+/// The most by which any daemon begins a trial later than the first one.
+const MAX_TRIAL_DELAY_MS: i64 = 10_000;
+
+/// Whether a request with a quarantined suspect may be sent, and why.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Permit {
+    /// It may not.
+    Refused,
+    /// It is a trial, some time after the last crash.
+    Trial,
+    /// All crashes of the part also count against another one, which the request does not have. Its
+    /// answer tells which of the two causes them.
+    Distinguishing,
+}
+
+impl Quarantine {
+    /// Returns in how long the next trial of a quarantined suspect with an item is due, or `None` if it has
+    /// none left.
+    pub fn trial_due_in_ms(&self, now_ms: Millis, suspect: Suspect) -> Option<Millis> {
+        let due_ms = self.records.get(&suspect)?.trial_due_ms(true)?;
+        Some((due_ms - signed(now_ms)).max(0) as Millis)
+    }
+
+    /// Returns a suspect because of which a request must not be sent, if there is one.
+    pub fn blocking_suspect(
+        &self,
+        now_ms: Millis,
+        suspects: &[Suspect],
+        delegates: &dyn Delegates,
+    ) -> Option<Suspect> {
+        let mut quarantined =
+            suspects.iter().copied().filter(|suspect| self.is_quarantined(*suspect));
+        quarantined.find(|suspect| {
+            self.permit(signed(now_ms), *suspect, suspects, delegates) == Permit::Refused
+        })
+    }
+
+    /// Checks a request before it asks for a slot; returns a suspect because of which it is refused. A
+    /// refused request counts as one that came.
+    pub fn refuse_early(
+        &mut self,
+        now_ms: Millis,
+        suspects: &[Suspect],
+        delegates: &dyn Delegates,
+    ) -> Option<Suspect> {
+        let blocking = self.blocking_suspect(now_ms, suspects, delegates)?;
+        for suspect in suspects {
+            let record = self.records.get_mut(suspect).filter(|record| record.is_quarantined);
+            if let Some(record) = record {
+                record.add_request(signed(now_ms));
+            }
+        }
+        Some(blocking)
+    }
+
+    /// Checks an item of a job before the job is accepted; returns a suspect because of which it is
+    /// refused. A refused item counts as a request that came.
+    ///
+    /// It is no reason to refuse if its run would tell two suspects apart, or if a trial has been due
+    /// for so long that no daemon holds an item or gets a request for it.
+    pub fn refuse_item(&mut self, now_ms: Millis, suspects: &[Suspect]) -> Option<Suspect> {
+        let now_ms = signed(now_ms);
+        let refused = suspects.iter().copied().find(|suspect| {
+            let record = self.records.get(suspect).filter(|record| record.is_quarantined);
+            record.is_some_and(|record| {
+                let due_ms = record.trial_due_ms(true);
+                let is_unclaimed =
+                    due_ms.is_some_and(|due_ms| now_ms >= due_ms + MAX_TRIAL_DELAY_MS);
+                !is_unclaimed && !self.is_distinguishing(record, suspects)
+            })
+        })?;
+        if let Some(record) = self.records.get_mut(&refused) {
+            record.add_request(now_ms);
+        }
+        Some(refused)
+    }
+
+    /// Records a request that is about to be sent; returns a suspect because of which it must not
+    /// be.
+    pub fn admit(
+        &mut self,
+        now_ms: Millis,
+        suspects: &[Suspect],
+        delegates: &dyn Delegates,
+    ) -> Result<(), Suspect> {
+        let blocking = self.blocking_suspect(now_ms, suspects, delegates);
+        let now_ms = signed(now_ms);
+        for suspect in suspects.iter().copied() {
+            if !self.is_quarantined(suspect) {
+                continue;
+            }
+            let permit = self.permit(now_ms, suspect, suspects, delegates);
+            let Some(record) = self.records.get_mut(&suspect) else { continue };
+            record.add_request(now_ms);
+            match permit {
+                _ if blocking.is_some() => continue,
+                Permit::Distinguishing => record.begin_distinguishing(now_ms),
+                Permit::Trial => {
+                    record.begin_trial(now_ms);
+                    self.has_unsent = true;
+                }
+                Permit::Refused => continue,
+            }
+            self.changes.push(Change::TrialBegun { suspect });
+        }
+        blocking.map_or(Ok(()), Err)
+    }
+
+    /// Takes back the trials that began when a request was admitted at `admitted_ms`, since no replica
+    /// received it.
+    pub fn cancel_trials(&mut self, now_ms: Millis, admitted_ms: Millis, suspects: &[Suspect]) {
+        for suspect in suspects {
+            if let Some(record) = self.records.get_mut(suspect) {
+                self.has_unsent |= record.cancel_trial(signed(now_ms), signed(admitted_ms));
+            }
+        }
+    }
+
+    /// Returns whether a request with a quarantined suspect may be sent.
+    fn permit(
+        &self,
+        now_ms: i64,
+        suspect: Suspect,
+        suspects: &[Suspect],
+        delegates: &dyn Delegates,
+    ) -> Permit {
+        let Some(record) = self.records.get(&suspect) else { return Permit::Refused };
+        let is_item = is_item(suspects);
+        let delay_ms = delegates.trial_rank(suspect).and_then(|rank| trial_delay_ms(suspect, rank));
+        let due_ms = record.trial_due_ms(is_item).zip(delay_ms);
+        if due_ms.is_some_and(|(due_ms, delay_ms)| now_ms >= due_ms + delay_ms) {
+            return Permit::Trial;
+        }
+        if suspect.is_request() {
+            return Permit::Refused;
+        }
+        if self.is_distinguishing(record, suspects)
+            && record.is_distinguishing_due(now_ms, delegates.is_reporter(suspect))
+        {
+            return Permit::Distinguishing;
+        }
+        Permit::Refused
+    }
+
+    /// Returns whether all crashes of a suspect count against another quarantined one that the request
+    /// does not have.
+    fn is_distinguishing(&self, record: &SuspectRecord, suspects: &[Suspect]) -> bool {
+        self.records.iter().any(|(other, other_record)| {
+            other_record.is_quarantined
+                && !suspects.contains(other)
+                && record.is_explained_by(other_record)
+        })
+    }
+}
+
+/// Returns how much later than the first daemon one of a rank may begin a trial, so that it knows of
+/// those of earlier ranks, or `None` if it may not begin any.
+///
+/// Requests that come again, which meet all daemons, are tried by the first daemon only. Which daemons
+/// hold items with a part is not known, so any of them may begin its trials.
+fn trial_delay_ms(suspect: Suspect, rank: usize) -> Option<i64> {
+    if suspect.is_request() {
+        return (rank == 0).then_some(0);
+    }
+    let group = (rank + 1).ilog2();
+    let size = 1 << group;
+    let place_in_group = (rank + 1) as i64 - size;
+    let delay_ms = i64::from(group) * TRIAL_STAGGER_MS + place_in_group * TRIAL_STAGGER_MS / size;
+    Some(delay_ms.min(MAX_TRIAL_DELAY_MS))
+}
+
+/// Returns whether the suspects are those of an item, which has no fingerprint.
+fn is_item(suspects: &[Suspect]) -> bool {
+    !suspects.iter().any(|suspect| suspect.is_request())
+}
--- a/crates/quarantine/src/core.rs
+++ b/crates/quarantine/src/core.rs
@@ -70,34 +70,23 @@
 
 /// Chooses the daemons that act for all others, by suspect.
 pub trait Delegates {
-    /// Returns whether this daemon is the one that lets trials of a suspect through.
-    fn is_trial_owner(&self, suspect: Suspect) -> bool;
+    /// Returns how many ready daemons may begin trials of a suspect before this one, or `None` if
+    /// this daemon may not begin any.
+    fn trial_rank(&self, suspect: Suspect) -> Option<usize>;
 
     /// Returns whether this daemon is one of the few that act first on a suspect: they reply with
     /// their sound answers and let distinguishing requests through.
     fn is_reporter(&self, suspect: Suspect) -> bool;
 }
 
-/// Whether a request with a quarantined suspect may be sent, and why.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Permit {
-    /// It may not.
-    Refused,
-    /// It is a trial, some time after the last crash.
-    Trial,
-    /// All crashes of the part also count against another one, which the request does not have. Its
-    /// answer tells which of the two causes them.
-    Distinguishing,
-}
-
 /// The evidence of one daemon and its peers about prompt parts and requests.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
-    records: HashMap<Suspect, SuspectRecord>,
+    pub(crate) records: HashMap<Suspect, SuspectRecord>,
     /// When this daemon last received a sound answer to a request with a suspect.
     sounds: HashMap<Suspect, i64>,
-    changes: Vec<Change>,
-    has_unsent: bool,
+    pub(crate) changes: Vec<Change>,
+    pub(crate) has_unsent: bool,
     pushed_ms: Option<i64>,
 }
 
@@ -153,131 +142,7 @@
         }
     }
 
-    /// Returns a suspect because of which a request must not be sent, if there is one.
-    pub fn blocking_suspect(
-        &self,
-        now_ms: Millis,
-        suspects: &[Suspect],
-        delegates: &dyn Delegates,
-    ) -> Option<Suspect> {
-        let mut quarantined =
-            suspects.iter().copied().filter(|suspect| self.is_quarantined(*suspect));
-        quarantined.find(|suspect| {
-            self.permit(signed(now_ms), *suspect, suspects, delegates) == Permit::Refused
-        })
-    }
-
-    /// Checks a request before it asks for a slot; returns a suspect because of which it is refused. A
-    /// refused request counts as one that came.
-    pub fn refuse_early(
-        &mut self,
-        now_ms: Millis,
-        suspects: &[Suspect],
-        delegates: &dyn Delegates,
-    ) -> Option<Suspect> {
-        let blocking = self.blocking_suspect(now_ms, suspects, delegates)?;
-        for suspect in suspects {
-            let record = self.records.get_mut(suspect).filter(|record| record.is_quarantined);
-            if let Some(record) = record {
-                record.add_request(signed(now_ms));
-            }
-        }
-        Some(blocking)
-    }
-
-    /// Checks an item of a job before the job is accepted; returns a suspect because of which it is
-    /// refused. A refused item counts as a request that came.
-    ///
-    /// While a trial is due, or a request tells two suspects apart, the item is no reason to refuse.
-    pub fn refuse_item(&mut self, now_ms: Millis, suspects: &[Suspect]) -> Option<Suspect> {
-        let now_ms = signed(now_ms);
-        let refused = suspects.iter().copied().find(|suspect| {
-            let record = self.records.get(suspect).filter(|record| record.is_quarantined);
-            record.is_some_and(|record| {
-                !record.is_trial_due(now_ms) && !self.is_distinguishing(record, suspects)
-            })
-        })?;
-        if let Some(record) = self.records.get_mut(&refused) {
-            record.add_request(now_ms);
-        }
-        Some(refused)
-    }
-
-    /// Records a request that is about to be sent; returns a suspect because of which it must not
-    /// be.
-    pub fn admit(
-        &mut self,
-        now_ms: Millis,
-        suspects: &[Suspect],
-        delegates: &dyn Delegates,
-    ) -> Result<(), Suspect> {
-        let blocking = self.blocking_suspect(now_ms, suspects, delegates);
-        let now_ms = signed(now_ms);
-        for suspect in suspects.iter().copied() {
-            if !self.is_quarantined(suspect) {
-                continue;
-            }
-            let permit = self.permit(now_ms, suspect, suspects, delegates);
-            let Some(record) = self.records.get_mut(&suspect) else { continue };
-            record.add_request(now_ms);
-            match permit {
-                _ if blocking.is_some() => continue,
-                Permit::Distinguishing => record.begin_distinguishing(now_ms),
-                Permit::Trial => {
-                    record.begin_trial(now_ms);
-                    self.has_unsent = true;
-                }
-                Permit::Refused => continue,
-            }
-            self.changes.push(Change::TrialBegun { suspect });
-        }
-        blocking.map_or(Ok(()), Err)
-    }
-
-    /// Takes back the trials that began when a request was admitted at `admitted_ms`, since no replica
-    /// received it.
-    pub fn cancel_trials(&mut self, admitted_ms: Millis, suspects: &[Suspect]) {
-        for suspect in suspects {
-            if let Some(record) = self.records.get_mut(suspect) {
-                record.cancel_trial(signed(admitted_ms));
-            }
-        }
-    }
-
-    /// Returns whether a request with a quarantined suspect may be sent.
-    fn permit(
-        &self,
-        now_ms: i64,
-        suspect: Suspect,
-        suspects: &[Suspect],
-        delegates: &dyn Delegates,
-    ) -> Permit {
-        let Some(record) = self.records.get(&suspect) else { return Permit::Refused };
-        if record.is_trial_due(now_ms) && delegates.is_trial_owner(suspect) {
-            return Permit::Trial;
-        }
-        if suspect.is_request() {
-            return Permit::Refused;
-        }
-        if self.is_distinguishing(record, suspects)
-            && record.is_distinguishing_due(now_ms, delegates.is_reporter(suspect))
-        {
-            return Permit::Distinguishing;
-        }
-        Permit::Refused
-    }
-
-    /// Returns whether all crashes of a suspect count against another quarantined one that the request
-    /// does not have.
-    fn is_distinguishing(&self, record: &SuspectRecord, suspects: &[Suspect]) -> bool {
-        self.records.iter().any(|(other, other_record)| {
-            other_record.is_quarantined
-                && !suspects.contains(other)
-                && record.is_explained_by(other_record)
-        })
-    }
-
-    fn is_quarantined(&self, suspect: Suspect) -> bool {
+    pub(crate) fn is_quarantined(&self, suspect: Suspect) -> bool {
         self.records.get(&suspect).is_some_and(|record| record.is_quarantined)
     }
 
@@ -296,12 +161,6 @@
         Some(record.to_view(signed(now_ms), sound_ms))
     }
 
-    /// Returns in how long the next trial of a quarantined suspect is due, or `None` if it has none left.
-    pub fn trial_due_in_ms(&self, now_ms: Millis, suspect: Suspect) -> Option<Millis> {
-        let due_ms = self.records.get(&suspect)?.trial_due_ms()?;
-        Some((due_ms - signed(now_ms)).max(0) as Millis)
-    }
-
     /// Returns the other suspects against which a crash of this one counts too.
     pub fn suspects_beside(&self, suspect: Suspect) -> Vec<Suspect> {
         let Some(record) = self.records.get(&suspect) else { return Vec::new() };
@@ -313,9 +172,9 @@
         beside
     }
 
-    /// Returns whether there is evidence about any request, so that fingerprints are needed.
-    pub fn has_suspect_requests(&self) -> bool {
-        self.records.keys().any(|suspect| suspect.is_request())
+    /// Returns whether there is evidence about any suspect, so that fingerprints are needed.
+    pub fn has_suspects(&self) -> bool {
+        !self.records.is_empty()
     }
 
     /// Returns the number of suspects with evidence and of those with remembered sound answers.
@@ -329,7 +188,7 @@
     pub fn merge(&mut self, now_ms: Millis, view: &QuarantineView, delegates: &dyn Delegates) {
         let now_ms = signed(now_ms);
         let mut is_changed = false;
-        for (suspect, evidence) in view.suspects() {
+        for (suspect, evidence, cancelled_trials) in view.suspects() {
             if !self.records.contains_key(&suspect) && evidence.crashes.is_empty() {
                 continue;
             }
@@ -338,7 +197,7 @@
                 .records
                 .entry(suspect)
                 .or_insert_with(|| SuspectRecord::new(now_ms, suspect.is_request(), sound_ms));
-            is_changed |= record.merge(now_ms, evidence);
+            is_changed |= record.merge(now_ms, evidence, cancelled_trials);
             let Some(sound_ms) = sound_ms else { continue };
             let reported_ms = evidence.sound_age_ms.map(|age_ms| now_ms - i64::from(age_ms));
             let is_newer = reported_ms.is_none_or(|ms| sound_ms > ms + REPLY_AFTER_MS);
@@ -407,9 +266,12 @@
             self.records.iter().filter(|(_, record)| is_included(record)).collect();
         included.sort_by_key(|(suspect, record)| std::cmp::Reverse(suspicion(suspect, record)));
         included.truncate(MAX_VIEW_SUSPECTS);
+        let (requests, parts): (Vec<_>, Vec<_>) =
+            included.into_iter().partition(|(suspect, _)| suspect.is_request());
         let mut view = QuarantineView::default();
-        for (suspect, record) in included {
+        for (suspect, record) in parts.into_iter().chain(requests) {
             let evidence = record.to_view(signed(now_ms), self.sounds.get(suspect).copied());
+            view.cancelled_trials.push(record.cancelled_trials());
             match *suspect {
                 Suspect::Part(part) => view.parts.push(PartView { part, evidence }),
                 Suspect::Request(fingerprint) => {
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -1,5 +1,6 @@
 //! Quarantine of prompt parts and requests that crash replicas, as a pure state machine.
 
+mod admission;
 pub mod core;
 pub mod part;
 pub mod record;
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -8,7 +8,7 @@
 use crate::view::EvidenceView;
 
 /// The most crashes that are remembered for a suspect.
-const MAX_CRASHES: usize = 6;
+const MAX_CRASHES: usize = 7;
 /// How long after a sound answer crashes do not count: what was just answered did not cause them,
 /// and replicas that crash at the same moment would otherwise count as evidence against every part
 /// in use.
@@ -24,14 +24,24 @@
 const CLEARED_PERIOD_MS: i64 = 5_000;
 /// The time after the last crash or trial until a request is let through as a trial.
 const TRIAL_AFTER_MS: i64 = 60_000;
+/// The same for an item, which is owed until its retention ends.
+const ITEM_TRIAL_AFTER_MS: i64 = 10_000;
+/// The time after the last crash until the first trial of a part, which releases one that was
+/// quarantined by mistake.
+const FIRST_PART_TRIAL_AFTER_MS: i64 = 3_000;
 /// The time after the last crash until the first trial of a request: requests that were lost in the
 /// same crashes cannot be told apart otherwise.
 const FIRST_REQUEST_TRIAL_AFTER_MS: i64 = 1_500;
 /// The time after the last crash until daemons that are not reporters let a distinguishing request
 /// through, and the time between two such requests of one daemon.
 const DISTINGUISH_AFTER_MS: i64 = 1_000;
-/// The most trials of a suspect.
-const MAX_TRIALS: u8 = 2;
+/// The trials of a suspect, whatever its crashes.
+const MIN_TRIALS: u8 = 2;
+/// The most trials of a part.
+const MAX_PART_TRIALS: u8 = 4;
+/// The number of crashes of a part from which it gets no more than `MIN_TRIALS`: this and the trials
+/// bound how many requests with a part that crashes replicas reach some after five crashes.
+const CRASHES_TO_END_TRIALS: usize = MAX_CRASHES;
 
 /// A crash of a replica that lost a request to which the suspect belongs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,7 +61,8 @@
     sound_ms: Option<i64>,
     requested_ms: i64,
     updated_ms: i64,
-    trials: u8,
+    begun_trials: u8,
+    cancelled_trials: u8,
     trial_ms: i64,
     /// When this daemon last let a distinguishing request through.
     distinguished_ms: i64,
@@ -67,7 +78,8 @@
             sound_ms,
             requested_ms: i64::MIN / 2,
             updated_ms: now_ms,
-            trials: 0,
+            begun_trials: 0,
+            cancelled_trials: 0,
             trial_ms: i64::MIN / 2,
             distinguished_ms: i64::MIN / 2,
         }
@@ -134,7 +146,8 @@
         let is_changed = self.crashes.len() < count;
         if is_changed {
             self.updated_ms = now_ms;
-            self.trials = 0;
+            self.begun_trials = 0;
+            self.cancelled_trials = 0;
         }
         is_changed
     }
@@ -143,35 +156,48 @@
         self.requested_ms = now_ms;
     }
 
-    /// Returns whether a request may be sent as a trial of the quarantined suspect.
-    pub(crate) fn is_trial_due(&self, now_ms: i64) -> bool {
-        self.trial_due_ms().is_some_and(|due_ms| now_ms >= due_ms)
+    /// Returns when the next trial is due, or `None` if there is none left; trials with items may
+    /// come sooner.
+    pub(crate) fn trial_due_ms(&self, is_item: bool) -> Option<i64> {
+        let trials = self.trials();
+        let has_more = trials < MAX_PART_TRIALS && self.crashes.len() < CRASHES_TO_END_TRIALS;
+        let is_left = trials < MIN_TRIALS || (!self.is_request && has_more);
+        if !is_left || self.begun_trials == u8::MAX {
+            return None;
+        }
+        let after_ms = match (trials, self.is_request, is_item) {
+            (0, true, _) => FIRST_REQUEST_TRIAL_AFTER_MS,
+            (0, false, _) => FIRST_PART_TRIAL_AFTER_MS,
+            (_, false, true) => ITEM_TRIAL_AFTER_MS,
+            _ => TRIAL_AFTER_MS,
+        };
+        Some(self.last_crash_ms().max(self.trial_ms) + after_ms)
     }
 
-    /// Returns when the next trial is due, or `None` if there is none left.
-    pub(crate) fn trial_due_ms(&self) -> Option<i64> {
-        let last_ms = self.last_crash_ms().max(self.trial_ms);
-        let is_first_of_request = self.is_request && self.trials == 0;
-        let after_ms =
-            if is_first_of_request { FIRST_REQUEST_TRIAL_AFTER_MS } else { TRIAL_AFTER_MS };
-        (self.trials < MAX_TRIALS).then_some(last_ms + after_ms)
+    /// Returns the number of trials, without those whose send reached no replica.
+    fn trials(&self) -> u8 {
+        self.begun_trials.saturating_sub(self.cancelled_trials)
     }
 
     pub(crate) fn begin_trial(&mut self, now_ms: i64) {
-        self.trials += 1;
+        self.begun_trials += 1;
         self.trial_ms = now_ms;
         self.changed_ms = Some(now_ms);
     }
 
-    /// Takes back the trial or the distinguishing request that began at `begun_ms`, if there was one.
-    pub(crate) fn cancel_trial(&mut self, begun_ms: i64) {
-        if self.trial_ms == begun_ms {
-            self.trials = self.trials.saturating_sub(1);
-            self.trial_ms = i64::MIN / 2;
-        }
+    /// Takes back the trial or the distinguishing request that began at `begun_ms`, if there was one;
+    /// returns whether peers must be told.
+    pub(crate) fn cancel_trial(&mut self, now_ms: i64, begun_ms: i64) -> bool {
         if self.distinguished_ms == begun_ms {
             self.distinguished_ms = i64::MIN / 2;
         }
+        if self.trial_ms != begun_ms {
+            return false;
+        }
+        self.cancelled_trials = self.cancelled_trials.saturating_add(1);
+        self.trial_ms = i64::MIN / 2;
+        self.changed_ms = Some(now_ms);
+        true
     }
 
     /// Returns whether the record no longer matters.
@@ -190,7 +216,7 @@
 
     /// Merges what a peer knows of the suspect; returns whether its crashes or sound answers
     /// changed the record.
-    pub(crate) fn merge(&mut self, now_ms: i64, view: &EvidenceView) -> bool {
+    pub(crate) fn merge(&mut self, now_ms: i64, view: &EvidenceView, cancelled_trials: u8) -> bool {
         let mut is_changed = false;
         if let Some(age_ms) = view.sound_age_ms {
             let previous_ms = self.sound_ms();
@@ -204,13 +230,24 @@
         }
         let requested_ms = now_ms - i64::from(view.requested_age_ms) - RELAY_ALLOWANCE_MS;
         self.requested_ms = self.requested_ms.max(requested_ms);
-        if view.trials > self.trials && !self.crashes.is_empty() {
-            self.trials = view.trials;
+        if view.trials > self.begun_trials && !self.crashes.is_empty() {
+            self.begun_trials = view.trials;
             self.trial_ms = now_ms - i64::from(view.trial_age_ms);
         }
+        if cancelled_trials > self.cancelled_trials && !self.crashes.is_empty() {
+            self.cancelled_trials = cancelled_trials;
+            if view.trials >= self.begun_trials {
+                self.trial_ms = now_ms - i64::from(view.trial_age_ms);
+            }
+        }
         is_changed
     }
 
+    /// Returns how many of the trials that began reached no replica.
+    pub(crate) fn cancelled_trials(&self) -> u8 {
+        self.cancelled_trials
+    }
+
     /// Returns what peers are told of the suspect; `own_sound_ms` is the time of the last sound
     /// answer that this daemon itself received.
     pub(crate) fn to_view(&self, now_ms: i64, own_sound_ms: Option<i64>) -> EvidenceView {
@@ -222,7 +259,7 @@
             crashes: crashes.collect(),
             sound_age_ms: own_sound_ms.map(|sound_ms| age_ms(now_ms, sound_ms)),
             requested_age_ms: age_ms(now_ms, self.requested_ms),
-            trials: self.trials,
+            trials: self.begun_trials,
             trial_age_ms: age_ms(now_ms, self.trial_ms),
         }
     }
--- a/crates/quarantine/src/view.rs
+++ b/crates/quarantine/src/view.rs
@@ -20,25 +20,42 @@
     pub parts: Vec<PartView>,
     /// The requests, the most suspect first. Older builds ignore the bytes after the parts.
     pub requests: Vec<RequestView>,
+    /// How many trials of each suspect reached no replica: of the parts, then of the requests. Older
+    /// builds ignore it.
+    pub cancelled_trials: Vec<u8>,
 }
 
 impl QuarantineView {
     /// Decodes a message, which ends after the parts if its sender is of an older build.
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let (parts, rest) = postcard::take_from_bytes(bytes)?;
-        let requests = if rest.is_empty() { Vec::new() } else { postcard::from_bytes(rest)? };
-        Ok(Self { parts, requests })
+        let (requests, rest) = take_or_empty(rest)?;
+        let (cancelled_trials, _) = take_or_empty(rest)?;
+        Ok(Self { parts, requests, cancelled_trials })
     }
 
-    /// Returns the suspects, without those beyond the limit.
-    pub(crate) fn suspects(&self) -> impl Iterator<Item = (Suspect, &EvidenceView)> {
-        let requests =
-            self.requests.iter().map(|view| (Suspect::Request(view.fingerprint), &view.evidence));
-        let parts = self.parts.iter().map(|view| (Suspect::Part(view.part), &view.evidence));
+    /// Returns the suspects with their evidence and cancelled trials, without those beyond the limit.
+    pub(crate) fn suspects(&self) -> impl Iterator<Item = (Suspect, &EvidenceView, u8)> {
+        let cancelled = |index: usize| self.cancelled_trials.get(index).copied().unwrap_or(0);
+        let requests = self.requests.iter().enumerate().map(move |(index, view)| {
+            let cancelled = cancelled(self.parts.len() + index);
+            (Suspect::Request(view.fingerprint), &view.evidence, cancelled)
+        });
+        let parts =
+            self.parts.iter().enumerate().map(move |(index, view)| {
+                (Suspect::Part(view.part), &view.evidence, cancelled(index))
+            });
         requests.chain(parts).take(MAX_VIEW_SUSPECTS)
     }
 }
 
+/// Decodes a list, which is empty if the message ends before it.
+fn take_or_empty<'a, T: Deserialize<'a>>(
+    bytes: &'a [u8],
+) -> Result<(Vec<T>, &'a [u8]), postcard::Error> {
+    if bytes.is_empty() { Ok((Vec::new(), bytes)) } else { postcard::take_from_bytes(bytes) }
+}
+
 /// What a daemon knows of one part.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartView {
@@ -66,7 +83,7 @@
     pub sound_age_ms: Option<u32>,
     /// The age of the latest request.
     pub requested_age_ms: u32,
-    /// The number of trials so far.
+    /// The number of trials that began so far.
     pub trials: u8,
     /// The age of the latest trial.
     pub trial_age_ms: u32,
--- a/crates/wire/src/rendezvous.rs
+++ b/crates/wire/src/rendezvous.rs
@@ -35,12 +35,19 @@
     others: impl IntoIterator<Item = &'a M>,
     count: usize,
 ) -> bool
+where
+    M: AsRef<str> + 'a,
+{
+    rank(key, own, others) < count
+}
+
+/// Returns how many of `others` have a higher weight than `own` for a key.
+pub fn rank<'a, M>(key: &str, own: &M, others: impl IntoIterator<Item = &'a M>) -> usize
 where
     M: AsRef<str> + 'a,
 {
     let own_weight = weight(key, own.as_ref());
-    let higher = others.into_iter().filter(|other| weight(key, other.as_ref()) > own_weight);
-    higher.count() < count
+    others.into_iter().filter(|other| weight(key, other.as_ref()) > own_weight).count()
 }
 
 /// Returns a hash of `bytes` that is the same in every process.
