Let held items take turns in trials

Every item with the part was let through to ask for a slot when a trial was due, and the first in the job won.

Of the items that a daemon holds because of a part, only the one whose last run was lost longest ago asks for a slot. Interrupted items stay held, so that an item that got no slot keeps its place.

trials_go_to_the_held_item_that_was_lost_longest_ago checks the order; the functions that it calls are new.

--- a/crates/gate/src/crash_guard.rs
+++ b/crates/gate/src/crash_guard.rs
@@ -95,6 +95,11 @@
         self.quarantine.borrow_mut().refuse_item(self.clock.now_ms(), &suspects)
     }
 
+    /// Returns whether a suspect is quarantined.
+    pub fn is_quarantined(&self, suspect: Suspect) -> bool {
+        self.quarantine.borrow().is_quarantined(suspect)
+    }
+
     /// Returns whether any prompt part is quarantined.
     pub fn has_quarantined_parts(&self) -> bool {
         self.quarantine.borrow().quarantined_counts().0 > 0
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use quarantine::Suspect;
 use wire::JobId;
 use wire::Millis;
 
@@ -77,8 +78,10 @@
     phase: Phase,
     failures: u32,
     progress: Progress,
-    /// Whether the item waits because a part of its prompt is quarantined.
-    is_held: bool,
+    /// Because of which quarantined part the item waits.
+    held_by: Option<Suspect>,
+    /// When a replica was last lost or gave no usable answer as it ran the item.
+    lost_ms: Option<Millis>,
 }
 
 /// The limits that the job's route sets.
@@ -101,6 +104,9 @@
     pub order_at_ms: Millis,
 }
 
+/// The position of a held item: when its last run was lost, and its id.
+pub type TrialOrder = (Option<Millis>, Arc<str>);
+
 /// A run of an item that the home should start.
 #[derive(Clone, Debug)]
 pub struct ItemRun {
@@ -166,7 +172,8 @@
                 item,
                 failures: 0,
                 progress: Progress::default(),
-                is_held: false,
+                held_by: None,
+                lost_ms: None,
             })
             .collect();
         Self {
@@ -299,12 +306,33 @@
 
     /// Holds an item that was started but not sent, since a part of its prompt is quarantined;
     /// returns whether it was not held before.
-    pub fn hold(&mut self, now_ms: Millis, index: usize) -> bool {
+    pub fn hold(&mut self, now_ms: Millis, index: usize, suspect: Suspect) -> bool {
         let Some(entry) = self.entries.get_mut(index) else { return false };
         if entry.phase == Phase::Running {
             entry.phase = Phase::Waiting { not_before_ms: now_ms + HOLD_DELAY_MS };
         }
-        !std::mem::replace(&mut entry.is_held, true)
+        entry.held_by.replace(suspect).is_none()
+    }
+
+    /// Returns the part because of which an item was held before its run, if it was.
+    pub fn held_by(&self, index: usize) -> Option<Suspect> {
+        self.entries.get(index)?.held_by
+    }
+
+    /// Returns the position of an item among all that wait for a trial of the same part: the one whose
+    /// last run was lost longest ago, or that had none, comes first.
+    pub fn trial_order(&self, index: usize) -> Option<TrialOrder> {
+        self.entries.get(index).map(trial_order_of)
+    }
+
+    /// Returns the first position of the held items with a part.
+    pub fn first_trial_order(&self, suspect: Suspect) -> Option<TrialOrder> {
+        if self.is_ended {
+            return None;
+        }
+        let is_held =
+            |entry: &&ItemEntry| entry.held_by == Some(suspect) && entry.phase != Phase::Done;
+        self.entries.iter().filter(is_held).map(trial_order_of).min()
     }
 
     /// Updates the output of a running item.
@@ -359,7 +387,12 @@
         if entry.phase != Phase::Running {
             return;
         }
-        entry.is_held = false;
+        if end != ItemRunEnd::Interrupted {
+            entry.held_by = None;
+        }
+        if end == ItemRunEnd::Lost {
+            entry.lost_ms = Some(now_ms);
+        }
         let delay_ms = match end {
             ItemRunEnd::Completed => {
                 let text = Arc::from(progress.text);
@@ -524,6 +557,10 @@
     i64::try_from(duration_ms).unwrap_or(i64::MAX)
 }
 
+fn trial_order_of(entry: &ItemEntry) -> TrialOrder {
+    (entry.lost_ms, entry.item.id.clone())
+}
+
 fn is_ready(entry: &ItemEntry, now_ms: Millis) -> bool {
     matches!(entry.phase, Phase::Waiting { not_before_ms } if not_before_ms <= now_ms)
 }
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -107,7 +107,9 @@
             let Some(run) = handle.job.borrow_mut().start_next(now_ms) else { return };
             let host = handle.job.borrow().host.clone();
             let parts = self.prompt_parts(&host, &run.item);
-            if let Some(suspect) = self.deps.crash_guard.blocking_part(&parts) {
+            let blocking = self.deps.crash_guard.blocking_part(&parts);
+            if let Some(suspect) = blocking.or_else(|| self.trial_of_others(handles, handle, &run))
+            {
                 self.hold_item(handle, &run, suspect);
                 continue;
             }
@@ -122,9 +124,26 @@
         self.deps.ingress_codec.decode_prompt_parts(&headers)
     }
 
+    /// Returns the quarantined part of an item whose next trial is due to another held item.
+    fn trial_of_others(
+        &self,
+        handles: &[Rc<JobHandle>],
+        handle: &JobHandle,
+        run: &ItemRun,
+    ) -> Option<Suspect> {
+        let suspect = handle.job.borrow().held_by(run.index)?;
+        if !self.deps.crash_guard.is_quarantined(suspect) {
+            return None;
+        }
+        let own = handle.job.borrow().trial_order(run.index);
+        let orders =
+            handles.iter().filter_map(|other| other.job.borrow().first_trial_order(suspect));
+        (orders.min() < own).then_some(suspect)
+    }
+
     fn hold_item(&self, handle: &JobHandle, run: &ItemRun, suspect: Suspect) {
         let mut job = handle.job.borrow_mut();
-        if job.hold(self.now_ms(), run.index) {
+        if job.hold(self.now_ms(), run.index, suspect) {
             self.deps.counters.count("items_held");
             let trial_in_ms = self.deps.crash_guard.trial_due_in_ms(suspect);
             info!(
--- a/crates/jobs/tests/job.rs
+++ b/crates/jobs/tests/job.rs
@@ -14,6 +14,8 @@
 use jobs::record::ResultPart;
 use jobs::retention::UnheldJobs;
 use jobs::run_time::RunTimeEstimate;
+use quarantine::PromptPart;
+use quarantine::Suspect;
 
 const LIMITS: JobLimits = JobLimits { due_ms: 18_000, retention_ms: 60_000, max_attempts: 3 };
 
@@ -27,6 +29,10 @@
     }
 }
 
+fn suspect() -> Suspect {
+    Suspect::Part(PromptPart::from_id("dead"))
+}
+
 fn job(count: usize) -> Job {
     let items = (0..count).map(|number| item(&format!("i{number}"))).collect();
     Job::new("j".into(), "host", "/jobs/", 0, items, Vec::new())
@@ -58,18 +64,48 @@
 fn held_item_waits_while_others_run_and_is_given_up_at_retention() {
     let mut job = job(2);
     let held = job.start_next(0).expect("an item is ready").index;
-    assert!(job.hold(0, held), "newly held");
+    assert!(job.hold(0, held, suspect()), "newly held");
     let other = run(&mut job, 10, ItemRunEnd::Completed, output("text", 3));
     assert_ne!(other, held);
     assert!(job.start_next(999).is_none());
     assert_eq!(job.start_next(1_000).map(|next| next.index), Some(held));
-    assert!(!job.hold(1_000, held), "held before");
+    assert!(!job.hold(1_000, held, suspect()), "held before");
     job.give_up_expired(59_999, Some(&LIMITS));
     assert_eq!(job.results().len(), 1);
     job.give_up_expired(60_000, Some(&LIMITS));
     assert_eq!(job.results()[1].outcome, Outcome::GivenUp);
 }
 
+#[test]
+fn trials_go_to_the_held_item_that_was_lost_longest_ago() {
+    let mut job = job(3);
+    for _ in 0..3 {
+        let index = job.start_next(0).expect("an item is ready").index;
+        job.hold(0, index, suspect());
+    }
+    let mut tried = Vec::new();
+    for trial in 1..=6 {
+        let now_ms = 10_000 * trial;
+        let mut started = Vec::new();
+        while let Some(next) = job.start_next(now_ms) {
+            started.push(next.index);
+        }
+        assert_eq!(started.len(), 3);
+        let first = job.first_trial_order(suspect()).expect("held items");
+        for index in started {
+            if job.trial_order(index).as_ref() == Some(&first) {
+                tried.push(index);
+                job.end_run(now_ms, index, ItemRunEnd::Lost, Progress::default(), &LIMITS);
+                let next = job.start_next(now_ms + 100).expect("the lost item is ready");
+                job.hold(now_ms + 100, next.index, suspect());
+            } else {
+                assert!(!job.hold(now_ms, index, suspect()), "held before");
+            }
+        }
+    }
+    assert_eq!(tried, [0, 1, 2, 0, 1, 2]);
+}
+
 #[test]
 fn interrupted_item_resumes_from_its_output() {
     let mut job = job(2);
--- a/crates/quarantine/src/core.rs
+++ b/crates/quarantine/src/core.rs
@@ -142,7 +142,8 @@
         }
     }
 
-    pub(crate) fn is_quarantined(&self, suspect: Suspect) -> bool {
+    /// Returns whether a suspect is quarantined.
+    pub fn is_quarantined(&self, suspect: Suspect) -> bool {
         self.records.get(&suspect).is_some_and(|record| record.is_quarantined)
     }
 
