Claim a trial before its item asks for a slot

A trial begins, and peers are told, before its item asks for a slot; without a slot it is given back.

--- a/crates/gate/src/crash_guard.rs
+++ b/crates/gate/src/crash_guard.rs
@@ -95,6 +95,31 @@
         self.quarantine.borrow_mut().refuse_item(self.clock.now_ms(), &suspects)
     }
 
+    /// Begins the trial of an item with a quarantined part before the item asks for a slot, so that
+    /// peers learn of it early; returns its time, or `None` if the item needs no trial.
+    pub fn claim_trial(
+        &self,
+        id: &RequestId,
+        parts: &[PromptPart],
+    ) -> Result<Option<Millis>, Suspect> {
+        let suspects: Vec<Suspect> = parts.iter().copied().map(Suspect::Part).collect();
+        if !suspects.iter().any(|suspect| self.is_quarantined(*suspect)) {
+            return Ok(None);
+        }
+        let now_ms = self.clock.now_ms();
+        let admitted = self.quarantine.borrow_mut().admit(now_ms, &suspects, &*self.delegates);
+        self.log_changes_of(Some(id));
+        admitted.map(|()| Some(now_ms))
+    }
+
+    /// Gives back the trial that an item without a slot claimed.
+    pub fn release_trial(&self, claimed_ms: Millis, id: &RequestId, parts: &[PromptPart]) {
+        let suspects: Vec<Suspect> = parts.iter().copied().map(Suspect::Part).collect();
+        let now_ms = self.clock.now_ms();
+        self.quarantine.borrow_mut().cancel_trials(now_ms, claimed_ms, &suspects);
+        self.log_trial_end(id, "not_run");
+    }
+
     /// Returns whether a suspect is quarantined.
     pub fn is_quarantined(&self, suspect: Suspect) -> bool {
         self.quarantine.borrow().is_quarantined(suspect)
@@ -131,7 +156,7 @@
     pub fn record_not_run(&self, admitted_ms: Millis, request: &ClientRequest) {
         let suspects = self.suspects_of(request);
         self.quarantine.borrow_mut().cancel_trials(self.clock.now_ms(), admitted_ms, &suspects);
-        self.log_trial_end(request, "not_run");
+        self.log_trial_end(&request.id, "not_run");
     }
 
     /// Records that an answer to a request has progressed or is complete.
@@ -140,7 +165,7 @@
         if !suspects.is_empty() {
             self.quarantine.borrow_mut().record_sound(self.clock.now_ms(), &suspects);
             self.log_changes();
-            self.log_trial_end(request, "sound");
+            self.log_trial_end(&request.id, "sound");
         }
     }
 
@@ -153,7 +178,7 @@
         if suspects.is_empty() {
             return;
         }
-        self.log_trial_end(request, "lost");
+        self.log_trial_end(&request.id, "lost");
         let lost_request = LostRequest { id: request.id.clone(), suspects };
         let mut losses = self.losses.borrow_mut();
         if let Some(loss) = losses.get_mut(&replica.name) {
@@ -315,11 +340,11 @@
     }
 
     /// Logs the outcome of a request that was a trial.
-    fn log_trial_end(&self, request: &ClientRequest, outcome: &str) {
+    fn log_trial_end(&self, id: &RequestId, outcome: &str) {
         let mut trials = self.trials.borrow_mut();
-        let Some(index) = trials.iter().position(|id| *id == request.id) else { return };
+        let Some(index) = trials.iter().position(|trial| trial == id) else { return };
         trials.remove(index);
-        info!("event=trial_ended id={} outcome={outcome}", request.id);
+        info!("event=trial_ended id={id} outcome={outcome}");
     }
 }
 
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -113,8 +113,17 @@
                 self.hold_item(handle, &run, suspect);
                 continue;
             }
+            let id = RequestId::from(&*run.item.id);
+            let claimed_ms = match self.deps.crash_guard.claim_trial(&id, &parts) {
+                Ok(claimed_ms) => claimed_ms,
+                Err(suspect) => {
+                    self.hold_item(handle, &run, suspect);
+                    continue;
+                }
+            };
+            let trial = claimed_ms.map(|claimed_ms| ClaimedTrial { claimed_ms, id, parts });
             self.waiting_for_slot.set(self.waiting_for_slot.get() + 1);
-            spawn_local(self.clone().run_item(handle.clone(), run, urgency));
+            spawn_local(self.clone().run_item(handle.clone(), run, urgency, trial));
         }
     }
 
@@ -155,7 +164,13 @@
         }
     }
 
-    async fn run_item(self: Rc<Self>, handle: Rc<JobHandle>, run: ItemRun, urgency: ItemUrgency) {
+    async fn run_item(
+        self: Rc<Self>,
+        handle: Rc<JobHandle>,
+        run: ItemRun,
+        urgency: ItemUrgency,
+        trial: Option<ClaimedTrial>,
+    ) {
         let index = run.index;
         let lease = tokio::select! {
             lease = self.acquire_slot(&handle, &run, urgency) => lease,
@@ -167,6 +182,9 @@
         self.check_for_pause();
         let lease = lease.filter(|_| !handle.is_unconfirmed.get());
         let Some(lease) = lease else {
+            if let Some(ClaimedTrial { claimed_ms, id, parts }) = &trial {
+                self.deps.crash_guard.release_trial(*claimed_ms, id, parts);
+            }
             let limits = self.limits_or_expired(&handle);
             let mut job = handle.job.borrow_mut();
             job.end_run(self.now_ms(), index, ItemRunEnd::Interrupted, run.progress, &limits);
@@ -177,7 +195,7 @@
         let events_before = run.progress.events;
         let mut progress = run.progress.clone();
         let (end, cause) = tokio::select! {
-            end = self.stream_item(&handle, &run, &lease, &mut progress) => end,
+            end = self.stream_item(&handle, &run, &lease, trial.as_ref(), &mut progress) => end,
             () = lease.revocation.revoked() => (ItemRunEnd::Interrupted, "slot_revoked"),
             () = handle.stop.cancelled() => (ItemRunEnd::Interrupted, "job_stopped"),
         };
@@ -213,6 +231,7 @@
         handle: &JobHandle,
         run: &ItemRun,
         lease: &SlotLease,
+        trial: Option<&ClaimedTrial>,
         progress: &mut Progress,
     ) -> (ItemRunEnd, &'static str) {
         let host = handle.job.borrow().host.clone();
@@ -228,7 +247,8 @@
             prompt_parts,
             is_item: true,
         };
-        let Ok(admitted_ms) = guard.admit(&request) else {
+        let admitted = trial.map_or_else(|| guard.admit(&request), |trial| Ok(trial.claimed_ms));
+        let Ok(admitted_ms) = admitted else {
             return (ItemRunEnd::Interrupted, "quarantined");
         };
         let outbound = exchange::OutboundRequest {
@@ -444,6 +464,13 @@
     }
 }
 
+/// The trial of a quarantined part that an item's run is.
+struct ClaimedTrial {
+    claimed_ms: Millis,
+    id: RequestId,
+    parts: Vec<PromptPart>,
+}
+
 /// The log fields of a run that had a slot.
 struct RunSummary {
     item: Arc<str>,
