Count trials that daemons begin at the same time, and give back every one that was not sent

Two daemons that did not hear each other began trials at once, and both counted as one, since peers merge the number as a maximum: a part got up to 6 sends. After 255 trials that reached no replica there was never another one. When a full list dropped the fourth crash, trials of one request pushed out the crashes of others, and the part was free although it crashed replicas. Any number of jobs was accepted while a trial was due or another suspect shared all crashes. A job whose record could not be read was refused as not run.

Crashes after the first trial was due count as trials. The numbers of begun and cancelled trials are 32 bits wide, and older builds get the difference. The first five crashes are kept. If the store cannot be read, the job may have run.

--- a/crates/gate/src/crash_guard.rs
+++ b/crates/gate/src/crash_guard.rs
@@ -92,7 +92,8 @@
     /// refused.
     pub fn refuse_item(&self, parts: &[PromptPart]) -> Option<Suspect> {
         let suspects: Vec<Suspect> = parts.iter().copied().map(Suspect::Part).collect();
-        self.quarantine.borrow_mut().refuse_item(self.clock.now_ms(), &suspects)
+        let mut quarantine = self.quarantine.borrow_mut();
+        quarantine.refuse_item(self.clock.now_ms(), &suspects, &*self.delegates)
     }
 
     /// Begins the trial of an item with a quarantined part before the item asks for a slot, so that
--- a/crates/jobs/src/quarantine_check.rs
+++ b/crates/jobs/src/quarantine_check.rs
@@ -52,8 +52,8 @@
             }
             Err(error) => {
                 info!("event=job_not_read job={id} error=\"{error}\"");
-                Err(Refusal::not_run(Reason::StoreUnavailable, error.to_string())
-                    .with_retry_after(MIN_RETRY_AFTER_MS))
+                // It may have been accepted before.
+                Err(Refusal::may_have_run(Reason::StoreUnavailable, error.to_string()))
             }
         }
     }
--- a/crates/quarantine/src/admission.rs
+++ b/crates/quarantine/src/admission.rs
@@ -70,23 +70,23 @@
     /// Checks an item of a job before the job is accepted; returns a suspect because of which it is
     /// refused. A refused item counts as a request that came.
     ///
-    /// It is no reason to refuse if its run would tell two suspects apart, or if a trial has been due
-    /// for so long that no daemon holds an item or gets a request for it.
-    pub fn refuse_item(&mut self, now_ms: Millis, suspects: &[Suspect]) -> Option<Suspect> {
+    /// If a trial has been due for so long that no daemon holds an item or gets a request for it, the
+    /// first daemon accepts one.
+    pub fn refuse_item(
+        &mut self,
+        now_ms: Millis,
+        suspects: &[Suspect],
+        delegates: &dyn Delegates,
+    ) -> Option<Suspect> {
         let now_ms = signed(now_ms);
-        let refused = suspects.iter().copied().find(|suspect| {
-            let record = self.records.get(suspect).filter(|record| record.is_quarantined);
+        suspects.iter().copied().find(|suspect| {
+            let record = self.records.get_mut(suspect).filter(|record| record.is_quarantined);
             record.is_some_and(|record| {
-                let due_ms = record.trial_due_ms(true);
-                let is_unclaimed =
-                    due_ms.is_some_and(|due_ms| now_ms >= due_ms + MAX_TRIAL_DELAY_MS);
-                !is_unclaimed && !self.is_distinguishing(record, suspects)
+                record.add_request(now_ms);
+                let is_first = delegates.trial_rank(*suspect) == Some(0);
+                !is_first || !record.accept_job(now_ms, MAX_TRIAL_DELAY_MS)
             })
-        })?;
-        if let Some(record) = self.records.get_mut(&refused) {
-            record.add_request(now_ms);
-        }
-        Some(refused)
+        })
     }
 
     /// Records a request that is about to be sent; returns a suspect because of which it must not
--- a/crates/quarantine/src/core.rs
+++ b/crates/quarantine/src/core.rs
@@ -189,7 +189,7 @@
     pub fn merge(&mut self, now_ms: Millis, view: &QuarantineView, delegates: &dyn Delegates) {
         let now_ms = signed(now_ms);
         let mut is_changed = false;
-        for (suspect, evidence, cancelled_trials) in view.suspects() {
+        for (suspect, evidence, trial_counts) in view.suspects() {
             if !self.records.contains_key(&suspect) && evidence.crashes.is_empty() {
                 continue;
             }
@@ -198,7 +198,7 @@
                 .records
                 .entry(suspect)
                 .or_insert_with(|| SuspectRecord::new(now_ms, suspect.is_request(), sound_ms));
-            is_changed |= record.merge(now_ms, evidence, cancelled_trials);
+            is_changed |= record.merge(now_ms, evidence, trial_counts);
             let Some(sound_ms) = sound_ms else { continue };
             let reported_ms = evidence.sound_age_ms.map(|age_ms| now_ms - i64::from(age_ms));
             let is_newer = reported_ms.is_none_or(|ms| sound_ms > ms + REPLY_AFTER_MS);
@@ -272,7 +272,7 @@
         let mut view = QuarantineView::default();
         for (suspect, record) in parts.into_iter().chain(requests) {
             let evidence = record.to_view(signed(now_ms), self.sounds.get(suspect).copied());
-            view.cancelled_trials.push(record.cancelled_trials());
+            view.trial_counts.push(record.trial_counts());
             match *suspect {
                 Suspect::Part(part) => view.parts.push(PartView { part, evidence }),
                 Suspect::Request(fingerprint) => {
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -6,9 +6,13 @@
 use crate::part::ReplicaIncarnation;
 use crate::view::CrashView;
 use crate::view::EvidenceView;
+use crate::view::TrialCounts;
 
 /// The most crashes that are remembered for a suspect.
 const MAX_CRASHES: usize = 7;
+/// The number of crashes that are kept when later ones are dropped, so that the trials of one request
+/// cannot replace the crashes of others.
+const FIRST_CRASHES_KEPT: usize = 5;
 /// How long after a sound answer crashes do not count: what was just answered did not cause them,
 /// and replicas that crash at the same moment would otherwise count as evidence against every part
 /// in use.
@@ -36,9 +40,9 @@
 /// through, and the time between two such requests of one daemon.
 const DISTINGUISH_AFTER_MS: i64 = 1_000;
 /// The trials of a suspect, whatever its crashes.
-const MIN_TRIALS: u8 = 2;
+const MIN_TRIALS: u32 = 2;
 /// The most trials of a part.
-const MAX_PART_TRIALS: u8 = 4;
+const MAX_PART_TRIALS: u32 = 4;
 /// The number of crashes of a part from which it gets no more than `MIN_TRIALS`: this and the trials
 /// bound how many requests with a part that crashes replicas reach some after five crashes.
 const CRASHES_TO_END_TRIALS: usize = MAX_CRASHES;
@@ -61,9 +65,11 @@
     sound_ms: Option<i64>,
     requested_ms: i64,
     updated_ms: i64,
-    begun_trials: u8,
-    cancelled_trials: u8,
+    begun_trials: u32,
+    cancelled_trials: u32,
     trial_ms: i64,
+    /// When this daemon last let a job with the part be accepted.
+    accepted_ms: i64,
     /// When this daemon last let a distinguishing request through.
     distinguished_ms: i64,
 }
@@ -81,6 +87,7 @@
             begun_trials: 0,
             cancelled_trials: 0,
             trial_ms: i64::MIN / 2,
+            accepted_ms: i64::MIN / 2,
             distinguished_ms: i64::MIN / 2,
         }
     }
@@ -131,8 +138,8 @@
         self.crashes.push(crash);
         self.crashes.sort_by_key(|crash| crash.at_ms);
         if self.crashes.len() > MAX_CRASHES {
-            // The first ones explain what else was lost in them, the last one decides about trials.
-            self.crashes.remove(CRASHES_TO_QUARANTINE);
+            // The first ones explain what else was lost in them, the last ones decide about trials.
+            self.crashes.remove(FIRST_CRASHES_KEPT);
         }
         true
     }
@@ -162,7 +169,7 @@
         let trials = self.trials();
         let has_more = trials < MAX_PART_TRIALS && self.crashes.len() < CRASHES_TO_END_TRIALS;
         let is_left = trials < MIN_TRIALS || (!self.is_request && has_more);
-        if !is_left || self.begun_trials == u8::MAX {
+        if !is_left {
             return None;
         }
         let after_ms = match (trials, self.is_request, is_item) {
@@ -175,16 +182,39 @@
     }
 
     /// Returns the number of trials, without those whose send reached no replica.
-    fn trials(&self) -> u8 {
-        self.begun_trials.saturating_sub(self.cancelled_trials)
+    ///
+    /// Crashes after the first trial was due count as trials too: daemons that did not hear each other
+    /// may have begun trials at the same time.
+    fn trials(&self) -> u32 {
+        let begun = self.begun_trials.saturating_sub(self.cancelled_trials);
+        let Some(third) = self.crashes.get(CRASHES_TO_QUARANTINE - 1) else { return begun };
+        let after_ms = match self.is_request {
+            true => FIRST_REQUEST_TRIAL_AFTER_MS,
+            false => FIRST_PART_TRIAL_AFTER_MS,
+        };
+        let due_ms = third.at_ms + after_ms;
+        let later = self.crashes.iter().filter(|crash| crash.at_ms >= due_ms).count();
+        begun.max(later as u32)
     }
 
     pub(crate) fn begin_trial(&mut self, now_ms: i64) {
-        self.begun_trials += 1;
+        self.begun_trials = self.begun_trials.saturating_add(1);
         self.trial_ms = now_ms;
         self.changed_ms = Some(now_ms);
     }
 
+    /// Returns whether a new job with the part may be accepted, so that its item becomes a trial that
+    /// no held item has begun; at most one in `ITEM_TRIAL_AFTER_MS`.
+    pub(crate) fn accept_job(&mut self, now_ms: i64, max_delay_ms: i64) -> bool {
+        let is_unclaimed =
+            self.trial_due_ms(true).is_some_and(|due_ms| now_ms >= due_ms + max_delay_ms);
+        let is_accepted = is_unclaimed && now_ms >= self.accepted_ms + ITEM_TRIAL_AFTER_MS;
+        if is_accepted {
+            self.accepted_ms = now_ms;
+        }
+        is_accepted
+    }
+
     /// Takes back the trial or the distinguishing request that began at `begun_ms`, if there was one;
     /// returns whether peers must be told.
     pub(crate) fn cancel_trial(&mut self, now_ms: i64, begun_ms: i64) -> bool {
@@ -216,7 +246,12 @@
 
     /// Merges what a peer knows of the suspect; returns whether its crashes or sound answers
     /// changed the record.
-    pub(crate) fn merge(&mut self, now_ms: i64, view: &EvidenceView, cancelled_trials: u8) -> bool {
+    pub(crate) fn merge(
+        &mut self,
+        now_ms: i64,
+        view: &EvidenceView,
+        counts: Option<TrialCounts>,
+    ) -> bool {
         let mut is_changed = false;
         if let Some(age_ms) = view.sound_age_ms {
             let previous_ms = self.sound_ms();
@@ -230,22 +265,30 @@
         }
         let requested_ms = now_ms - i64::from(view.requested_age_ms) - RELAY_ALLOWANCE_MS;
         self.requested_ms = self.requested_ms.max(requested_ms);
-        if view.trials > self.begun_trials && !self.crashes.is_empty() {
-            self.begun_trials = view.trials;
-            self.trial_ms = now_ms - i64::from(view.trial_age_ms);
-        }
-        if cancelled_trials > self.cancelled_trials && !self.crashes.is_empty() {
-            self.cancelled_trials = cancelled_trials;
-            if view.trials >= self.begun_trials {
-                self.trial_ms = now_ms - i64::from(view.trial_age_ms);
-            }
+        if !self.crashes.is_empty() {
+            self.merge_trials(now_ms, view, counts);
         }
         is_changed
     }
 
-    /// Returns how many of the trials that began reached no replica.
-    pub(crate) fn cancelled_trials(&self) -> u8 {
-        self.cancelled_trials
+    /// Merges the trials that a peer knows of. One that was cancelled still delays the next one here,
+    /// since another one may have begun at the same time.
+    fn merge_trials(&mut self, now_ms: i64, view: &EvidenceView, counts: Option<TrialCounts>) {
+        // Older builds send only the difference.
+        let counts = counts.unwrap_or(TrialCounts {
+            begun: self.cancelled_trials.saturating_add(u32::from(view.trials)),
+            cancelled: self.cancelled_trials,
+        });
+        if counts.begun > self.begun_trials {
+            self.begun_trials = counts.begun;
+            self.trial_ms = self.trial_ms.max(now_ms - i64::from(view.trial_age_ms));
+        }
+        self.cancelled_trials = self.cancelled_trials.max(counts.cancelled);
+    }
+
+    /// Returns the numbers of trials that began and that reached no replica.
+    pub(crate) fn trial_counts(&self) -> TrialCounts {
+        TrialCounts { begun: self.begun_trials, cancelled: self.cancelled_trials }
     }
 
     /// Returns what peers are told of the suspect; `own_sound_ms` is the time of the last sound
@@ -259,7 +302,7 @@
             crashes: crashes.collect(),
             sound_age_ms: own_sound_ms.map(|sound_ms| age_ms(now_ms, sound_ms)),
             requested_age_ms: age_ms(now_ms, self.requested_ms),
-            trials: self.begun_trials,
+            trials: u8::try_from(self.trials()).unwrap_or(u8::MAX),
             trial_age_ms: age_ms(now_ms, self.trial_ms),
         }
     }
--- a/crates/quarantine/src/view.rs
+++ b/crates/quarantine/src/view.rs
@@ -20,9 +20,8 @@
     pub parts: Vec<PartView>,
     /// The requests, the most suspect first. Older builds ignore the bytes after the parts.
     pub requests: Vec<RequestView>,
-    /// How many trials of each suspect reached no replica: of the parts, then of the requests. Older
-    /// builds ignore it.
-    pub cancelled_trials: Vec<u8>,
+    /// The trials of each suspect: of the parts, then of the requests. Older builds ignore them.
+    pub trial_counts: Vec<TrialCounts>,
 }
 
 impl QuarantineView {
@@ -30,20 +29,22 @@
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let (parts, rest) = postcard::take_from_bytes(bytes)?;
         let (requests, rest) = take_or_empty(rest)?;
-        let (cancelled_trials, _) = take_or_empty(rest)?;
-        Ok(Self { parts, requests, cancelled_trials })
+        let (trial_counts, _) = take_or_empty(rest)?;
+        Ok(Self { parts, requests, trial_counts })
     }
 
-    /// Returns the suspects with their evidence and cancelled trials, without those beyond the limit.
-    pub(crate) fn suspects(&self) -> impl Iterator<Item = (Suspect, &EvidenceView, u8)> {
-        let cancelled = |index: usize| self.cancelled_trials.get(index).copied().unwrap_or(0);
+    /// Returns the suspects with their evidence and trials, without those beyond the limit.
+    pub(crate) fn suspects(
+        &self,
+    ) -> impl Iterator<Item = (Suspect, &EvidenceView, Option<TrialCounts>)> {
+        let counts = |index: usize| self.trial_counts.get(index).copied();
         let requests = self.requests.iter().enumerate().map(move |(index, view)| {
-            let cancelled = cancelled(self.parts.len() + index);
-            (Suspect::Request(view.fingerprint), &view.evidence, cancelled)
+            let counts = counts(self.parts.len() + index);
+            (Suspect::Request(view.fingerprint), &view.evidence, counts)
         });
         let parts =
             self.parts.iter().enumerate().map(move |(index, view)| {
-                (Suspect::Part(view.part), &view.evidence, cancelled(index))
+                (Suspect::Part(view.part), &view.evidence, counts(index))
             });
         requests.chain(parts).take(MAX_VIEW_SUSPECTS)
     }
@@ -56,6 +57,15 @@
     if bytes.is_empty() { Ok((Vec::new(), bytes)) } else { postcard::take_from_bytes(bytes) }
 }
 
+/// The trials of one suspect; each number only grows, so that peers merge them as maxima.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrialCounts {
+    /// The number of trials that began.
+    pub begun: u32,
+    /// The number of those that reached no replica.
+    pub cancelled: u32,
+}
+
 /// What a daemon knows of one part.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartView {
@@ -83,7 +93,7 @@
     pub sound_age_ms: Option<u32>,
     /// The age of the latest request.
     pub requested_age_ms: u32,
-    /// The number of trials that began so far.
+    /// The number of trials so far, without those that reached no replica.
     pub trials: u8,
     /// The age of the latest trial.
     pub trial_age_ms: u32,
