--- a/crates/quarantine/src/admission.rs
+++ b/crates/quarantine/src/admission.rs
@@ -70,8 +70,8 @@
     /// Checks an item of a job before the job is accepted; returns a suspect because of which it is
     /// refused. A refused item counts as a request that came.
     ///
-    /// If a trial has been due for so long that no daemon holds an item or gets a request for it, the
-    /// first daemon accepts one.
+    /// A daemon accepts one job in some time if its item tells two suspects apart, or, at the first
+    /// daemon, if a trial has been due for so long that no daemon holds an item for it.
     pub fn refuse_item(
         &mut self,
         now_ms: Millis,
@@ -80,12 +80,19 @@
     ) -> Option<Suspect> {
         let now_ms = signed(now_ms);
         suspects.iter().copied().find(|suspect| {
-            let record = self.records.get_mut(suspect).filter(|record| record.is_quarantined);
-            record.is_some_and(|record| {
-                record.add_request(now_ms);
-                let is_first = delegates.trial_rank(*suspect) == Some(0);
-                !is_first || !record.accept_job(now_ms, MAX_TRIAL_DELAY_MS)
-            })
+            let Some(record) = self.records.get(suspect).filter(|record| record.is_quarantined)
+            else {
+                return false;
+            };
+            let is_reporter = delegates.is_reporter(*suspect);
+            let is_distinguishing = record.is_distinguishing_due(now_ms, is_reporter)
+                && self.is_distinguishing(record, suspects);
+            let is_first = delegates.trial_rank(*suspect) == Some(0);
+            let is_wanted =
+                is_distinguishing || (is_first && record.is_unclaimed(now_ms, MAX_TRIAL_DELAY_MS));
+            let Some(record) = self.records.get_mut(suspect) else { return false };
+            record.add_request(now_ms);
+            !(is_wanted && record.accept_job(now_ms))
         })
     }
 
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -203,12 +203,14 @@
         self.changed_ms = Some(now_ms);
     }
 
-    /// Returns whether a new job with the part may be accepted, so that its item becomes a trial that
-    /// no held item has begun; at most one in `ITEM_TRIAL_AFTER_MS`.
-    pub(crate) fn accept_job(&mut self, now_ms: i64, max_delay_ms: i64) -> bool {
-        let is_unclaimed =
-            self.trial_due_ms(true).is_some_and(|due_ms| now_ms >= due_ms + max_delay_ms);
-        let is_accepted = is_unclaimed && now_ms >= self.accepted_ms + ITEM_TRIAL_AFTER_MS;
+    /// Returns whether a trial has been due for so long that no held item can have begun it.
+    pub(crate) fn is_unclaimed(&self, now_ms: i64, max_delay_ms: i64) -> bool {
+        self.trial_due_ms(true).is_some_and(|due_ms| now_ms >= due_ms + max_delay_ms)
+    }
+
+    /// Accepts a new job with the part, so that its item is run; at most one in `ITEM_TRIAL_AFTER_MS`.
+    pub(crate) fn accept_job(&mut self, now_ms: i64) -> bool {
+        let is_accepted = now_ms >= self.accepted_ms + ITEM_TRIAL_AFTER_MS;
         if is_accepted {
             self.accepted_ms = now_ms;
         }
