--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -28,6 +28,7 @@
 use wire::ReplicaName;
 use wire::RequestId;
 
+use crate::item::Item;
 use crate::job::ItemRun;
 use crate::job::ItemRunEnd;
 use crate::job::ItemUrgency;
@@ -104,31 +105,72 @@
             let next = selection::most_urgent(now_ms, candidates);
             let Some((urgency, handle)) = next else { return };
             let Some(run) = handle.job.borrow_mut().start_next(now_ms) else { return };
-            let parts = self.prompt_parts(handle, &run);
-            if let Some(suspect) = self.deps.crash_guard.blocking_part(&parts) {
+            let host = handle.job.borrow().host.clone();
+            let parts = self.prompt_parts(&host, &run.item);
+            let blocking = self.deps.crash_guard.blocking_part(&parts);
+            if let Some(suspect) = blocking.or_else(|| self.trial_of_others(handles, handle, &run))
+            {
                 self.hold_item(handle, &run, suspect);
                 continue;
             }
+            let id = RequestId::from(&*run.item.id);
+            let claimed_ms = match self.deps.crash_guard.claim_trial(&id, &parts) {
+                Ok(claimed_ms) => claimed_ms,
+                Err(suspect) => {
+                    self.hold_item(handle, &run, suspect);
+                    continue;
+                }
+            };
+            let trial = claimed_ms.map(|claimed_ms| ClaimedTrial { claimed_ms, id, parts });
             self.waiting_for_slot.set(self.waiting_for_slot.get() + 1);
-            spawn_local(self.clone().run_item(handle.clone(), run, urgency));
+            spawn_local(self.clone().run_item(handle.clone(), run, urgency, trial));
         }
     }
 
-    fn prompt_parts(&self, handle: &JobHandle, run: &ItemRun) -> Vec<PromptPart> {
-        let host = handle.job.borrow().host.clone();
-        let headers = self.deps.job_codec.encode_item_headers(&run.item, &host);
+    /// Returns the parts of an item's prompt that other requests may share.
+    pub(crate) fn prompt_parts(&self, host: &str, item: &Item) -> Vec<PromptPart> {
+        let headers = self.deps.job_codec.encode_item_headers(item, host);
         self.deps.ingress_codec.decode_prompt_parts(&headers)
     }
 
+    /// Returns the quarantined part of an item whose next trial is due to another held item.
+    fn trial_of_others(
+        &self,
+        handles: &[Rc<JobHandle>],
+        handle: &JobHandle,
+        run: &ItemRun,
+    ) -> Option<Suspect> {
+        let suspect = handle.job.borrow().held_by(run.index)?;
+        if !self.deps.crash_guard.is_quarantined(suspect) {
+            return None;
+        }
+        let own = handle.job.borrow().trial_order(run.index);
+        let orders =
+            handles.iter().filter_map(|other| other.job.borrow().first_trial_order(suspect));
+        (orders.min() < own).then_some(suspect)
+    }
+
     fn hold_item(&self, handle: &JobHandle, run: &ItemRun, suspect: Suspect) {
         let mut job = handle.job.borrow_mut();
-        if job.hold(self.now_ms(), run.index) {
+        if job.hold(self.now_ms(), run.index, suspect) {
             self.deps.counters.count("items_held");
-            info!("event=item_held item={} job={} {suspect}", run.item.id, job.id);
+            let trial_in_ms = self.deps.crash_guard.trial_due_in_ms(suspect);
+            info!(
+                "event=item_held item={} job={} {suspect} trial_in_ms={}",
+                run.item.id,
+                job.id,
+                trial_in_ms.map_or("-".to_owned(), |trial_in_ms| trial_in_ms.to_string())
+            );
         }
     }
 
-    async fn run_item(self: Rc<Self>, handle: Rc<JobHandle>, run: ItemRun, urgency: ItemUrgency) {
+    async fn run_item(
+        self: Rc<Self>,
+        handle: Rc<JobHandle>,
+        run: ItemRun,
+        urgency: ItemUrgency,
+        trial: Option<ClaimedTrial>,
+    ) {
         let index = run.index;
         let lease = tokio::select! {
             lease = self.acquire_slot(&handle, &run, urgency) => lease,
@@ -140,6 +182,9 @@
         self.check_for_pause();
         let lease = lease.filter(|_| !handle.is_unconfirmed.get());
         let Some(lease) = lease else {
+            if let Some(ClaimedTrial { claimed_ms, id, parts }) = &trial {
+                self.deps.crash_guard.release_trial(*claimed_ms, id, parts);
+            }
             let limits = self.limits_or_expired(&handle);
             let mut job = handle.job.borrow_mut();
             job.end_run(self.now_ms(), index, ItemRunEnd::Interrupted, run.progress, &limits);
@@ -157,7 +202,7 @@
         );
         let mut progress = run.progress.clone();
         let (end, cause) = tokio::select! {
-            end = self.stream_item(&handle, &run, &lease, &mut progress) => end,
+            end = self.stream_item(&handle, &run, &lease, trial.as_ref(), &mut progress) => end,
             () = lease.revocation.revoked() => (ItemRunEnd::Interrupted, "slot_revoked"),
             () = handle.stop.cancelled() => (ItemRunEnd::Interrupted, "job_stopped"),
         };
@@ -193,6 +238,7 @@
         handle: &JobHandle,
         run: &ItemRun,
         lease: &SlotLease,
+        trial: Option<&ClaimedTrial>,
         progress: &mut Progress,
     ) -> (ItemRunEnd, &'static str) {
         let host = handle.job.borrow().host.clone();
@@ -208,7 +254,8 @@
             prompt_parts,
             is_item: true,
         };
-        let Ok(admitted_ms) = guard.admit(&request) else {
+        let admitted = trial.map_or_else(|| guard.admit(&request), |trial| Ok(trial.claimed_ms));
+        let Ok(admitted_ms) = admitted else {
             return (ItemRunEnd::Interrupted, "quarantined");
         };
         let outbound = exchange::OutboundRequest {
@@ -424,6 +471,13 @@
     }
 }
 
+/// The trial of a quarantined part that an item's run is.
+struct ClaimedTrial {
+    claimed_ms: Millis,
+    id: RequestId,
+    parts: Vec<PromptPart>,
+}
+
 /// The log fields of a run that had a slot.
 struct RunSummary {
     item: Arc<str>,
