--- a/crates/catalog/tests/departure_days.rs
+++ b/crates/catalog/tests/departure_days.rs
@@ -134,6 +134,20 @@
     });
 }
 
+// Guards against a departure that no daemon learns of, since all watchers wait for answers at once.
+#[test]
+fn departure_is_known_in_time_while_all_watchers_lose_the_store_at_once() {
+    check_days(|fleet| {
+        let mut at_ms = START_MS;
+        while at_ms < DAY_MS {
+            let for_ms = fleet.random.gen_range(500..3_000);
+            fleet.at(at_ms, Action::CutAllWatchers(Failure::Silent, for_ms));
+            at_ms += for_ms + fleet.random.gen_range(500..3_000);
+        }
+        plan_departures(fleet, START_MS, DAY_MS, 1_200);
+    });
+}
+
 /// Lets some daemons be cut off in different ways, frozen and restarted.
 fn plan_disturbances(fleet: &mut Fleet) {
     for daemon in 0..DAEMONS / 2 {
