--- a/crates/catalog/tests/fleet/daemon.rs
+++ b/crates/catalog/tests/fleet/daemon.rs
@@ -157,7 +157,8 @@
             self.next_watch_ms = now_ms + RETRY_DELAY_MS;
             return None;
         }
-        Some(match self.cursor {
+        let is_over = self.set.next_hold_end_ms().is_some_and(|end_ms| end_ms <= now_ms);
+        Some(match self.cursor.filter(|_| !is_over) {
             None => (Caller::Watch, Call::List, self.timeout_ms),
             Some(since) => (Caller::Watch, Call::Changes(since), WATCH_WAIT_MS + self.timeout_ms),
         })
@@ -172,9 +173,9 @@
     fn is_standby(&self, now_ms: Millis) -> bool {
         let place = self.rank(now_ms).and_then(|rank| rank.checked_sub(WATCHERS));
         let place = place.filter(|place| *place < STANDBYS);
-        let latest_ms = self.set.contact().latest_ms();
-        latest_ms.zip(place).is_some_and(|(latest_ms, place)| {
-            now_ms >= latest_ms + STANDBY_AFTER_MS + STANDBY_DELAY_MS * place as Millis
+        let silent_ms = self.set.contact().latest_age_ms(now_ms);
+        silent_ms.zip(place).is_some_and(|(silent_ms, place)| {
+            silent_ms >= STANDBY_AFTER_MS + STANDBY_DELAY_MS * place as Millis
         })
     }
 
