Bound the trials of a part by the crashes before them

What callers saw: nothing yet; found in review. With five crashes known and all replicas down, four trials were claimed 10 s apart and waited for a slot; all four would be sent when a replica is back, one more than may be.

Cause: the crashes that end trials were counted by outcome, and a trial that waits for a slot has none.

Fix: the number of trials depends on the crashes before them, so a trial counts from its claim.

--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -43,9 +43,9 @@
 const MIN_TRIALS: u32 = 2;
 /// The most trials of a part.
 const MAX_PART_TRIALS: u32 = 4;
-/// The number of crashes of a part from which it gets no more than `MIN_TRIALS`: this and the trials
-/// bound how many requests with a part that crashes replicas reach some after five crashes.
-const CRASHES_TO_END_TRIALS: usize = MAX_CRASHES;
+/// The most crashes before the trials of a part and trials together, beyond `MIN_TRIALS`: it bounds
+/// how many requests with a part that crashes replicas reach some after five crashes.
+const MAX_CRASHES_AND_TRIALS: u32 = 7;
 
 /// A crash of a replica that lost a request to which the suspect belongs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -167,9 +167,7 @@
     /// come sooner.
     pub(crate) fn trial_due_ms(&self, is_item: bool) -> Option<i64> {
         let trials = self.trials();
-        let has_more = trials < MAX_PART_TRIALS && self.crashes.len() < CRASHES_TO_END_TRIALS;
-        let is_left = trials < MIN_TRIALS || (!self.is_request && has_more);
-        if !is_left {
+        if trials >= self.max_trials() {
             return None;
         }
         let after_ms = match (trials, self.is_request, is_item) {
@@ -183,18 +181,32 @@
 
     /// Returns the number of trials, without those whose send reached no replica.
     ///
-    /// Crashes after the first trial was due count as trials too: daemons that did not hear each other
-    /// may have begun trials at the same time.
+    /// Daemons that did not hear each other may have begun trials at the same time, so crashes of
+    /// trials count, too.
     fn trials(&self) -> u32 {
         let begun = self.begun_trials.saturating_sub(self.cancelled_trials);
-        let Some(third) = self.crashes.get(CRASHES_TO_QUARANTINE - 1) else { return begun };
+        begun.max(self.trial_crashes())
+    }
+
+    /// Returns the largest number of trials; it depends on the crashes before them, since those of
+    /// trials that wait for a slot are still to come.
+    fn max_trials(&self) -> u32 {
+        if self.is_request {
+            return MIN_TRIALS;
+        }
+        let crashes_before = self.crashes.len() as u32 - self.trial_crashes();
+        MAX_CRASHES_AND_TRIALS.saturating_sub(crashes_before).clamp(MIN_TRIALS, MAX_PART_TRIALS)
+    }
+
+    /// Returns the number of crashes after the first trial was due, which are those of trials.
+    fn trial_crashes(&self) -> u32 {
+        let Some(third) = self.crashes.get(CRASHES_TO_QUARANTINE - 1) else { return 0 };
         let after_ms = match self.is_request {
             true => FIRST_REQUEST_TRIAL_AFTER_MS,
             false => FIRST_PART_TRIAL_AFTER_MS,
         };
         let due_ms = third.at_ms + after_ms;
-        let later = self.crashes.iter().filter(|crash| crash.at_ms >= due_ms).count();
-        begun.max(later as u32)
+        self.crashes.iter().filter(|crash| crash.at_ms >= due_ms).count() as u32
     }
 
     pub(crate) fn begin_trial(&mut self, now_ms: i64) {
--- a/crates/quarantine/tests/trials.rs
+++ b/crates/quarantine/tests/trials.rs
@@ -193,3 +193,22 @@
         assert_eq!(quarantine.is_quarantined(deadly), number >= 2, "{number}");
     }
 }
+
+// Guards against trials that wait for a slot while all replicas are down and are then all sent.
+#[test]
+fn trials_without_an_outcome_stay_within_the_budget() {
+    let deadly = part("dead");
+    let mut daemons = vec![quarantined(10_000, deadly, 5); 4];
+    let mut claimed = 0;
+    for now_ms in (10_000..200_000).step_by(100) {
+        for rank in 0..daemons.len() {
+            if daemons[rank].admit(now_ms, &[deadly], &Rank(rank)).is_err() {
+                continue;
+            }
+            claimed += 1;
+            let view = daemons[rank].complete_view(now_ms).expect("a trial is known");
+            daemons.iter_mut().for_each(|daemon| daemon.merge(now_ms, &view, &Rank(0)));
+        }
+    }
+    assert!(claimed <= 3, "{claimed} trials wait, and five crashes are known");
+}
