Clear a sound part that is quarantined beside one that crashes replicas

Cause: both parts had the same crashes and no sound answer. A job whose items tell the two apart was accepted only if it had a single such item, since each further one was refused; and a part beside another one with more crashes stayed quarantined.

Fix: a job is accepted or refused as a whole, and only an accepted one counts. A part whose crashes are all explained by another one with more crashes is released, as it is among requests.

--- a/crates/gate/src/crash_guard.rs
+++ b/crates/gate/src/crash_guard.rs
@@ -88,12 +88,12 @@
         quarantine.blocking_suspect(self.clock.now_ms(), &suspects, &*self.delegates)
     }
 
-    /// Checks an item of a job before the job is accepted; returns a part because of which it is
-    /// refused.
-    pub fn refuse_item(&self, parts: &[PromptPart]) -> Option<Suspect> {
-        let suspects: Vec<Suspect> = parts.iter().copied().map(Suspect::Part).collect();
-        let mut quarantine = self.quarantine.borrow_mut();
-        quarantine.refuse_item(self.clock.now_ms(), &suspects, &*self.delegates)
+    /// Checks the items of a job, each with its parts, before the job is accepted; returns the number
+    /// of an item and a part because of which the job is refused.
+    pub fn refuse_job(&self, items: &[Vec<PromptPart>]) -> Option<(usize, Suspect)> {
+        let suspects = |parts: &Vec<PromptPart>| parts.iter().copied().map(Suspect::Part).collect();
+        let items: Vec<Vec<Suspect>> = items.iter().map(suspects).collect();
+        self.quarantine.borrow_mut().refuse_job(self.clock.now_ms(), &items, &*self.delegates)
     }
 
     /// Begins the trial of an item with a quarantined part before the item asks for a slot, so that
--- a/crates/jobs/src/quarantine_check.rs
+++ b/crates/jobs/src/quarantine_check.rs
@@ -58,21 +58,20 @@
         }
     }
 
-    /// Returns the refusal of a job because of its first item with a quarantined part.
+    /// Returns the refusal of a job because of an item with a quarantined part.
     fn refuse_items(&self, host: &str, submission: &Submission) -> Option<Refusal> {
         let guard = &self.deps.crash_guard;
         if !guard.has_quarantined_parts() {
             return None;
         }
-        submission.items.iter().find_map(|item| {
-            let suspect = guard.refuse_item(&self.prompt_parts(host, item))?;
-            let trial_in_ms = guard.trial_due_in_ms(suspect).unwrap_or(MAX_RETRY_AFTER_MS);
-            let message = format!(
-                "item {} has a prompt part that crashed replicas and is quarantined ({suspect})",
-                item.id
-            );
-            let retry_after_ms = trial_in_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
-            Some(Refusal::not_run(Reason::Quarantined, message).with_retry_after(retry_after_ms))
-        })
+        let parts = submission.items.iter().map(|item| self.prompt_parts(host, item));
+        let (number, suspect) = guard.refuse_job(&parts.collect::<Vec<_>>())?;
+        let trial_in_ms = guard.trial_due_in_ms(suspect).unwrap_or(MAX_RETRY_AFTER_MS);
+        let message = format!(
+            "item {} has a prompt part that crashed replicas and is quarantined ({suspect})",
+            submission.items[number].id
+        );
+        let retry_after_ms = trial_in_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
+        Some(Refusal::not_run(Reason::Quarantined, message).with_retry_after(retry_after_ms))
     }
 }
--- a/crates/quarantine/src/admission.rs
+++ b/crates/quarantine/src/admission.rs
@@ -1,5 +1,7 @@
 //! Decides which requests with quarantined suspects may be sent, and when.
 
+use std::collections::HashSet;
+
 use wire::Millis;
 
 use crate::core::Change;
@@ -67,33 +69,55 @@
         Some(blocking)
     }
 
-    /// Checks an item of a job before the job is accepted; returns a suspect because of which it is
-    /// refused. A refused item counts as a request that came.
+    /// Checks the items of a job, each with its suspects, before the job is accepted; returns the
+    /// number of an item and the suspect because of which the job is refused. Its items count as
+    /// requests that came.
     ///
-    /// A daemon accepts one job in some time if its item tells two suspects apart, or, at the first
-    /// daemon, if a trial has been due for so long that no daemon holds an item for it.
-    pub fn refuse_item(
+    /// A daemon accepts one job in some time if all its items with a suspect tell two suspects apart,
+    /// or, at the first daemon, if a trial has been due for so long that no daemon holds an item for it.
+    pub fn refuse_job(
         &mut self,
         now_ms: Millis,
-        suspects: &[Suspect],
+        items: &[Vec<Suspect>],
         delegates: &dyn Delegates,
-    ) -> Option<Suspect> {
+    ) -> Option<(usize, Suspect)> {
         let now_ms = signed(now_ms);
-        suspects.iter().copied().find(|suspect| {
-            let Some(record) = self.records.get(suspect).filter(|record| record.is_quarantined)
-            else {
-                return false;
-            };
-            let is_reporter = delegates.is_reporter(*suspect);
-            let is_distinguishing = record.is_distinguishing_due(now_ms, is_reporter)
-                && self.is_distinguishing(record, suspects);
-            let is_first = delegates.trial_rank(*suspect) == Some(0);
-            let is_wanted =
-                is_distinguishing || (is_first && record.is_unclaimed(now_ms, MAX_TRIAL_DELAY_MS));
-            let Some(record) = self.records.get_mut(suspect) else { return false };
+        let mut found: HashSet<Suspect> = HashSet::new();
+        let mut refused = None;
+        for (number, suspects) in items.iter().enumerate() {
+            for suspect in suspects.iter().copied().filter(|suspect| self.is_quarantined(*suspect))
+            {
+                found.insert(suspect);
+                if refused.is_none() && !self.is_item_wanted(now_ms, suspect, suspects, delegates) {
+                    refused = Some((number, suspect));
+                }
+            }
+        }
+        for suspect in found {
+            let Some(record) = self.records.get_mut(&suspect) else { continue };
             record.add_request(now_ms);
-            !(is_wanted && record.accept_job(now_ms))
-        })
+            if refused.is_none() {
+                record.accept_job(now_ms);
+            }
+        }
+        refused
+    }
+
+    /// Returns whether an item with a quarantined suspect is to be run, although it is not accepted yet.
+    fn is_item_wanted(
+        &self,
+        now_ms: i64,
+        suspect: Suspect,
+        suspects: &[Suspect],
+        delegates: &dyn Delegates,
+    ) -> bool {
+        let Some(record) = self.records.get(&suspect) else { return false };
+        let is_distinguishing = record
+            .is_distinguishing_due(now_ms, delegates.is_reporter(suspect))
+            && self.is_distinguishing(record, suspects);
+        let is_first = delegates.trial_rank(suspect) == Some(0);
+        let is_unclaimed = is_first && record.is_unclaimed(now_ms, MAX_TRIAL_DELAY_MS);
+        record.can_accept_job(now_ms) && (is_distinguishing || is_unclaimed)
     }
 
     /// Records a request that is about to be sent; returns a suspect because of which it must not
--- a/crates/quarantine/src/core.rs
+++ b/crates/quarantine/src/core.rs
@@ -321,8 +321,8 @@
         blamed.map(|(suspect, _)| **suspect).collect()
     }
 
-    /// Returns the parts with enough crashes that neither one request nor a part that was answered
-    /// less recently explains.
+    /// Returns the parts with enough crashes that neither one request, nor a part that was answered
+    /// less recently, nor one with more crashes explains.
     fn parts_to_quarantine(&self) -> HashSet<Suspect> {
         let mut candidates: Vec<(i64, Suspect)> = self
             .records
@@ -335,6 +335,13 @@
             .map(|(suspect, record)| (record.sound_ms(), *suspect))
             .collect();
         candidates.sort();
+        let others: Vec<&SuspectRecord> =
+            candidates.iter().filter_map(|(_, suspect)| self.records.get(suspect)).collect();
+        let is_beside_another = |record: &SuspectRecord| {
+            others.iter().any(|other| {
+                other.crashes.len() > record.crashes.len() && record.is_explained_by(other)
+            })
+        };
         let mut quarantined = HashSet::new();
         let mut explained: HashSet<ReplicaIncarnation> = HashSet::new();
         for group in candidates.chunk_by(|(a, _), (b, _)| a == b) {
@@ -343,6 +350,7 @@
             let blamed: Vec<(&Suspect, &SuspectRecord)> = records
                 .filter(|(_, record)| {
                     count_unexplained(record, &explained) >= CRASHES_TO_QUARANTINE
+                        && !is_beside_another(record)
                 })
                 .collect();
             for (suspect, record) in blamed {
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -220,13 +220,13 @@
         self.trial_due_ms(true).is_some_and(|due_ms| now_ms >= due_ms + max_delay_ms)
     }
 
-    /// Accepts a new job with the part, so that its item is run; at most one in `ITEM_TRIAL_AFTER_MS`.
-    pub(crate) fn accept_job(&mut self, now_ms: i64) -> bool {
-        let is_accepted = now_ms >= self.accepted_ms + ITEM_TRIAL_AFTER_MS;
-        if is_accepted {
-            self.accepted_ms = now_ms;
-        }
-        is_accepted
+    /// Returns whether a new job with the part may be accepted; at most one in `ITEM_TRIAL_AFTER_MS`.
+    pub(crate) fn can_accept_job(&self, now_ms: i64) -> bool {
+        now_ms >= self.accepted_ms + ITEM_TRIAL_AFTER_MS
+    }
+
+    pub(crate) fn accept_job(&mut self, now_ms: i64) {
+        self.accepted_ms = now_ms;
     }
 
     /// Takes back the trial or the distinguishing request that began at `begun_ms`, if there was one;
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -231,26 +231,55 @@
     assert_eq!(quarantine.admit(70_200, &[wrong], NEVER), Ok(()));
 }
 
+/// Returns the part because of which a job with these items is refused.
+fn refuse(
+    quarantine: &mut Quarantine,
+    now_ms: Millis,
+    items: &[&[Suspect]],
+    delegates: &dyn Delegates,
+) -> Option<Suspect> {
+    let items: Vec<Vec<Suspect>> = items.iter().map(|item| item.to_vec()).collect();
+    quarantine.refuse_job(now_ms, &items, delegates).map(|(_, suspect)| suspect)
+}
+
 #[test]
 fn item_of_a_new_job_is_refused_for_every_part_that_it_would_be_held_for() {
     let (first, deadly) = (part("a1"), part("dead"));
     let mut quarantine = quarantined(10_000, &[deadly]);
-    assert_eq!(quarantine.refuse_item(10_000, &[first, deadly], ALWAYS), Some(deadly));
-    assert_eq!(quarantine.refuse_item(10_000, &[first], ALWAYS), None);
+    assert_eq!(refuse(&mut quarantine, 10_000, &[&[first, deadly]], ALWAYS), Some(deadly));
+    assert_eq!(refuse(&mut quarantine, 10_000, &[&[first]], ALWAYS), None);
     let due_ms = 10_000 + quarantine.trial_due_in_ms(10_000, deadly).expect("a trial is left");
-    assert_eq!(
-        quarantine.refuse_item(due_ms, &[deadly], ALWAYS),
-        Some(deadly),
-        "held items come first"
-    );
+    let held_first = refuse(&mut quarantine, due_ms, &[&[deadly]], ALWAYS);
+    assert_eq!(held_first, Some(deadly), "held items come first");
     let late_ms = due_ms + 10_000;
-    assert_eq!(quarantine.refuse_item(late_ms, &[deadly], NEVER), Some(deadly));
-    assert_eq!(quarantine.refuse_item(late_ms, &[deadly], ALWAYS), None, "nobody holds one");
-    assert_eq!(quarantine.refuse_item(late_ms + 1, &[deadly], ALWAYS), Some(deadly), "one item");
+    assert_eq!(refuse(&mut quarantine, late_ms, &[&[deadly]], NEVER), Some(deadly));
+    assert_eq!(refuse(&mut quarantine, late_ms, &[&[deadly]], ALWAYS), None, "nobody holds one");
+    assert_eq!(refuse(&mut quarantine, late_ms + 1, &[&[deadly]], ALWAYS), Some(deadly));
+    let mut both = quarantined(10_000, &[first, deadly]);
+    assert_eq!(refuse(&mut both, 10_000, &[&[first, deadly]], ALWAYS), Some(first));
+    assert_eq!(refuse(&mut both, 11_500, &[&[first]], ALWAYS), None, "its run tells them apart");
+    assert_eq!(refuse(&mut both, 11_600, &[&[first]], ALWAYS), Some(first), "one job is enough");
+}
+
+// Guards against refusing every job with a sound part, since only jobs with a single such item were accepted.
+#[test]
+fn job_with_several_items_of_a_sound_part_clears_it() {
+    let (first, deadly) = (part("a1"), part("dead"));
+    let mut both = quarantined(10_000, &[first, deadly]);
+    let mixed: [&[Suspect]; 3] = [&[first], &[first, deadly], &[first]];
+    assert!(refuse(&mut both, 11_500, &mixed, ALWAYS).is_some());
+    assert_eq!(refuse(&mut both, 11_600, &[&[first], &[first], &[first]], ALWAYS), None);
+}
+
+// Guards against a sound part that stays quarantined beside the one that crashes replicas with other parts too.
+#[test]
+fn part_is_released_once_another_one_has_all_its_crashes_and_more() {
+    let (first, other, deadly) = (part("a1"), part("a2"), part("dead"));
     let mut both = quarantined(10_000, &[first, deadly]);
-    assert_eq!(both.refuse_item(10_000, &[first, deadly], ALWAYS), Some(first));
-    assert_eq!(both.refuse_item(11_500, &[first], ALWAYS), None, "its run tells the two apart");
-    assert_eq!(both.refuse_item(11_600, &[first], ALWAYS), Some(first), "one job is enough");
+    assert_eq!(both.admit(11_500, &[other, deadly], ALWAYS), Ok(()), "it tells the two apart");
+    both.record_crash(11_600, &[other, deadly], incarnation(9));
+    assert_eq!(both.admit(11_700, &[first], NEVER), Ok(()));
+    assert_eq!(both.admit(11_700, &[first, deadly], NEVER), Err(deadly));
 }
 
 #[test]
