Decode organisations, their keys and quotas from the configuration

Cause: requests of one organisation can't be told from those of another. Change: wire::Organisation, wire::RequestQuota and the look-ups by name and by key in wire::Configuration, decoded from tenants; Route::is_open from anonymous. A key that two organisations list belongs to the first, so that all daemons agree. Entries with the same name are one organisation. A list of malformed entries alone keeps routes closed. Errors and Debug output hold no key. No limit (rate 0, negative or missing) is no quota; limits are bounded by 1e9.

--- a/crates/wire/src/route.rs
+++ b/crates/wire/src/route.rs
@@ -4,8 +4,11 @@
 use std::sync::Arc;
 
 use crate::Millis;
+use crate::OrgName;
+use crate::Organisation;
 use crate::RouteName;
 use crate::ServiceName;
+use crate::organisation::Organisations;
 use crate::rendezvous::hash;
 
 /// The kind of a route's requests; it determines whether they may run more than once.
@@ -61,6 +64,8 @@
     pub retention_ms: Option<Millis>,
     /// The maximum number of tokens that wait on the route over all daemons; absent for no limit.
     pub max_waiting_tokens: Option<u64>,
+    /// Whether its requests need no key although the configuration has organisations.
+    pub is_open: bool,
 }
 
 impl Route {
@@ -135,6 +140,8 @@
     routes: Vec<Arc<Route>>,
     services: HashMap<ServiceName, Service>,
     by_host: HashMap<Arc<str>, Vec<Arc<Route>>>,
+    /// The organisations, or `None` if the configuration lists none, not even a malformed one.
+    organisations: Option<Organisations>,
 }
 
 impl Configuration {
@@ -154,7 +161,33 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
         let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
-        Self { version, limits, routes, services, by_host }
+        Self { version, limits, routes, services, by_host, organisations: None }
+    }
+
+    /// Adds the organisations; from then on requests need keys.
+    pub fn with_organisations(mut self, organisations: Organisations) -> Self {
+        self.organisations = Some(organisations);
+        self
+    }
+
+    /// Returns whether requests belong to organisations and need keys.
+    pub fn has_organisations(&self) -> bool {
+        self.organisations.is_some()
+    }
+
+    /// Returns all organisations, in the order of the configuration.
+    pub fn organisations(&self) -> &[Arc<Organisation>] {
+        self.organisations.as_ref().map_or(&[], Organisations::list)
+    }
+
+    /// Returns an organisation by its name.
+    pub fn organisation(&self, name: &OrgName) -> Option<&Arc<Organisation>> {
+        self.organisations.as_ref()?.by_name(name)
+    }
+
+    /// Returns the organisation that a key belongs to.
+    pub fn organisation_of_key(&self, key: &str) -> Option<&Arc<Organisation>> {
+        self.organisations.as_ref()?.by_key(key)
     }
 
     /// Returns the route of `host` with the longest prefix that matches `path`.
