Authenticate requests and jobs by the organisation's key

Cause: with organisations in the configuration, each request must prove its organisation, and replicas must get its name and never its key. The adapter replaces Authorization and X-Tenant by the organisation on each send. The caller is checked again once a slot is granted, unless a replica may have run the request. Jobs store their organisation in the record and hand it over; other organisations get 404; forwarded calls carry the caller. Waiting tokens count by route and organisation. Without organisations, everything is forwarded as before.

--- a/crates/gate/src/codec.rs
+++ b/crates/gate/src/codec.rs
@@ -10,6 +10,9 @@
 use wire::ReplicaName;
 use wire::RequestId;
 
+use crate::caller::ApiKey;
+use crate::caller::Caller;
+
 /// The values in the head of a client's request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RequestMeta {
@@ -23,6 +26,8 @@
     pub max_output_tokens: Option<u64>,
     /// The parts of the prompt that other requests may share.
     pub prompt_parts: Vec<PromptPart>,
+    /// The key with which the client proves its organisation.
+    pub key: Option<ApiKey>,
 }
 
 /// The error for a request head that cannot be decoded.
@@ -41,6 +46,9 @@
     pub deadline_left_ms: Option<Millis>,
     /// The event after which the replica resumes a stream.
     pub last_event: Option<u64>,
+    /// The sender of the request; unless it is unchecked, its credentials are replaced by the name of
+    /// its organisation.
+    pub caller: &'a Caller,
 }
 
 /// The values in the head of a replica's answer.
@@ -91,6 +99,9 @@
     /// Decodes the head of a client's request.
     fn decode_request_head(&self, headers: &HeaderMap) -> Result<RequestMeta, InvalidHead>;
 
+    /// Decodes the key with which a client proves its organisation.
+    fn decode_key(&self, headers: &HeaderMap) -> Option<ApiKey>;
+
     /// Decodes the parts of a request's prompt that other requests may share.
     fn decode_prompt_parts(&self, headers: &HeaderMap) -> Vec<PromptPart>;
 
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -23,6 +23,8 @@
 use wire::RequestId;
 
 use crate::attempt::SendFailure;
+use crate::caller::ApiKey;
+use crate::caller::Caller;
 use crate::codec::AnswerMeta;
 use crate::codec::ForwardMeta;
 use crate::codec::IngressCodec;
@@ -54,20 +56,28 @@
     pub prompt_parts: Vec<PromptPart>,
     /// Whether it is an item of a job, which is never quarantined by itself.
     pub is_item: bool,
+    /// The sender; for an item, of the job's submission.
+    pub caller: Caller,
+    /// The key that the sender sent; absent for an item.
+    pub key: Option<ApiKey>,
 }
 
 impl ClientRequest {
     /// Returns a hash of what stays the same when the client sends the request again: the method,
-    /// the host, the target, the body and the caller's credentials.
+    /// the host, the target, the body, and the caller's organisation or credentials.
     pub fn fingerprint(&self) -> RequestFingerprint {
         let header =
             |name: HeaderName| self.headers.get(name).map_or(&b""[..], HeaderValue::as_bytes);
+        let caller = match self.caller.organisation() {
+            Some(organisation) => organisation.as_str().as_bytes(),
+            None => header(header::AUTHORIZATION),
+        };
         RequestFingerprint::of_fields(&[
             self.method.as_str().as_bytes(),
             header(header::HOST),
             self.target.as_bytes(),
             &self.body,
-            header(header::AUTHORIZATION),
+            caller,
         ])
     }
 }
@@ -121,6 +131,7 @@
         replica: &replica.name,
         deadline_left_ms: outbound.deadline_left_ms,
         last_event: outbound.last_event,
+        caller: &request.caller,
     };
     let mut writer = RequestWriter::new(request.method.as_str(), &request.target);
     codec.write_forwarded_headers(&mut writer, &request.headers, &forward);
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -36,6 +36,7 @@
 use crate::attempt::NextAction;
 use crate::attempt::RetryPolicy;
 use crate::attempt::SendFailure;
+use crate::caller::Caller;
 use crate::codec::RequestMeta;
 use crate::exchange;
 use crate::exchange::ClientRequest;
@@ -80,12 +81,15 @@
 ];
 
 /// Why a request was not sent or got no usable answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SendError {
     /// No slot was free in time.
     NoSlot(NoSlot),
     /// The request or a part of its prompt is quarantined.
     Quarantined(Suspect),
+    /// The caller's key is no longer valid, and the request was never sent to a replica that may
+    /// have run it.
+    CallerRefused(Refusal),
     /// The send failed.
     Failed(SendFailure),
 }
@@ -95,6 +99,7 @@
     pub(crate) async fn forward(
         self: Rc<Self>,
         route: Arc<Route>,
+        caller: Caller,
         meta: RequestMeta,
         parts: Parts,
         body: Bytes,
@@ -111,7 +116,10 @@
         }
         let mut attempt = Attempt::new(policy);
         let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
-        let Parts { method, headers, .. } = parts;
+        let Parts { method, mut headers, .. } = parts;
+        if caller.is_checked() {
+            headers.remove(header::AUTHORIZATION);
+        }
         let prompt_parts = meta.prompt_parts;
         let request = ClientRequest {
             method,
@@ -121,6 +129,8 @@
             id: meta.id,
             prompt_parts,
             is_item: false,
+            caller,
+            key: meta.key,
         };
         let request = Rc::new(request);
         let call =
@@ -141,6 +151,15 @@
                     let next = attempt.give_up(Reason::Quarantined, None);
                     return self.answer_without_replica(next, report);
                 }
+                Err(SendError::CallerRefused(refusal)) => {
+                    info!(
+                        "event=waiting_caller_refused id={} reason={} version={}",
+                        request.id,
+                        refusal.reason.as_str(),
+                        self.in_force.borrow().version()
+                    );
+                    return self.answer_without_replica(NextAction::Refuse(refusal), report);
+                }
                 Err(SendError::Failed(failure)) => failure,
                 Ok((lease, answer)) if self.should_retry_answer(&attempt, &answer) => {
                     report.sends.tried.push(lease.replica.name.clone());
@@ -229,6 +248,10 @@
         let now_ms = self.now_ms();
         sends.slot_wait_ms += now_ms.saturating_sub(slot_asked_ms);
         let lease = lease.map_err(SendError::NoSlot)?;
+        if !attempt.may_have_run() && current.is_none() {
+            self.check_waiting_caller(route, request.key.as_ref(), &request.caller)
+                .map_err(SendError::CallerRefused)?;
+        }
         let admitted_ms = self.crash_guard.admit(request).map_err(SendError::Quarantined)?;
         sends.replica = Some(lease.replica.name.clone());
         log_send(request, &lease, attempt, now_ms, self.slots.list_state());
--- a/crates/gate/src/gateway.rs
+++ b/crates/gate/src/gateway.rs
@@ -33,6 +33,7 @@
 use wire::RouteKind;
 
 use crate::answer;
+use crate::caller::Caller;
 use crate::codec::IngressCodec;
 use crate::codec::JobCall;
 use crate::codec::RequestMeta;
@@ -41,7 +42,7 @@
 use crate::shutdown::ShutdownWindow;
 
 /// The `Retry-After` of a daemon that has no configuration yet, or an outdated one.
-const UNCONFIGURED_RETRY_MS: Millis = 200;
+pub(crate) const UNCONFIGURED_RETRY_MS: Millis = 200;
 
 /// Handles the calls of the job API.
 pub trait JobCallHandler {
@@ -49,13 +50,18 @@
     fn submit(
         self: Rc<Self>,
         route: Arc<Route>,
+        caller: Caller,
         meta: RequestMeta,
         parts: Parts,
         body: Bytes,
     ) -> LocalBoxFuture<'static, Response<LocalBody>>;
 
     /// Handles any other call about a job.
-    fn handle_call(self: Rc<Self>, call: JobCall) -> LocalBoxFuture<'static, Response<LocalBody>>;
+    fn handle_call(
+        self: Rc<Self>,
+        call: JobCall,
+        caller: Caller,
+    ) -> LocalBoxFuture<'static, Response<LocalBody>>;
 }
 
 /// The components of the daemon that the gateway uses.
@@ -170,7 +176,7 @@
         let arrived_ms = self.now_ms();
         let (parts, body) = request.into_parts();
         if let Some(call) = self.codec.decode_job_call(&parts) {
-            return self.jobs.clone().handle_call(call).await;
+            return self.serve_job_call(call, &parts).await;
         }
         let configuration = self.in_force.borrow().current().cloned();
         let Some(configuration) = configuration else {
@@ -187,13 +193,21 @@
                 return self.refuse_unrouted(&refusal, &parts);
             }
         };
+        let caller = match self.authenticate(&route, meta.key.as_ref()) {
+            Ok(caller) => caller,
+            Err(refusal) => return self.refuse_unrouted(&refusal, &parts),
+        };
         let max_bytes = configuration.limits.body_bytes;
         let body = match read_body(&parts.headers, body, max_bytes).await {
             Ok(body) => body,
             Err(refusal) => return self.refuse_unrouted(&refusal, &parts),
         };
         if route.kind == RouteKind::Batch {
-            return self.jobs.clone().submit(route, meta, parts, body).await;
+            let checked = self.check_waiting_caller(&route, meta.key.as_ref(), &caller);
+            return match checked {
+                Ok(()) => self.jobs.clone().submit(route, caller, meta, parts, body).await,
+                Err(refusal) => self.refuse_unrouted(&refusal, &parts),
+            };
         }
         let report = RequestReport::new(
             self.clone(),
@@ -202,7 +216,22 @@
             configuration.version,
             arrived_ms,
         );
-        self.forward(route, meta, parts, body, report).await
+        self.forward(route, caller, meta, parts, body, report).await
+    }
+
+    /// Answers a call about a job; a key that goes away while a read waits reads nothing.
+    async fn serve_job_call(&self, call: JobCall, parts: &Parts) -> Response<LocalBody> {
+        let key = self.codec.decode_key(&parts.headers);
+        let caller = match self.authenticate_job_call(key.as_ref()) {
+            Ok(caller) => caller,
+            Err(refusal) => return self.refuse_unrouted(&refusal, parts),
+        };
+        let is_read = !matches!(call, JobCall::End { .. });
+        let answer = self.jobs.clone().handle_call(call, caller).await;
+        match self.authenticate_job_call(key.as_ref()) {
+            Err(refusal) if is_read => self.refuse_unrouted(&refusal, parts),
+            _ => answer,
+        }
     }
 
     /// Returns the refusal of a request that no route of the current configuration allows. The route
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod answer;
 pub mod attempt;
+pub mod caller;
 pub mod codec;
 pub mod crash_guard;
 pub mod exchange;
@@ -13,6 +14,8 @@
 pub mod shutdown;
 pub mod silent_run;
 
+pub use caller::ApiKey;
+pub use caller::Caller;
 pub use codec::IngressCodec;
 pub use codec::JobCall;
 pub use crash_guard::CrashGuard;
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -365,6 +365,8 @@
                     return Ok(());
                 }
                 Err(SendError::Failed(failure)) => failure,
+                // The caller of a started stream is not checked again.
+                Err(SendError::CallerRefused(_)) => return Err(SendFailure::BrokenOff),
                 Err(SendError::NoSlot(_)) => return Err(SendFailure::Stalled),
                 Err(SendError::Quarantined(suspect)) => {
                     info!("event=request_quarantined id={} {suspect}", self.request.id);
--- a/crates/gate/src/silent_run.rs
+++ b/crates/gate/src/silent_run.rs
@@ -167,6 +167,7 @@
             Err(SendError::NoSlot(NoSlot::NoReplica)) => "no_replica",
             Err(SendError::NoSlot(NoSlot::Full)) => "full",
             Err(SendError::Quarantined(_)) => "quarantined",
+            Err(SendError::CallerRefused(_)) => "caller_refused",
             Err(SendError::Failed(failure)) => failure.as_str(),
         };
         self.log_wait(reason);
--- a/crates/jobs/src/adoption.rs
+++ b/crates/jobs/src/adoption.rs
@@ -304,6 +304,7 @@
             Job::from_record(now_ms, age_ms, id.clone(), &value.host, &value.path, items, results);
         job.value_bytes = object.value.len();
         job.input_parts = value.input_parts;
+        job.organisation = value.organisation;
         job.apply_record(object.revision, status.as_ref());
         Ok(RecordedJob { job, home: status.map_or(value.home, |status| status.home) })
     }
--- a/crates/jobs/src/handover.rs
+++ b/crates/jobs/src/handover.rs
@@ -11,11 +11,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 use store::Reply;
+use store::call::StoredObject;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use wire::DaemonName;
 use wire::JobId;
 use wire::Millis;
+use wire::OrgName;
 use wire::rendezvous;
 
 use crate::item::Item;
@@ -26,6 +28,7 @@
 use crate::progress::Progress;
 use crate::record;
 use crate::record::Home;
+use crate::record::JobRecord;
 use crate::record::JobStatus;
 use crate::record::ResultPart;
 use crate::status::StatusWriteReply;
@@ -79,6 +82,42 @@
     pub progress: Progress,
 }
 
+/// What follows the state of a job; older builds neither send nor read it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct HandoverExtension {
+    /// The organisation that submitted the job.
+    pub organisation: Option<OrgName>,
+}
+
+/// Encodes the state of a job and its organisation.
+pub fn encode_handover(
+    handover: &JobHandover,
+    organisation: Option<OrgName>,
+) -> Result<Vec<u8>, postcard::Error> {
+    let body = postcard::to_allocvec(handover)?;
+    postcard::to_extend(&HandoverExtension { organisation }, body)
+}
+
+/// Decodes the state of a job and what follows it, which older builds do not send.
+pub fn decode_handover(
+    body: &[u8],
+) -> Result<(JobHandover, Option<HandoverExtension>), postcard::Error> {
+    let (handover, rest) = postcard::take_from_bytes(body)?;
+    let extension = if rest.is_empty() { None } else { Some(postcard::from_bytes(rest)?) };
+    Ok((handover, extension))
+}
+
+/// Returns the organisation in a job's record, which older builds do not hand over.
+fn recorded_organisation(id: &JobId, object: &StoredObject) -> Option<OrgName> {
+    match JobRecord::decode(&object.value) {
+        Ok(record) => record.organisation,
+        Err(error) => {
+            warn!("event=job_record_malformed job={id} error=\"{error}\"");
+            None
+        }
+    }
+}
+
 impl JobManager {
     /// Stops starting items and hands every unfinished job over to another daemon.
     pub fn hand_over_jobs(self: &Rc<Self>) {
@@ -107,8 +146,9 @@
         }
         let Some(record_use) = handle.use_record() else { return };
         handle.job.borrow_mut().begin_write(self.now_ms());
-        let body = postcard::to_allocvec(&handle.job.borrow().to_handover(self.now_ms()));
-        let body = match body {
+        let handover = handle.job.borrow().to_handover(self.now_ms());
+        let organisation = handle.job.borrow().organisation.clone();
+        let body = match encode_handover(&handover, organisation) {
             Ok(body) => body,
             Err(error) => {
                 warn!("event=job_not_handed_over job={id} error=\"{error}\"");
@@ -176,8 +216,8 @@
 
     /// Accepts a job that a stopping daemon hands over, by writing this daemon into its status.
     pub async fn accept_handover(self: &Rc<Self>, body: &[u8]) -> StatusCode {
-        let handover: JobHandover = match postcard::from_bytes(body) {
-            Ok(handover) => handover,
+        let (handover, extension) = match decode_handover(body) {
+            Ok(decoded) => decoded,
             Err(error) => {
                 warn!("event=handover_malformed error=\"{error}\"");
                 return StatusCode::BAD_REQUEST;
@@ -196,11 +236,23 @@
             status.results.truncate(job.written_results().len().saturating_sub(in_parts));
         }
         let written = self.write_claim(&id, job.revision, &mut status, SUCCESSOR_TIMEOUT).await;
+        let is_extended = extension.is_some();
+        job.organisation = extension.and_then(|extension| extension.organisation);
         let revision = match written {
-            Ok(Reply::Object(object)) => object.revision,
+            Ok(Reply::Object(object)) => {
+                if !is_extended {
+                    job.organisation = recorded_organisation(&id, &object);
+                }
+                object.revision
+            }
             Ok(Reply::Conflict(Some(object))) => match JobStatus::decode(&object.status) {
                 // An earlier attempt took effect, but its answer was lost.
-                Ok(found) if found == status => object.revision,
+                Ok(found) if found == status => {
+                    if !is_extended {
+                        job.organisation = recorded_organisation(&id, &object);
+                    }
+                    object.revision
+                }
                 _ => return StatusCode::CONFLICT,
             },
             Ok(_) => return StatusCode::CONFLICT,
--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use http::header;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -29,6 +30,14 @@
 }
 
 impl Submission {
+    /// Removes the credentials in the headers of the items, so that no key gets into the store.
+    pub fn remove_credentials(&mut self) {
+        for item in &mut self.items {
+            let is_kept = |name: &str| !name.eq_ignore_ascii_case(header::AUTHORIZATION.as_str());
+            item.headers.retain(|(name, _)| is_kept(name));
+        }
+    }
+
     /// Returns the sum of the tokens of all items.
     pub fn tokens(&self) -> u64 {
         self.items.iter().fold(0, |sum, item| sum.saturating_add(item.tokens))
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -5,6 +5,7 @@
 use quarantine::Suspect;
 use wire::JobId;
 use wire::Millis;
+use wire::OrgName;
 
 use crate::handover::ItemHandover;
 use crate::handover::JobHandover;
@@ -141,6 +142,8 @@
     pub result_parts: Vec<ResultPart>,
     /// Whether the client ended it.
     pub is_ended: bool,
+    /// The organisation that submitted it, if the configuration had organisations.
+    pub organisation: Option<OrgName>,
     entries: Vec<ItemEntry>,
     written: Vec<ItemResult>,
     unwritten: Vec<ItemResult>,
@@ -187,6 +190,7 @@
             input_parts: 0,
             result_parts: Vec::new(),
             is_ended: false,
+            organisation: None,
             entries,
             written,
             unwritten: Vec::new(),
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -8,6 +8,7 @@
 //! Every status write is conditional on the record's revision, so that a replaced home can no longer
 //! write. Clients see a result only after it was written.
 
+pub mod access;
 pub mod adoption;
 pub mod codec;
 pub mod handover;
--- a/crates/jobs/src/manager.rs
+++ b/crates/jobs/src/manager.rs
@@ -28,6 +28,7 @@
 use wire::DaemonName;
 use wire::JobId;
 use wire::Millis;
+use wire::OrgName;
 use wire::Route;
 use wire::rendezvous;
 
@@ -216,7 +217,8 @@
                 jobs.push(JobSummary { job: id.clone(), is_open: !job.is_finished() });
             }
             if let Some(route) = self.route_of(&job) {
-                let tokens: &mut u64 = waiting.entry(route_hash(&route)).or_default();
+                let queue = queue_hash(&route, job.organisation.as_ref());
+                let tokens: &mut u64 = waiting.entry(queue).or_default();
                 *tokens = tokens.saturating_add(job.waiting_tokens());
             }
         }
@@ -278,15 +280,18 @@
         self.remote_homes.borrow_mut().remove(job);
     }
 
-    /// Returns the tokens of unfinished items on a route, summed over all daemons.
-    pub fn waiting_tokens(&self, route: &Route) -> u64 {
-        let hash = route_hash(route);
+    /// Returns the tokens of an organisation's unfinished items on a route, summed over all daemons.
+    pub fn waiting_tokens(&self, route: &Route, organisation: Option<&OrgName>) -> u64 {
+        let hash = queue_hash(route, organisation);
         let own = self
             .jobs
             .borrow()
             .values()
             .map(|handle| handle.job.borrow())
-            .filter(|job| self.route_of(job).is_some_and(|other| route_hash(&other) == hash))
+            .filter(|job| job.organisation.as_ref() == organisation)
+            .filter(|job| {
+                self.route_of(job).is_some_and(|other| queue_hash(&other, organisation) == hash)
+            })
             .fold(0, |sum: u64, job| sum.saturating_add(job.waiting_tokens()));
         let peers = self.peer_waiting_tokens.borrow();
         let others = peers.values().flatten().filter(|waiting| waiting.route == hash);
@@ -379,9 +384,17 @@
     }
 }
 
-/// Returns the hash of a route's host and path prefix, which is the same in every daemon.
-pub fn route_hash(route: &Route) -> u64 {
-    rendezvous::hash(format!("{} {}", route.host, route.path_prefix).as_bytes())
+/// Returns the hash of a route's host and path prefix and of the organisation whose items wait, which
+/// is the same in every daemon.
+///
+/// The line break, which is in no host or path, keeps the hashes of two queues apart.
+pub fn queue_hash(route: &Route, organisation: Option<&OrgName>) -> u64 {
+    let mut text = format!("{} {}", route.host, route.path_prefix);
+    if let Some(organisation) = organisation {
+        text.push('\n');
+        text.push_str(organisation.as_str());
+    }
+    rendezvous::hash(text.as_bytes())
 }
 
 /// Creates the handle of a job.
--- a/crates/jobs/src/message.rs
+++ b/crates/jobs/src/message.rs
@@ -9,7 +9,7 @@
 pub struct HeartbeatJobs {
     /// The unfinished jobs, and the finished ones that are kept for readers.
     pub jobs: Vec<JobSummary>,
-    /// The tokens of unfinished items on each route.
+    /// The tokens of unfinished items on each route, by organisation.
     pub waiting: Vec<WaitingTokens>,
 }
 
@@ -22,10 +22,10 @@
     pub is_open: bool,
 }
 
-/// The tokens of unfinished items of one home on one route.
+/// The tokens of one organisation's unfinished items of one home on one route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaitingTokens {
-    /// The hash of the route's host and path prefix.
+    /// The hash of the route's host and path prefix, and of the organisation if there is one.
     pub route: u64,
     /// The sum of the tokens.
     pub tokens: u64,
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 use wire::DaemonName;
 use wire::Millis;
+use wire::OrgName;
 
 use crate::item::ItemResult;
 use crate::item::Submission;
@@ -63,6 +64,9 @@
     /// The number of parts that hold the input.
     #[serde(default)]
     pub input_parts: usize,
+    /// The organisation that submitted the job, if the configuration had organisations.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisation: Option<OrgName>,
 }
 
 /// The status of a job's record, written by its home.
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use gate::Caller;
 use gate::attempt::SendFailure;
 use gate::crash_guard::SOUND_EVENTS;
 use gate::exchange;
@@ -232,6 +233,18 @@
         self.deps.slots.acquire(&slot_request).await.ok()
     }
 
+    /// Returns the caller as whom the items of a job run; a key that goes away ends no job.
+    fn item_caller(&self, handle: &JobHandle) -> Caller {
+        if let Some(organisation) = &handle.job.borrow().organisation {
+            return Caller::Member(organisation.clone());
+        }
+        let in_force = self.deps.in_force.borrow();
+        match in_force.current() {
+            Some(configuration) if configuration.has_organisations() => Caller::Anonymous,
+            _ => Caller::Unchecked,
+        }
+    }
+
     /// Runs an item on a slot and appends its output to `progress`.
     async fn stream_item(
         &self,
@@ -253,6 +266,8 @@
             id: RequestId::from(&*run.item.id),
             prompt_parts,
             is_item: true,
+            caller: self.item_caller(handle),
+            key: None,
         };
         let admitted = trial.map_or_else(|| guard.admit(&request), |trial| Ok(trial.claimed_ms));
         let Ok(admitted_ms) = admitted else {
--- a/crates/jobs/src/serve.rs
+++ b/crates/jobs/src/serve.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
+use gate::Caller;
 use gate::JobCall;
 use gate::answer;
 use gate::codec::RequestMeta;
@@ -26,10 +27,13 @@
 use tokio::time::timeout;
 use wire::JobId;
 use wire::Millis;
+use wire::OrgName;
 use wire::Reason;
 use wire::Refusal;
 use wire::Route;
 
+use crate::access;
+use crate::access::Access;
 use crate::adoption::LoadedJob;
 use crate::item::ItemResult;
 use crate::item::Submission;
@@ -74,6 +78,16 @@
     Peer,
 }
 
+/// The outcome of the creation of a job's record.
+enum Creation {
+    /// The record was created.
+    Created(CreatedRecord),
+    /// Another daemon had created it.
+    Repeated,
+    /// It is the record of another organisation's job.
+    Taken,
+}
+
 /// The properties of a newly created job record.
 struct CreatedRecord {
     revision: u64,
@@ -88,13 +102,14 @@
     fn submit(
         self: Rc<Self>,
         route: Arc<Route>,
+        caller: Caller,
         meta: RequestMeta,
         parts: Parts,
         body: Bytes,
     ) -> LocalBoxFuture<'static, Response<LocalBody>> {
         Box::pin(async move {
             let id = JobId::from(meta.id.as_str());
-            let result = self.accept(&id, &route, &meta, &parts, body).await;
+            let result = self.accept(&id, &route, &caller, &meta, &parts, body).await;
             match result {
                 Ok(()) => answer::json(StatusCode::ACCEPTED, "{}"),
                 Err(refusal) => {
@@ -111,9 +126,13 @@
         })
     }
 
-    fn handle_call(self: Rc<Self>, call: JobCall) -> LocalBoxFuture<'static, Response<LocalBody>> {
+    fn handle_call(
+        self: Rc<Self>,
+        call: JobCall,
+        caller: Caller,
+    ) -> LocalBoxFuture<'static, Response<LocalBody>> {
         Box::pin(async move {
-            let (status, body) = self.answer(&call, CallOrigin::Client).await;
+            let (status, body) = self.answer(&call, &caller, CallOrigin::Client).await;
             answer::json(status, body)
         })
     }
@@ -121,7 +140,12 @@
 
 impl JobManager {
     /// Answers a call about a job, here or through the job's home.
-    pub async fn answer(self: &Rc<Self>, call: &JobCall, origin: CallOrigin) -> CallAnswer {
+    pub async fn answer(
+        self: &Rc<Self>,
+        call: &JobCall,
+        caller: &Caller,
+        origin: CallOrigin,
+    ) -> CallAnswer {
         let job = match call {
             JobCall::Results { job, .. } | JobCall::ItemBody { job, .. } | JobCall::End { job } => {
                 JobId::from(job.as_str())
@@ -131,19 +155,30 @@
         let mut denied_by = None;
         for _ in 0..MAX_LOOKUPS {
             let home = match self.locate(&job) {
-                JobLocation::Local(handle) => match self.answer_here(call, &handle).await {
-                    Some(answer) => return answer,
-                    None if origin == CallOrigin::Peer || self.has_unconfirmed(call, &handle) => {
-                        break;
+                JobLocation::Local(handle) => {
+                    if let Some(status) = self.deny(caller, &handle.job.borrow(), origin) {
+                        return (status, Bytes::new());
                     }
-                    None => continue,
-                },
+                    match self.answer_here(call, &handle).await {
+                        Some(answer) => return answer,
+                        None if origin == CallOrigin::Peer
+                            || self.has_unconfirmed(call, &handle) =>
+                        {
+                            break;
+                        }
+                        None => continue,
+                    }
+                }
                 _ if origin == CallOrigin::Peer => return (StatusCode::NOT_FOUND, Bytes::new()),
                 JobLocation::Remote(home) => Some(home),
                 JobLocation::Unknown => None,
             };
             if let Some(address) = home.as_ref().and_then(|home| self.control_address(home)) {
-                match self.forward_to_peer(address, call).await {
+                match self.forward_to_peer(address, call, caller).await {
+                    // The home denies the caller.
+                    Some((StatusCode::FORBIDDEN, _)) => {
+                        return (StatusCode::NOT_FOUND, Bytes::new());
+                    }
                     Some(answer) if answer.0 != StatusCode::NOT_FOUND => return answer,
                     Some(_) => {
                         self.forget_home(&job);
@@ -156,6 +191,9 @@
                 Ok(LoadedJob::Local(_)) => {}
                 Ok(LoadedJob::NotFound) => return (StatusCode::NOT_FOUND, Bytes::new()),
                 Ok(LoadedJob::Remote(home, handle)) => {
+                    if let Some(status) = self.deny(caller, &handle.job.borrow(), origin) {
+                        return (status, Bytes::new());
+                    }
                     if denied_by.as_ref() == Some(&home) {
                         // That daemon wrote the record or a claim, but never received the store's
                         // answer.
@@ -316,7 +354,12 @@
         membership.peer(&home.daemon)?.identity.control
     }
 
-    async fn forward_to_peer(&self, peer: SocketAddr, call: &JobCall) -> Option<CallAnswer> {
+    async fn forward_to_peer(
+        &self,
+        peer: SocketAddr,
+        call: &JobCall,
+        caller: &Caller,
+    ) -> Option<CallAnswer> {
         let (method, target, wait_ms) = match call {
             JobCall::Results { job, after, wait_ms } => {
                 (Method::GET, format!("/jobs/{job}/results/{after}/{wait_ms}"), *wait_ms)
@@ -329,6 +372,7 @@
             }
             JobCall::Unknown => return None,
         };
+        let target = format!("{target}{}", access::encode_caller(caller));
         let limit = PEER_TIMEOUT + Duration::from_millis(wait_ms);
         let answer = self.deps.control.call(peer, method, &target, &[], limit).await;
         answer.ok().filter(|(status, _)| !status.is_server_error())
@@ -338,20 +382,24 @@
         self: &Rc<Self>,
         id: &JobId,
         route: &Route,
+        caller: &Caller,
         meta: &RequestMeta,
         parts: &Parts,
         body: Bytes,
     ) -> Result<(), Refusal> {
-        if !matches!(self.locate(id), JobLocation::Unknown) {
+        if let Novelty::Repeated = self.check_id(id, caller).await? {
             info!("event=job_repeated job={id}");
             return Ok(());
         }
-        let submission = self
+        let mut submission = self
             .deps
             .job_codec
             .decode_submission(&body)
             .map_err(|bad| Refusal::not_run(Reason::BadRequest, bad.message))?;
         drop(body);
+        if caller.is_checked() {
+            submission.remove_credentials();
+        }
         let wait_ms = meta.deadline_ms.unwrap_or(DEFAULT_SUBMIT_DEADLINE_MS);
         let store_timeout = Duration::from_millis(wait_ms.saturating_sub(ANSWER_RESERVE_MS).max(1));
         let checked = self.check_quarantine(id, &route.host, &submission, store_timeout);
@@ -359,15 +407,16 @@
             info!("event=job_repeated job={id}");
             return Ok(());
         }
-        self.check_quota(id, route, &submission)?;
+        let organisation = caller.organisation();
+        self.check_quota(id, route, organisation, &submission)?;
         let pauses_before = self.pauses();
         let submitted_ms = self.now_ms();
         let host = &*route.host;
         let path = parts.uri.path();
-        let written =
-            timeout(store_timeout, self.write_record(id, host, path, &submission, store_timeout));
-        let record = match written.await {
-            Ok(Ok(record)) => record,
+        let record = self.new_record(host, path, organisation);
+        let writing = self.write_record(id, record, caller, &submission, store_timeout);
+        let creation = match timeout(store_timeout, writing).await {
+            Ok(Ok(creation)) => creation,
             Ok(Err(StoreError::Unavailable(message))) => {
                 return Err(Refusal::not_run(Reason::StoreUnavailable, message)
                     .with_retry_after(RETRY_AFTER_MS));
@@ -385,22 +434,27 @@
                 return Err(Refusal::may_have_run(Reason::StoreUnavailable, message));
             }
         };
-        let Some(record) = record else {
-            info!("event=job_repeated job={id}");
-            return Ok(());
+        let record = match creation {
+            Creation::Created(record) => record,
+            Creation::Repeated => {
+                info!("event=job_repeated job={id}");
+                return Ok(());
+            }
+            Creation::Taken => return Err(id_taken()),
         };
         let mut job =
             Job::new(id.clone(), host, path, submitted_ms as i64, submission.items, Vec::new());
         job.revision = record.revision;
         job.value_bytes = record.value_bytes;
         job.input_parts = record.input_parts;
+        job.organisation = organisation.cloned();
         self.deps.counters.count("jobs_accepted");
         info!(
             "event=job_accepted job={id} route={} items={} took_ms={} waiting_tokens={}",
             route.name,
             job.total(),
             self.now_ms().saturating_sub(submitted_ms),
-            self.waiting_tokens(route)
+            self.waiting_tokens(route, organisation)
         );
         let handle = self.add_job_since(job, pauses_before);
         if self.is_leaving() {
@@ -409,46 +463,78 @@
         Ok(())
     }
 
+    /// Returns whether a job with this id is known to this daemon, or a refusal if it is one of
+    /// another organisation.
+    async fn check_id(self: &Rc<Self>, id: &JobId, caller: &Caller) -> Result<Novelty, Refusal> {
+        let handle = match self.locate(id) {
+            JobLocation::Unknown => return Ok(Novelty::New),
+            JobLocation::Local(handle) => handle,
+            JobLocation::Remote(_) if caller.organisation().is_none() => {
+                return Ok(Novelty::Repeated);
+            }
+            JobLocation::Remote(_) => match self.load(id, READ_TIMEOUT).await {
+                Ok(LoadedJob::Local(handle) | LoadedJob::Remote(_, handle)) => handle,
+                Ok(LoadedJob::NotFound) => return Ok(Novelty::New),
+                Err(error) => {
+                    // The home reports the job, so that it was accepted.
+                    info!("event=job_owner_not_read job={id} error=\"{error}\"");
+                    return Ok(Novelty::Repeated);
+                }
+            },
+        };
+        let is_denied = self.deny(caller, &handle.job.borrow(), CallOrigin::Client).is_some();
+        if is_denied { Err(id_taken()) } else { Ok(Novelty::Repeated) }
+    }
+
     fn check_quota(
         &self,
         id: &JobId,
         route: &Route,
+        organisation: Option<&OrgName>,
         submission: &Submission,
     ) -> Result<(), Refusal> {
         let Some(max_tokens) = route.max_waiting_tokens else { return Ok(()) };
-        let waiting = self.waiting_tokens(route);
+        let waiting = self.waiting_tokens(route, organisation);
         let tokens = submission.tokens();
         if waiting.saturating_add(tokens) <= max_tokens {
             return Ok(());
         }
-        info!("event=job_over_quota job={id} tokens={tokens} waiting={waiting} max={max_tokens}");
+        info!(
+            "event=job_over_quota job={id} organisation=\"{}\" tokens={tokens} waiting={waiting} \
+             max={max_tokens}",
+            organisation.map_or("-", OrgName::as_str).escape_debug()
+        );
         let message = "too many tokens wait on the route";
         Err(Refusal::not_run(Reason::RateLimit, message).with_retry_after(RETRY_AFTER_MS))
     }
 
-    /// Creates a job's record; returns `None` if another daemon created it already.
+    fn new_record(&self, host: &str, path: &str, organisation: Option<&OrgName>) -> JobRecord {
+        JobRecord {
+            home: self.own_home.clone(),
+            host: host.to_owned(),
+            path: path.to_owned(),
+            submitted_unix_ms: Clock::unix_ms(),
+            input: String::new(),
+            input_parts: 0,
+            organisation: organisation.cloned(),
+        }
+    }
+
+    /// Creates a job's record unless it exists.
     async fn write_record(
         self: &Rc<Self>,
         id: &JobId,
-        host: &str,
-        path: &str,
+        mut value: JobRecord,
+        caller: &Caller,
         submission: &Submission,
         store_timeout: Duration,
-    ) -> Result<Option<CreatedRecord>, StoreError> {
+    ) -> Result<Creation, StoreError> {
         let malformed = |error: record::RecordError| StoreError::Malformed {
             key: id.to_string(),
             message: error.message,
         };
         let max_bytes = self.deps.max_object_bytes;
         let input = record::encode_input(submission).map_err(malformed)?;
-        let mut value = JobRecord {
-            home: self.own_home.clone(),
-            host: host.to_owned(),
-            path: path.to_owned(),
-            submitted_unix_ms: Clock::unix_ms(),
-            input: String::new(),
-            input_parts: 0,
-        };
         if record::input_fits(&input, max_bytes) {
             value.input = input;
         } else {
@@ -463,12 +549,18 @@
         let input_parts = value.input_parts;
         let value = record::to_json(&value).map_err(malformed)?;
         let value_bytes = value.len();
-        let created = |revision| Some(CreatedRecord { revision, value_bytes, input_parts });
+        let created =
+            |revision| Creation::Created(CreatedRecord { revision, value_bytes, input_parts });
         let call = Call::Create { kind: JOB_KIND, name: id.to_string(), value };
         match self.deps.store.call_with_retries(CallClass::Claim, &call, store_timeout).await? {
             Reply::Object(object) => Ok(created(object.revision)),
             Reply::Conflict(Some(object)) => {
                 let record = JobRecord::decode(&object.value).map_err(malformed)?;
+                // A job without an owner is one of a caller without a key.
+                let access = access::access(caller, record.organisation.as_ref(), true);
+                if access == Access::Denied {
+                    return Ok(Creation::Taken);
+                }
                 if record.home == self.own_home && object.status.is_empty() {
                     // An earlier attempt took effect, but its answer was lost.
                     return Ok(created(object.revision));
@@ -476,10 +568,14 @@
                 // The home may have given up before it received the answer that the record exists.
                 self.notify_home(id, &record.home.daemon);
                 self.note_home(id, &record.home);
-                Ok(None)
+                Ok(Creation::Repeated)
             }
-            Reply::Conflict(None) => Ok(None),
+            Reply::Conflict(None) => Ok(Creation::Repeated),
             _ => Err(StoreError::Unknown("the store's answer makes no sense".to_owned())),
         }
     }
 }
+
+fn id_taken() -> Refusal {
+    Refusal::not_run(Reason::KeyReused, "another organisation has a job with this id")
+}
--- a/crates/jobs/tests/handover.rs
+++ b/crates/jobs/tests/handover.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use catalog::ConfigurationInForce;
 use catalog::ReplicaSet;
+use gate::ApiKey;
 use gate::CrashGuard;
 use gate::IngressCodec;
 use gate::JobCall;
@@ -100,6 +101,10 @@
         Err(InvalidHead { message: "not used" })
     }
 
+    fn decode_key(&self, _headers: &HeaderMap) -> Option<ApiKey> {
+        None
+    }
+
     fn decode_prompt_parts(&self, _headers: &HeaderMap) -> Vec<PromptPart> {
         Vec::new()
     }
@@ -217,6 +222,7 @@
         submitted_unix_ms: 0,
         input: record::encode_input(&submission).expect("the input is encoded"),
         input_parts: 0,
+        organisation: None,
     };
     let value = record::to_json(&value).expect("the record is encoded");
     let mut job = Job::new(id.clone(), "host", "/jobs/", 0, submission.items, Vec::new());
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -17,6 +17,7 @@
 use http_body_util::Limited;
 use hyper::body::Incoming;
 use jobs::JobManager;
+use jobs::access;
 use jobs::serve::CallOrigin;
 use kernel::local_server::LocalBody;
 use kernel::local_server::LocalHandler;
@@ -89,7 +90,10 @@
                 }
             }
             (method, path) => match job_call(method, path) {
-                Some(call) => self.job_manager.answer(&call, CallOrigin::Peer).await,
+                Some(call) => {
+                    let caller = access::decode_caller(parts.uri.query());
+                    self.job_manager.answer(&call, &caller, CallOrigin::Peer).await
+                }
                 None => (StatusCode::NOT_FOUND, Bytes::new()),
             },
         }
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -46,8 +46,13 @@
     }
 
     fn add_run(&mut self, id: &str, replica: &str, started_ms: u64) {
-        let run =
-            Run { replica: replica.to_owned(), resumed_after: None, started_ms, is_complete: true };
+        let run = Run {
+            replica: replica.to_owned(),
+            resumed_after: None,
+            started_ms,
+            is_complete: true,
+            organisation: None,
+        };
         self.run_log.record_start(id, run);
     }
 
