--- a/crates/daemon/tests/platform_configuration.rs
+++ b/crates/daemon/tests/platform_configuration.rs
@@ -1,19 +1,12 @@
 //! Tests a daemon process with requests and connections that last beyond a change of the
 //! configuration.
 
+mod newer_peer;
 mod platform_fleet;
 
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use http::StatusCode;
-use kernel::Counters;
-use peers::Topic;
-use peers::Transport;
-use peers::heartbeat::Heartbeat;
-use peers::heartbeat::Identity;
-use peers::heartbeat::Readiness;
 use platform_stub::Client;
 use platform_stub::client::OutgoingRequest;
 use platform_stub::client::expected_text;
@@ -27,8 +20,8 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use upstream::Connection;
-use wire::DaemonName;
 
+use crate::newer_peer::report_configuration;
 use crate::platform_fleet::Fleet;
 use crate::platform_fleet::items;
 use crate::platform_fleet::read_all_results;
@@ -211,35 +204,3 @@
         assert_eq!(known.status, StatusCode::OK, "a known route is not served");
     });
 }
-
-/// Sends a heartbeat of a peer that has a configuration in force and hands it to nobody.
-async fn report_configuration(fleet: &Fleet, version: u64) {
-    let settings = &fleet.daemons[0].settings;
-    let IpAddr::V4(ip) = settings.ip else { panic!("the address is no IPv4 address") };
-    let [a, b, c, _] = ip.octets();
-    let own_ip = IpAddr::V4(Ipv4Addr::new(a, b, c, 99));
-    let counters = Counters::new(None).expect("counters without an address");
-    let name = DaemonName::from("newer");
-    let transport = Transport::bind(own_ip, settings.peer_port(), name.clone(), 1, counters);
-    let identity = Identity {
-        name,
-        incarnation: 1,
-        ip: own_ip,
-        data_centre: settings.data_centre.as_str().into(),
-        ingress: None,
-        control: None,
-        cpu_millis: 100,
-    };
-    let heartbeat = Heartbeat {
-        identity,
-        readiness: Readiness::Ready,
-        reaches_store: false,
-        configuration_version: version,
-        replicas_revision: 0,
-        attachments: Vec::new(),
-    };
-    let transport = transport.await.expect("the port is free");
-    // The socket is found writable only after a turn of the runtime.
-    sleep(Duration::from_millis(50)).await;
-    transport.send(settings.ip, Topic::Heartbeat, &heartbeat);
-}
