Log one line for a refused key and lead from its symptom to the cause

Change: request_refused has the key's hash and the state of the list; heartbeats leave out queues without waiting tokens, now that each organisation has its own.

--- a/crates/gate/src/caller.rs
+++ b/crates/gate/src/caller.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use catalog::contact::MAX_CONTACT_GAP_MS;
-use log::info;
 use wire::Configuration;
 use wire::OrgName;
 use wire::Reason;
@@ -103,7 +102,7 @@
             None => Some(Caller::Unchecked),
         };
         drop(in_force);
-        caller.ok_or_else(|| self.refuse_key(key))
+        caller.ok_or_else(|| self.refuse_key())
     }
 
     /// Returns the caller of a call about a job, which names no route.
@@ -125,7 +124,7 @@
             }
         };
         drop(in_force);
-        caller.ok_or_else(|| self.refuse_key(key))
+        caller.ok_or_else(|| self.refuse_key())
     }
 
     /// Returns the refusal of a request that waited for a slot and whose caller is no longer the one
@@ -145,21 +144,22 @@
     }
 
     /// Returns the refusal of a missing or unknown key, which may be valid in a newer configuration.
-    fn refuse_key(&self, key: Option<&ApiKey>) -> Refusal {
+    fn refuse_key(&self) -> Refusal {
         let list = self.slots.list_state();
         let is_cut_off = list.store_age_ms.is_none_or(|age_ms| age_ms > MAX_CONTACT_GAP_MS);
-        let is_outdated = self.in_force.borrow().is_outdated();
-        info!(
-            "event=key_refused key_hash={} version={} outdated={is_outdated} cut_off={is_cut_off}",
-            key.map_or("-".to_owned(), ApiKey::to_string),
-            self.in_force.borrow().version(),
-        );
-        if is_outdated || is_cut_off {
+        if self.in_force.borrow().is_outdated() || is_cut_off {
             return self.outdated_key();
         }
         Refusal::not_run(Reason::Unauthenticated, "send a valid key")
     }
 
+    /// Returns the hash of a request's key for the log, or `-` if it has none or needs none.
+    pub(crate) fn logged_key_hash(&self, key: Option<&ApiKey>) -> String {
+        let in_force = self.in_force.borrow();
+        let needs_key = in_force.current().is_some_and(|current| current.has_organisations());
+        key.filter(|_| needs_key).map_or("-".to_owned(), ApiKey::to_string)
+    }
+
     fn outdated_key(&self) -> Refusal {
         let message = "the key may be one of a newer configuration, which is on its way";
         Refusal::not_run(Reason::OutdatedBundle, message).with_retry_after(UNCONFIGURED_RETRY_MS)
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -153,10 +153,11 @@
                 }
                 Err(SendError::CallerRefused(refusal)) => {
                     info!(
-                        "event=waiting_caller_refused id={} reason={} version={}",
+                        "event=waiting_caller_refused id={} reason={} version={} key_hash={}",
                         request.id,
                         refusal.reason.as_str(),
-                        self.in_force.borrow().version()
+                        self.in_force.borrow().version(),
+                        self.logged_key_hash(request.key.as_ref())
                     );
                     return self.answer_without_replica(NextAction::Refuse(refusal), report);
                 }
--- a/crates/gate/src/gateway.rs
+++ b/crates/gate/src/gateway.rs
@@ -249,12 +249,14 @@
     fn refuse_unrouted(&self, refusal: &Refusal, parts: &Parts) -> Response<LocalBody> {
         self.counters.count_refusal(refusal);
         info!(
-            "event=request_refused reason={} method={} path={} host={:?} version={}",
+            "event=request_refused reason={} method={} path={} host={:?} version={} key_hash={} {}",
             refusal.reason.as_str(),
             parts.method,
             parts.uri.path(),
             host_of(parts).unwrap_or_default(),
             self.in_force.borrow().version(),
+            self.logged_key_hash(self.codec.decode_key(&parts.headers).as_ref()),
+            self.slots.list_state(),
         );
         answer::refusal(&*self.codec, refusal)
     }
--- a/crates/jobs/src/manager.rs
+++ b/crates/jobs/src/manager.rs
@@ -216,10 +216,11 @@
             if !handle.is_unconfirmed.get() {
                 jobs.push(JobSummary { job: id.clone(), is_open: !job.is_finished() });
             }
-            if let Some(route) = self.route_of(&job) {
+            let tokens_of_job = job.waiting_tokens();
+            if let Some(route) = self.route_of(&job).filter(|_| tokens_of_job > 0) {
                 let queue = queue_hash(&route, job.organisation.as_ref());
                 let tokens: &mut u64 = waiting.entry(queue).or_default();
-                *tokens = tokens.saturating_add(job.waiting_tokens());
+                *tokens = tokens.saturating_add(tokens_of_job);
             }
         }
         let waiting =
