Add the byte budget of the process and count answers of replicas in it

Cause: only answers of replicas were limited (upstream::memory, an eighth of memory_mb). Request bodies, jobs and calls of peers had no limit: 60 bodies of 4 MiB that stop short of their end hold 261 MB (docs/design/hard-load.md).

A request is sent as head and body without a copy of the body; the connection drops both once they are sent.

No caller takes bodies or jobs from it yet.

--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -128,7 +128,8 @@
         is_reused: connection.has_carried_requests(),
         has_same_id: connection.has_carried(request.id.as_str()),
     };
-    connection.queue_request_with_id(writer.finish(&request.body), request.id.as_str());
+    let head = writer.finish_head(request.body.len());
+    connection.queue_request_with_id(head, request.body.clone(), request.id.as_str());
     let exchange = read_own_head(&mut connection, codec, outbound, history);
     let (head, meta) = match pause_tolerant::timeout(limit, exchange).await {
         Ok(Ok(answer)) => answer,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,6 +6,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use budget::Budget;
+use budget::Limits;
+use budget::limits::MIN_MEMORY_MB;
 use catalog::ConfigurationInForce;
 use catalog::ReplicaSet;
 use gate::CrashGuard;
@@ -41,7 +44,6 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::sleep;
-use upstream::AnswerMemory;
 use upstream::ConnectionPool;
 use wire::Millis;
 use wire::NodeSettings;
@@ -64,10 +66,6 @@
 const DAEMON_KIND: &str = "daemons";
 /// The port of the metrics page.
 pub const METRICS_PORT: u16 = 9464;
-/// The share of the process's memory for answers of replicas, as a divisor.
-const ANSWER_MEMORY_DIVISOR: usize = 8;
-/// The least memory for answers of replicas, whatever the settings say.
-const MIN_ANSWER_MEMORY_BYTES: usize = 4 << 20;
 /// How long an idle connection to a replica is kept open if the replica does not set a time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// The timeout of a connect to a replica; a round trip takes a few milliseconds.
@@ -205,8 +203,8 @@
     let control = Rc::new(ControlClient::default());
     let relay = PeerRelay { membership: membership.clone(), control: control.clone() };
     store.set_relay(Rc::new(relay));
-    let memory = AnswerMemory::new(answer_memory_bytes(&settings));
-    let pool = ConnectionPool::with_answer_memory(IDLE_TIMEOUT, CONNECT_TIMEOUT, memory);
+    let budget = Budget::new(budget_limits(&settings));
+    let pool = ConnectionPool::with_budget(IDLE_TIMEOUT, CONNECT_TIMEOUT, budget.clone());
     let pool = Rc::new(pool);
     slots.set_probe(Rc::new(StateProbe { pool: pool.clone() }));
     let delegates = Box::new(QuarantineDelegates { membership: membership.clone() });
@@ -310,10 +308,23 @@
     }
 }
 
-/// Returns how much memory the answers of replicas may take together, in bytes.
-fn answer_memory_bytes(settings: &NodeSettings) -> usize {
-    let memory_mb = usize::try_from(settings.memory_mb).unwrap_or(usize::MAX);
-    (memory_mb.saturating_mul(1 << 20) / ANSWER_MEMORY_DIVISOR).max(MIN_ANSWER_MEMORY_BYTES)
+/// Returns the limits of the memory that the process holds for others, and logs them.
+fn budget_limits(settings: &NodeSettings) -> Limits {
+    let memory_mb = settings.memory_mb;
+    if memory_mb < MIN_MEMORY_MB {
+        warn!("event=memory_below_minimum memory_mb={memory_mb} counted_as_mb={MIN_MEMORY_MB}");
+    }
+    let limits = Limits::for_memory_mb(memory_mb);
+    info!(
+        "event=memory_budget memory_mb={memory_mb} total_bytes={} reserve_bytes={} \
+         request_bodies_bytes={} jobs_bytes={} replica_answers_bytes={}",
+        limits.total_bytes,
+        limits.reserve_bytes,
+        limits.request_bodies_bytes,
+        limits.jobs_bytes,
+        limits.replica_answers_bytes
+    );
+    limits
 }
 
 /// Returns how long clients may cache a directory answer, such that a leaving daemon still serves
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -5,12 +5,17 @@
 use std::hash::BuildHasherDefault;
 use std::hash::DefaultHasher;
 use std::io;
+use std::io::IoSlice;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use budget::AnswerRefusal;
+use budget::AnswerReservation;
+use budget::Budget;
+use budget::Kind;
 use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -23,8 +28,6 @@
 
 use crate::decoder::AnswerDecoder;
 use crate::head::AnswerHead;
-use crate::memory::AnswerMemory;
-use crate::memory::Reservation;
 
 /// The system closes a connection whose sent bytes stay unacknowledged this long; a working path
 /// acknowledges within tens of milliseconds.
@@ -73,12 +76,22 @@
 
 impl std::error::Error for ExchangeError {}
 
+impl From<AnswerRefusal> for ExchangeError {
+    fn from(refusal: AnswerRefusal) -> Self {
+        match refusal {
+            AnswerRefusal::OverShare => Self::OverLimit("the answer takes too much memory"),
+            AnswerRefusal::Full => Self::NoMemory,
+        }
+    }
+}
+
 /// A connection to one server.
 pub struct Connection {
     stream: TcpStream,
     peer: SocketAddr,
     decoder: AnswerDecoder,
-    unsent: Bytes,
+    unsent_head: Bytes,
+    unsent_body: Bytes,
     has_sent: bool,
     can_keep_open: bool,
     is_closing: bool,
@@ -87,21 +100,21 @@
     request_ids: Vec<u64>,
     keep_alive_timeout_ms: Option<u64>,
     idle_since: Instant,
-    memory: Arc<AnswerMemory>,
-    reservation: Reservation,
+    budget: Arc<Budget>,
+    reservation: AnswerReservation,
 }
 
 impl Connection {
     /// Opens a connection to `peer` within `limit`.
     pub async fn open(peer: SocketAddr, limit: Duration) -> Result<Self, ExchangeError> {
-        Self::open_with_memory(peer, limit, AnswerMemory::new(usize::MAX)).await
+        Self::open_with_budget(peer, limit, Budget::unlimited()).await
     }
 
-    /// Opens a connection to `peer` within `limit`, whose answers count towards `memory`.
-    pub async fn open_with_memory(
+    /// Opens a connection to `peer` within `limit`, whose answers count towards `budget`.
+    pub async fn open_with_budget(
         peer: SocketAddr,
         limit: Duration,
-        memory: Arc<AnswerMemory>,
+        budget: Arc<Budget>,
     ) -> Result<Self, ExchangeError> {
         let stream = match timeout(limit, TcpStream::connect(peer)).await {
             Ok(Ok(stream)) => stream,
@@ -119,7 +132,8 @@
             stream,
             peer,
             decoder: AnswerDecoder::default(),
-            unsent: Bytes::new(),
+            unsent_head: Bytes::new(),
+            unsent_body: Bytes::new(),
             has_sent: false,
             can_keep_open: true,
             is_closing: false,
@@ -128,8 +142,8 @@
             request_ids: Vec::new(),
             keep_alive_timeout_ms: None,
             idle_since: Instant::now(),
-            reservation: Reservation::new(memory.clone()),
-            memory,
+            reservation: AnswerReservation::new(&budget),
+            budget,
         })
     }
 
@@ -155,14 +169,19 @@
 
     /// Sets the next request, which [`Self::read_head`] writes.
     pub fn queue_request(&mut self, request: Bytes) {
-        self.unsent = request;
+        self.queue_request_parts(request, Bytes::new());
+    }
+
+    fn queue_request_parts(&mut self, head: Bytes, body: Bytes) {
+        self.unsent_head = head;
+        self.unsent_body = body;
         self.has_sent = false;
         self.has_carried_requests = true;
     }
 
-    /// Sets the next request, which has an id that its answer repeats.
-    pub fn queue_request_with_id(&mut self, request: Bytes, id: &str) {
-        self.queue_request(request);
+    /// Sets the next request, which has an id that its answer repeats. The body is not copied.
+    pub fn queue_request_with_id(&mut self, head: Bytes, body: Bytes, id: &str) {
+        self.queue_request_parts(head, body);
         self.request_ids.push(hash_id(id));
     }
 
@@ -226,7 +245,7 @@
 
     /// Sets how many bytes of the answer the caller keeps in memory; fails if they are too many.
     pub fn set_kept_bytes(&mut self, kept_bytes: usize) -> Result<(), ExchangeError> {
-        let result = self.reservation.resize(kept_bytes);
+        let result = self.reservation.resize(kept_bytes).map_err(ExchangeError::from);
         self.log_over_limit(result)
     }
 
@@ -250,7 +269,7 @@
             self.set_kept_bytes(parts.capacity())?;
         }
         let body = if parts.is_empty() { body } else { parts.freeze() };
-        let next = Reservation::new(self.memory.clone());
+        let next = AnswerReservation::new(&self.budget);
         Ok(std::mem::replace(&mut self.reservation, next).attach(body))
     }
 
@@ -271,7 +290,7 @@
             && !self.is_closing
             && self.request_ids.len() < MAX_REQUEST_IDS
             && self.decoder.is_complete()
-            && self.unsent.is_empty()
+            && !self.has_unsent()
             && self.decoder.received.is_empty()
     }
 
@@ -279,7 +298,7 @@
     pub fn mark_idle(&mut self) {
         self.idle_since = Instant::now();
         self.decoder.received = BytesMut::new();
-        self.reservation = Reservation::new(self.memory.clone());
+        self.reservation = AnswerReservation::new(&self.budget);
     }
 
     /// Returns whether an idle connection is still open and has no bytes to read.
@@ -289,21 +308,41 @@
             Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    fn has_unsent(&self) -> bool {
+        !self.unsent_head.is_empty() || !self.unsent_body.is_empty()
+    }
+
+    fn advance_unsent(&mut self, written: usize) {
+        let head_bytes = written.min(self.unsent_head.len());
+        self.unsent_head.advance(head_bytes);
+        self.unsent_body.advance(written - head_bytes);
+        if !self.has_unsent() {
+            self.drop_unsent();
+        }
+    }
+
+    /// Drops the parts of the request: even an empty part keeps the memory of the whole body.
+    fn drop_unsent(&mut self) {
+        self.unsent_head = Bytes::new();
+        self.unsent_body = Bytes::new();
+    }
+
     /// Writes as much as possible until some bytes have been read; returns their number, or 0 if
     /// the peer has closed the connection.
     async fn write_and_read(&mut self) -> Result<usize, ExchangeError> {
         loop {
-            if !self.unsent.is_empty() {
-                match self.stream.try_write(&self.unsent) {
+            if self.has_unsent() {
+                let parts = [IoSlice::new(&self.unsent_head), IoSlice::new(&self.unsent_body)];
+                match self.stream.try_write_vectored(&parts) {
                     Ok(written) => {
                         self.has_sent |= written > 0;
-                        self.unsent.advance(written);
+                        self.advance_unsent(written);
                     }
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                     Err(_) if self.decoder.received.is_empty() => {
                         // The peer may have answered before it stopped reading, so the answer is
                         // still read.
-                        self.unsent.clear();
+                        self.drop_unsent();
                         self.can_keep_open = false;
                     }
                     Err(_) => return Err(self.connection_lost("the request could not be written")),
@@ -321,13 +360,13 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(_) => return Err(self.connection_lost("it was reset")),
             }
-            let ready = if self.unsent.is_empty() {
-                self.stream.readable().await
-            } else {
+            let ready = if self.has_unsent() {
                 tokio::select! {
                     ready = self.stream.readable() => ready,
                     ready = self.stream.writable() => ready,
                 }
+            } else {
+                self.stream.readable().await
             };
             if ready.is_err() {
                 return Err(self.connection_lost("it failed"));
@@ -344,7 +383,7 @@
                 warn!(
                     "event=answer_without_memory peer={} used_bytes={}",
                     self.peer,
-                    self.memory.used_bytes()
+                    self.budget.used_bytes(Kind::ReplicaAnswers)
                 );
             }
             _ => {}
--- a/crates/upstream/src/head.rs
+++ b/crates/upstream/src/head.rs
@@ -127,12 +127,22 @@
 
     /// Adds the content length, ends the head and appends the body.
     pub fn finish(mut self, body: &[u8]) -> Bytes {
-        self.header("content-length", body.len().to_string());
-        self.buffer.put_slice(b"\r\n");
+        self.end_head(body.len());
         self.buffer.put_slice(body);
         self.buffer.freeze()
     }
 
+    /// Adds the content length of a body that is sent separately, and ends the head.
+    pub fn finish_head(mut self, body_bytes: usize) -> Bytes {
+        self.end_head(body_bytes);
+        self.buffer.freeze()
+    }
+
+    fn end_head(&mut self, body_bytes: usize) {
+        self.header("content-length", body_bytes.to_string());
+        self.buffer.put_slice(b"\r\n");
+    }
+
     /// Ends the head of a request without a body.
     pub fn finish_empty(mut self) -> Bytes {
         self.buffer.put_slice(b"\r\n");
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod events;
 pub mod framing;
 pub mod head;
-pub mod memory;
 pub mod pool;
 pub mod sequence;
 
@@ -22,7 +21,6 @@
 pub use events::EventTooLong;
 pub use head::AnswerHead;
 pub use head::RequestWriter;
-pub use memory::AnswerMemory;
 pub use pool::ConnectionPool;
 pub use sequence::EventPosition;
 pub use sequence::RunSequence;
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use budget::Budget;
 use bytes::Bytes;
 use http::Method;
 use http::StatusCode;
@@ -13,7 +14,6 @@
 use crate::connection::Connection;
 use crate::connection::ExchangeError;
 use crate::head::AnswerHead;
-use crate::memory::AnswerMemory;
 
 /// A connection is not reused this long before its keep-alive time ends: longer than a round trip
 /// and a delayed wake-up of this process together.
@@ -24,28 +24,24 @@
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
     max_idle: Duration,
     connect_timeout: Duration,
-    memory: Arc<AnswerMemory>,
+    budget: Arc<Budget>,
 }
 
 impl ConnectionPool {
     /// Creates an empty pool, which keeps a connection for its keep-alive time and at most for
     /// `max_idle`.
     pub fn new(max_idle: Duration, connect_timeout: Duration) -> Self {
-        Self::with_answer_memory(max_idle, connect_timeout, AnswerMemory::new(usize::MAX))
+        Self::with_budget(max_idle, connect_timeout, Budget::unlimited())
     }
 
     /// Like [`Self::new`], with a limit for the memory of all answers together, for peers that are not
     /// trusted.
-    pub fn with_answer_memory(
-        max_idle: Duration,
-        connect_timeout: Duration,
-        memory: Arc<AnswerMemory>,
-    ) -> Self {
-        Self { idle: RefCell::new(HashMap::new()), max_idle, connect_timeout, memory }
+    pub fn with_budget(max_idle: Duration, connect_timeout: Duration, budget: Arc<Budget>) -> Self {
+        Self { idle: RefCell::new(HashMap::new()), max_idle, connect_timeout, budget }
     }
 
     async fn open(&self, peer: SocketAddr) -> Result<Connection, ExchangeError> {
-        Connection::open_with_memory(peer, self.connect_timeout, self.memory.clone()).await
+        Connection::open_with_budget(peer, self.connect_timeout, self.budget.clone()).await
     }
 
     /// Returns the most recently used idle connection to `peer`, or opens one.
--- a/crates/upstream/tests/answers.rs
+++ b/crates/upstream/tests/answers.rs
@@ -3,6 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use budget::Budget;
+use budget::Kind;
+use budget::Limits;
 use bytes::Bytes;
 use bytes::BytesMut;
 use http::Method;
@@ -234,3 +237,37 @@
     assert_eq!(std::iter::from_fn(|| splitter.next_event()).count(), 100_000);
     assert!(!splitter.has_partial());
 }
+
+/// Guards against an idle connection that keeps the memory of the request bodies it has sent.
+#[tokio::test]
+async fn a_body_is_sent_without_a_copy_and_released() {
+    const BODY_BYTES: usize = 300_000;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("the listener binds");
+    let address = listener.local_addr().expect("the listener has an address");
+    let head = RequestWriter::new("POST", "/x").finish_head(BODY_BYTES);
+    let expected_bytes = head.len() + BODY_BYTES;
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("the client connects");
+        let mut request = vec![0; expected_bytes];
+        stream.read_exact(&mut request).await.expect("the request is read");
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        stream.write_all(answer).await.expect("the answer is written");
+        request
+    });
+    let budget = Budget::new(Limits::unlimited());
+    let mut reservation = budget.reserve(Kind::RequestBodies);
+    reservation.resize(BODY_BYTES).expect("it fits");
+    let body = reservation.attach(Bytes::from(vec![b'b'; BODY_BYTES]));
+
+    let mut connection =
+        Connection::open(address, Duration::from_secs(1)).await.expect("the connection opens");
+    connection.queue_request_with_id(head.clone(), body.clone(), "id");
+    assert!(!connection.has_sent());
+    connection.read_head(&Method::POST).await.expect("an answer");
+    connection.read_whole_body(0).await.expect("an empty body");
+    assert!(connection.has_sent() && connection.is_reusable());
+    let sent = server.await.expect("the server ends");
+    assert!(sent.starts_with(&head) && sent.ends_with(&body[..]));
+    drop(body);
+    assert_eq!(budget.total_used_bytes(), 0, "the connection keeps the body");
+}
