Read request bodies into one buffer within the memory budget

Change: gate::body copies the parts into one growing buffer whose capacity is reserved before it grows. Stalled bodies are evicted (503 no_memory with Retry-After), silent ones end after idle_ms and slower ones than 1 KiB/s after that (408 slow_body), late ones at the request's deadline, large ones at the head or when they exceed the limit (413); each of these closes the connection. The server is expected to put the client's SocketAddr into the extensions of the request; without it the share of a client address does not apply. Gauges bytes_held and bytes_held_KIND, counter bodies_refused by reason, one log line event=body_refused a decision.

--- a/crates/budget/src/bodies.rs
+++ b/crates/budget/src/bodies.rs
@@ -77,7 +77,10 @@
             _ => return Err(BodyRefusal::Evicted),
         };
         let more = bytes.saturating_sub(held_bytes);
-        let missing = state.usage.missing(limits, Kind::RequestBodies, limit_bytes, more);
+        let missing = match more {
+            0 => 0,
+            more => state.usage.missing(limits, Kind::RequestBodies, limit_bytes, more),
+        };
         if missing == 0 {
             state.bodies.set_bytes(self.id, bytes);
             state.usage.add(Kind::RequestBodies, more);
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -52,7 +52,7 @@
 use crate::silent_run::is_usable;
 
 /// The longest time that a request may take, whatever its deadline and its route's timeout are.
-const MAX_WAIT_MS: Millis = 60_000;
+pub(crate) const MAX_WAIT_MS: Millis = 60_000;
 /// The time from a granted slot to the first event: prompt processing and one decoding step.
 const FIRST_EVENT_LATENCY_MS: Millis = 60;
 /// The least remaining time of a request with which it is still sent.
--- a/crates/gate/src/gateway.rs
+++ b/crates/gate/src/gateway.rs
@@ -5,17 +5,16 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use budget::Budget;
+use budget::Kind;
 use bytes::Bytes;
 use catalog::ConfigurationInForce;
 use futures::future::LocalBoxFuture;
-use http::HeaderMap;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::header;
 use http::request::Parts;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use kernel::BootClock;
 use kernel::Counters;
@@ -33,10 +32,16 @@
 use wire::RouteKind;
 
 use crate::answer;
+use crate::attempt::RetryPolicy;
+use crate::body;
+use crate::body::BodyLimits;
+use crate::body::BodyReader;
+use crate::body::UnreadBody;
 use crate::codec::IngressCodec;
 use crate::codec::JobCall;
 use crate::codec::RequestMeta;
 use crate::crash_guard::CrashGuard;
+use crate::forward::MAX_WAIT_MS;
 use crate::report::RequestReport;
 use crate::shutdown::ShutdownWindow;
 
@@ -76,6 +81,8 @@
     pub jobs: Rc<dyn JobCallHandler>,
     /// The quarantine of prompt parts.
     pub crash_guard: Rc<CrashGuard>,
+    /// The memory for the bodies of requests.
+    pub budget: Arc<Budget>,
 }
 
 /// The entry point for requests of clients.
@@ -96,6 +103,7 @@
     pub jobs: Rc<dyn JobCallHandler>,
     /// The quarantine of prompt parts.
     pub crash_guard: Rc<CrashGuard>,
+    budget: Arc<Budget>,
     pub(crate) in_flight: Cell<usize>,
     shutdown: Cell<Option<ShutdownWindow>>,
     /// Cancelled when requests without an answer get a final one, since the process is about to exit.
@@ -123,6 +131,7 @@
             pool: deps.pool,
             jobs: deps.jobs,
             crash_guard: deps.crash_guard,
+            budget: deps.budget,
             in_flight: Cell::new(0),
             shutdown: Cell::new(None),
             ending: CancellationToken::new(),
@@ -187,10 +196,24 @@
                 return self.refuse_unrouted(&refusal, &parts);
             }
         };
-        let max_bytes = configuration.limits.body_bytes;
-        let body = match read_body(&parts.headers, body, max_bytes).await {
+        let give_up_at_ms = match route.kind {
+            RouteKind::Batch => arrived_ms + meta.deadline_ms.unwrap_or(MAX_WAIT_MS),
+            _ => {
+                RetryPolicy::for_route(&route, arrived_ms, meta.deadline_ms, MAX_WAIT_MS)
+                    .give_up_at_ms
+            }
+        };
+        let limits = BodyLimits {
+            max_bytes: configuration.limits.body_bytes,
+            idle_ms: configuration.limits.idle_ms,
+            give_up_at_ms,
+        };
+        let client = body::client_address(&parts);
+        let announced_bytes = body::announced_bytes(&parts);
+        let reader = BodyReader::new(&self.budget, self.clock, client, announced_bytes, limits);
+        let body = match reader.read(body).await {
             Ok(body) => body,
-            Err(refusal) => return self.refuse_unrouted(&refusal, &parts),
+            Err(unread) => return self.refuse_body(&unread, &meta, &parts),
         };
         if route.kind == RouteKind::Batch {
             return self.jobs.clone().submit(route, meta, parts, body).await;
@@ -229,6 +252,35 @@
         );
         answer::refusal(&*self.codec, refusal)
     }
+
+    /// Refuses a request whose body was not read, and closes the connection: the rest of the body may
+    /// still follow on it.
+    fn refuse_body(
+        &self,
+        unread: &UnreadBody,
+        meta: &RequestMeta,
+        parts: &Parts,
+    ) -> Response<LocalBody> {
+        let refusal = unread.failure.refusal();
+        self.counters.count_refusal(&refusal);
+        self.counters.count_tagged("bodies_refused", "reason", unread.failure.as_str());
+        info!(
+            "event=body_refused id={} reason={} client={} path={} received_bytes={} \
+             announced_bytes={} took_ms={} bodies_held_bytes={} held_bytes={}",
+            meta.id,
+            unread.failure,
+            body::client_address(parts).map_or("-".to_owned(), |client| client.to_string()),
+            parts.uri.path(),
+            unread.received_bytes,
+            body::announced_bytes(parts).map_or("-".to_owned(), |bytes| bytes.to_string()),
+            unread.took_ms,
+            self.budget.used_bytes(Kind::RequestBodies),
+            self.budget.total_used_bytes(),
+        );
+        let mut answer = answer::refusal(&*self.codec, &refusal);
+        answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        answer
+    }
 }
 
 fn find_route(configuration: &Configuration, parts: &Parts) -> Option<Arc<Route>> {
@@ -243,22 +295,3 @@
     };
     Some(host.rsplit_once(':').map_or(host, |(name, _)| name))
 }
-
-/// Reads the body of a request, which may have at most `max_bytes`.
-async fn read_body(
-    headers: &HeaderMap,
-    body: Incoming,
-    max_bytes: usize,
-) -> Result<Bytes, Refusal> {
-    let too_large = || Refusal::not_run(Reason::TooLarge, "the body is over the limit");
-    let content_length: Option<usize> =
-        headers.get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse().ok());
-    if content_length.is_some_and(|bytes| bytes > max_bytes) {
-        return Err(too_large());
-    }
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(too_large()),
-        Err(_) => Err(Refusal::not_run(Reason::BadRequest, "the body ended early")),
-    }
-}
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod answer;
 pub mod attempt;
+pub mod body;
 pub mod codec;
 pub mod crash_guard;
 pub mod exchange;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -4,6 +4,7 @@
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use budget::Budget;
@@ -53,6 +54,7 @@
 use crate::directory::Directory;
 use crate::directory::ReadyCheck;
 use crate::heartbeats::HeartbeatService;
+use crate::metrics;
 use crate::metrics::MetricsPage;
 use crate::platform_state::PlatformState;
 use crate::probe::StateProbe;
@@ -132,12 +134,13 @@
         settings.store.reads_per_s,
         counters.clone(),
     ));
-    serve_metrics(&settings, &counters);
-    spawn_local(log_counters(counters.clone()));
+    let budget = Budget::new(budget_limits(&settings));
+    serve_metrics(&settings, &counters, &budget);
+    spawn_local(log_counters(counters.clone(), budget.clone()));
     let probed_store = store.clone();
     spawn_local(async move { probed_store.watch_reachability(RETIREMENT_KIND).await });
     if settings.roles.ingress {
-        let node = start(settings, counters, store.clone()).await?;
+        let node = start(settings, counters, store.clone(), budget).await?;
         let reloader = SettingsReloader { store, membership: Some(node.membership.clone()) };
         wait_for_sigterm(terminate, hangup, reloader).await;
         node.shut_down().await;
@@ -162,11 +165,11 @@
     }
 }
 
-fn serve_metrics(settings: &NodeSettings, counters: &Counters) {
+fn serve_metrics(settings: &NodeSettings, counters: &Counters, budget: &Arc<Budget>) {
     let address = SocketAddr::new(settings.ip, METRICS_PORT);
     match local_server::listen(address) {
         Ok(listener) => {
-            let page = Rc::new(MetricsPage { counters: counters.clone() });
+            let page = Rc::new(MetricsPage { counters: counters.clone(), budget: budget.clone() });
             let lifecycle = Rc::new(ServerLifecycle::new(INITIAL_LIMITS));
             spawn_local(local_server::serve(listener, page, lifecycle));
         }
@@ -178,6 +181,7 @@
     settings: NodeSettings,
     counters: Counters,
     store: Rc<ObjectClient>,
+    budget: Arc<Budget>,
 ) -> Result<Node, KernelError> {
     let clock = BootClock::start();
     let own = identity(&settings);
@@ -203,7 +207,6 @@
     let control = Rc::new(ControlClient::default());
     let relay = PeerRelay { membership: membership.clone(), control: control.clone() };
     store.set_relay(Rc::new(relay));
-    let budget = Budget::new(budget_limits(&settings));
     let pool = ConnectionPool::with_budget(IDLE_TIMEOUT, CONNECT_TIMEOUT, budget.clone());
     let pool = Rc::new(pool);
     slots.set_probe(Rc::new(StateProbe { pool: pool.clone() }));
@@ -235,6 +238,7 @@
         pool: pool.clone(),
         jobs: job_manager.clone(),
         crash_guard: crash_guard.clone(),
+        budget: budget.clone(),
     }));
     let ingress_lifecycle = Rc::new(ServerLifecycle::new(INITIAL_LIMITS));
     let state = Rc::new(PlatformState::new(
@@ -385,9 +389,10 @@
 }
 
 /// Logs the counters periodically, for operators who have only the log.
-async fn log_counters(counters: Counters) {
+async fn log_counters(counters: Counters, budget: Arc<Budget>) {
     loop {
         sleep(SUMMARY_INTERVAL).await;
+        metrics::set_budget_gauges(&counters, &budget);
         info!("event=counters {}", counters.summary());
     }
 }
--- a/crates/wire/src/refusal.rs
+++ b/crates/wire/src/refusal.rs
@@ -92,6 +92,10 @@
     Unsigned = "unsigned", 403;
     /// A part of the prompt is quarantined, since replicas crashed on it.
     Quarantined = "quarantined", 503;
+    /// The daemon's memory for clients' data is used up.
+    NoMemory = "no_memory", 503;
+    /// The body arrived too slowly.
+    SlowBody = "slow_body", 408;
 }
 
 /// A refusal as callers and operators see it.
