Count jobs and the answers about them in the memory budget

Cause: submissions, their decoded and encoded copies, inputs, results and pages of results had no limit.

Change: a submission reserves twice its body while it is decoded and stored, and gets 503 no_memory (not run) if that does not fit. A job counts with its items, progress and results as long as this daemon holds it, measured when it is added and then once a second; adopted and handed-over jobs are always kept, so that they only keep new ones out. Answers about jobs over 4 KiB count until the client has read them, and get 503 if slow readers use that limit up.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -259,6 +259,24 @@
         open.fold(0, |sum, entry| sum.saturating_add(entry.item.tokens))
     }
 
+    /// Returns the bytes of the items' requests and of their output so far.
+    pub(crate) fn items_held_bytes(&self) -> usize {
+        let sizes = self.entries.iter().map(|entry| {
+            let headers = entry.item.headers.iter();
+            let header_bytes: usize = headers.map(|(name, value)| name.len() + value.len()).sum();
+            entry.item.body.len()
+                + entry.item.path.len()
+                + header_bytes
+                + entry.progress.text.capacity()
+        });
+        sizes.sum()
+    }
+
+    /// Returns the bytes of the results.
+    pub(crate) fn results_held_bytes(&self) -> usize {
+        self.written.iter().chain(&self.unwritten).map(|result| result.text.len()).sum()
+    }
+
     /// Returns the request body of an item.
     pub fn item_body(&self, id: &str) -> Option<bytes::Bytes> {
         let entry = self.entries.iter().find(|entry| &*entry.item.id == id)?;
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod item;
 pub mod job;
 pub mod manager;
+mod memory;
 pub mod message;
 pub mod pause;
 pub mod progress;
--- a/crates/jobs/src/manager.rs
+++ b/crates/jobs/src/manager.rs
@@ -7,6 +7,9 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use budget::Budget;
+use budget::Kind;
+use budget::Reservation;
 use catalog::ConfigurationInForce;
 use gate::CrashGuard;
 use gate::IngressCodec;
@@ -78,6 +81,8 @@
     pub keep_jobs_ms: Millis,
     /// The quarantine of prompt parts.
     pub crash_guard: Rc<CrashGuard>,
+    /// The memory for jobs and for answers about them.
+    pub budget: Arc<Budget>,
 }
 
 /// A job with the flags and notifications that its tasks share.
@@ -96,6 +101,8 @@
     is_record_busy: Cell<bool>,
     /// How often the store refused an object of the job as too large.
     oversized_writes: Cell<u32>,
+    /// What the job holds in memory; a copy that is only read once is not counted.
+    pub(crate) memory: RefCell<Option<Reservation>>,
 }
 
 impl JobHandle {
@@ -165,6 +172,8 @@
     pub(crate) unheld_jobs: RefCell<UnheldJobs>,
     pub(crate) next_result_part: Cell<u64>,
     pub(crate) pause_detector: Cell<PauseDetector>,
+    /// When the sizes of all jobs were measured last.
+    pub(crate) measured_ms: Cell<Millis>,
     remote_homes: RefCell<HashMap<JobId, Home>>,
     peer_waiting_tokens: RefCell<HashMap<DaemonName, Vec<WaitingTokens>>>,
 }
@@ -188,6 +197,7 @@
             unheld_jobs: RefCell::default(),
             next_result_part: Cell::new(0),
             pause_detector: Cell::default(),
+            measured_ms: Cell::new(0),
             remote_homes: RefCell::new(HashMap::new()),
             peer_waiting_tokens: RefCell::new(HashMap::new()),
         })
@@ -338,6 +348,8 @@
             return held;
         }
         let handle = Rc::new(new_handle(job));
+        *handle.memory.borrow_mut() = Some(self.deps.budget.reserve(Kind::Jobs));
+        handle.measure();
         self.remote_homes.borrow_mut().remove(&id);
         self.jobs.borrow_mut().insert(id, handle.clone());
         self.deps.membership.borrow_mut().expedite_heartbeats();
@@ -394,5 +406,6 @@
         is_unconfirmed: Cell::new(false),
         is_record_busy: Cell::new(false),
         oversized_writes: Cell::new(0),
+        memory: RefCell::new(None),
     }
 }
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -75,6 +75,7 @@
     fn check_jobs(self: &Rc<Self>) {
         let now_ms = self.now_ms();
         let handles: Vec<Rc<JobHandle>> = self.jobs.borrow().values().cloned().collect();
+        self.measure_jobs(&handles, now_ms);
         for handle in &handles {
             let limits = self.limits_of(&handle.job.borrow());
             handle.job.borrow_mut().give_up_expired(now_ms, limits.as_ref());
--- a/crates/jobs/src/serve.rs
+++ b/crates/jobs/src/serve.rs
@@ -114,7 +114,10 @@
     fn handle_call(self: Rc<Self>, call: JobCall) -> LocalBoxFuture<'static, Response<LocalBody>> {
         Box::pin(async move {
             let (status, body) = self.answer(&call, CallOrigin::Client).await;
-            answer::json(status, body)
+            match self.hold_answer(body) {
+                Some(body) => answer::json(status, body),
+                None => answer::empty(StatusCode::SERVICE_UNAVAILABLE),
+            }
         })
     }
 }
@@ -346,6 +349,7 @@
             info!("event=job_repeated job={id}");
             return Ok(());
         }
+        let reserved = self.reserve_submission(id, body.len())?;
         let submission = self
             .deps
             .job_codec
@@ -402,6 +406,7 @@
             self.now_ms().saturating_sub(submitted_ms),
             self.waiting_tokens(route)
         );
+        drop(reserved);
         let handle = self.add_job_since(job, pauses_before);
         if self.is_leaving() {
             self.spawn_handover(handle);
--- a/crates/jobs/tests/handover.rs
+++ b/crates/jobs/tests/handover.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use budget::Budget;
 use bytes::Bytes;
 use catalog::ConfigurationInForce;
 use catalog::ReplicaSet;
@@ -275,6 +276,7 @@
         max_object_bytes: 1 << 20,
         transport,
         keep_jobs_ms: 60_000,
+        budget: Budget::unlimited(),
     })
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -228,6 +228,7 @@
         transport: transport.clone(),
         keep_jobs_ms: settings.time_limits.job_status_ms,
         crash_guard: crash_guard.clone(),
+        budget: budget.clone(),
     });
     let gateway = Rc::new(Gateway::new(gate::gateway::Dependencies {
         codec: ingress_codec,
@@ -238,7 +239,7 @@
         pool: pool.clone(),
         jobs: job_manager.clone(),
         crash_guard: crash_guard.clone(),
-        budget: budget.clone(),
+        budget,
     }));
     let ingress_lifecycle = Rc::new(ServerLifecycle::new(INITIAL_LIMITS));
     let state = Rc::new(PlatformState::new(
