--- a/crates/bench/src/path_cost.rs
+++ b/crates/bench/src/path_cost.rs
@@ -18,6 +18,8 @@
 use platform_stub::processes::DaemonProcess;
 use platform_stub::replica::ReplicaSettings;
 use platform_stub::settings::DaemonSettings;
+use platform_stub::settings::SMALLEST_MEMORY_MB;
+use platform_stub::settings::USUAL_MAX_FDS;
 use serde::Serialize;
 use tokio::task::LocalSet;
 use upstream::Connection;
@@ -82,6 +84,8 @@
         grace_s: 3,
         status_s: 120,
         is_first_start: true,
+        memory_mb: SMALLEST_MEMORY_MB,
+        max_fds: USUAL_MAX_FDS,
     };
     let program = binary(args)?;
     let mut daemon = DaemonProcess::start(&program, settings, &folder).map_err(|error| {
--- a/crates/daemon/tests/platform_fleet/mod.rs
+++ b/crates/daemon/tests/platform_fleet/mod.rs
@@ -22,6 +22,8 @@
 use platform_stub::replica::ReplicaSettings;
 use platform_stub::replica::TOKENS_PER_EVENT;
 use platform_stub::settings::DaemonSettings;
+use platform_stub::settings::SMALLEST_MEMORY_MB;
+use platform_stub::settings::USUAL_MAX_FDS;
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -45,6 +47,15 @@
 
     /// Starts a fleet that keeps the results of jobs for `status_s` seconds.
     pub async fn start_with_retention(folder: PathBuf, count: u8, status_s: u64) -> Self {
+        Self::start_with_settings(folder, count, |settings| settings.status_s = status_s).await
+    }
+
+    /// Starts a fleet whose daemons' settings are edited by `edit`.
+    pub async fn start_with_settings(
+        folder: PathBuf,
+        count: u8,
+        edit: impl Fn(&mut DaemonSettings),
+    ) -> Self {
         let deployment = Deployment::start().expect("the deployment starts");
         deployment.configure(|_| {});
         for number in 0..3 {
@@ -63,7 +74,7 @@
         let binary = Path::new(env!("CARGO_BIN_EXE_crocusd"));
         let mut daemons = Vec::new();
         for number in 0..count {
-            let settings = DaemonSettings {
+            let mut settings = DaemonSettings {
                 name: format!("daemon-{number}"),
                 ip: ip(number),
                 data_centre: "a".to_owned(),
@@ -71,9 +82,12 @@
                 seeds: vec![ip(0)],
                 store: deployment.store_address,
                 grace_s: 3,
-                status_s,
+                status_s: 120,
                 is_first_start: true,
+                memory_mb: SMALLEST_MEMORY_MB,
+                max_fds: USUAL_MAX_FDS,
             };
+            edit(&mut settings);
             daemons
                 .push(DaemonProcess::start(binary, settings, &folder).expect("the daemon starts"));
         }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -20,6 +20,8 @@
 use platform_stub::replica::ReplicaFault;
 use platform_stub::replica::ReplicaSettings;
 use platform_stub::settings::DaemonSettings;
+use platform_stub::settings::SMALLEST_MEMORY_MB;
+use platform_stub::settings::USUAL_MAX_FDS;
 use platform_stub::store_server::StoreFault;
 use rustix::process::Signal;
 use tokio::time::sleep;
@@ -94,6 +96,8 @@
                 grace_s: GRACE_S,
                 status_s: STATUS_RETENTION_S,
                 is_first_start: true,
+                memory_mb: SMALLEST_MEMORY_MB,
+                max_fds: USUAL_MAX_FDS,
             };
             let process = DaemonProcess::start(binary, settings, folder).map_err(|source| {
                 KernelError::Start { what: format!("'{}'", binary.display()), source }
