--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -4,8 +4,12 @@
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use budget::Budget;
+use budget::Limits;
+use budget::limits::MIN_MEMORY_MB;
 use catalog::ConfigurationInForce;
 use catalog::ReplicaSet;
 use gate::CrashGuard;
@@ -41,7 +45,6 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::sleep;
-use upstream::AnswerMemory;
 use upstream::ConnectionPool;
 use wire::Millis;
 use wire::NodeSettings;
@@ -51,6 +54,7 @@
 use crate::directory::Directory;
 use crate::directory::ReadyCheck;
 use crate::heartbeats::HeartbeatService;
+use crate::metrics;
 use crate::metrics::MetricsPage;
 use crate::platform_state::PlatformState;
 use crate::probe::StateProbe;
@@ -64,10 +68,6 @@
 const DAEMON_KIND: &str = "daemons";
 /// The port of the metrics page.
 pub const METRICS_PORT: u16 = 9464;
-/// The share of the process's memory for answers of replicas, as a divisor.
-const ANSWER_MEMORY_DIVISOR: usize = 8;
-/// The least memory for answers of replicas, whatever the settings say.
-const MIN_ANSWER_MEMORY_BYTES: usize = 4 << 20;
 /// How long an idle connection to a replica is kept open if the replica does not set a time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// The timeout of a connect to a replica; a round trip takes a few milliseconds.
@@ -134,12 +134,13 @@
         settings.store.reads_per_s,
         counters.clone(),
     ));
-    serve_metrics(&settings, &counters);
-    spawn_local(log_counters(counters.clone()));
+    let budget = Budget::new(budget_limits(&settings));
+    serve_metrics(&settings, &counters, &budget);
+    spawn_local(log_counters(counters.clone(), budget.clone()));
     let probed_store = store.clone();
     spawn_local(async move { probed_store.watch_reachability(RETIREMENT_KIND).await });
     if settings.roles.ingress {
-        let node = start(settings, counters, store.clone()).await?;
+        let node = start(settings, counters, store.clone(), budget).await?;
         let reloader = SettingsReloader { store, membership: Some(node.membership.clone()) };
         wait_for_sigterm(terminate, hangup, reloader).await;
         node.shut_down().await;
@@ -164,11 +165,11 @@
     }
 }
 
-fn serve_metrics(settings: &NodeSettings, counters: &Counters) {
+fn serve_metrics(settings: &NodeSettings, counters: &Counters, budget: &Arc<Budget>) {
     let address = SocketAddr::new(settings.ip, METRICS_PORT);
     match local_server::listen(address) {
         Ok(listener) => {
-            let page = Rc::new(MetricsPage { counters: counters.clone() });
+            let page = Rc::new(MetricsPage { counters: counters.clone(), budget: budget.clone() });
             let lifecycle = Rc::new(ServerLifecycle::new(INITIAL_LIMITS));
             spawn_local(local_server::serve(listener, page, lifecycle));
         }
@@ -180,6 +181,7 @@
     settings: NodeSettings,
     counters: Counters,
     store: Rc<ObjectClient>,
+    budget: Arc<Budget>,
 ) -> Result<Node, KernelError> {
     let clock = BootClock::start();
     let own = identity(&settings);
@@ -205,8 +207,7 @@
     let control = Rc::new(ControlClient::default());
     let relay = PeerRelay { membership: membership.clone(), control: control.clone() };
     store.set_relay(Rc::new(relay));
-    let memory = AnswerMemory::new(answer_memory_bytes(&settings));
-    let pool = ConnectionPool::with_answer_memory(IDLE_TIMEOUT, CONNECT_TIMEOUT, memory);
+    let pool = ConnectionPool::with_budget(IDLE_TIMEOUT, CONNECT_TIMEOUT, budget.clone());
     let pool = Rc::new(pool);
     slots.set_probe(Rc::new(StateProbe { pool: pool.clone() }));
     let delegates = Box::new(QuarantineDelegates { membership: membership.clone() });
@@ -227,6 +228,7 @@
         transport: transport.clone(),
         keep_jobs_ms: settings.time_limits.job_status_ms,
         crash_guard: crash_guard.clone(),
+        budget: budget.clone(),
     });
     let gateway = Rc::new(Gateway::new(gate::gateway::Dependencies {
         codec: ingress_codec,
@@ -237,6 +239,7 @@
         pool: pool.clone(),
         jobs: job_manager.clone(),
         crash_guard: crash_guard.clone(),
+        budget,
     }));
     let ingress_lifecycle = Rc::new(ServerLifecycle::new(INITIAL_LIMITS));
     let state = Rc::new(PlatformState::new(
@@ -310,10 +313,23 @@
     }
 }
 
-/// Returns how much memory the answers of replicas may take together, in bytes.
-fn answer_memory_bytes(settings: &NodeSettings) -> usize {
-    let memory_mb = usize::try_from(settings.memory_mb).unwrap_or(usize::MAX);
-    (memory_mb.saturating_mul(1 << 20) / ANSWER_MEMORY_DIVISOR).max(MIN_ANSWER_MEMORY_BYTES)
+/// Returns the limits of the memory that the process holds for others, and logs them.
+fn budget_limits(settings: &NodeSettings) -> Limits {
+    let memory_mb = settings.memory_mb;
+    if memory_mb < MIN_MEMORY_MB {
+        warn!("event=memory_below_minimum memory_mb={memory_mb} counted_as_mb={MIN_MEMORY_MB}");
+    }
+    let limits = Limits::for_memory_mb(memory_mb);
+    info!(
+        "event=memory_budget memory_mb={memory_mb} total_bytes={} reserve_bytes={} \
+         request_bodies_bytes={} jobs_bytes={} replica_answers_bytes={}",
+        limits.total_bytes,
+        limits.reserve_bytes,
+        limits.request_bodies_bytes,
+        limits.jobs_bytes,
+        limits.replica_answers_bytes
+    );
+    limits
 }
 
 /// Returns how long clients may cache a directory answer, such that a leaving daemon still serves
@@ -374,9 +390,10 @@
 }
 
 /// Logs the counters periodically, for operators who have only the log.
-async fn log_counters(counters: Counters) {
+async fn log_counters(counters: Counters, budget: Arc<Budget>) {
     loop {
         sleep(SUMMARY_INTERVAL).await;
+        metrics::set_budget_gauges(&counters, &budget);
         info!("event=counters {}", counters.summary());
     }
 }
