Add the pure core of organisations' quotas over all daemons

Cause: the quota of an organisation must hold over all daemons, also partitioned or restarted ones. Change: crate quota: organisations are hashed into 8 groups; the owner of a group needs valid votes of more than half of the daemons, holds the token buckets and answers requests for credit; five daemons hold a fixed share of the allowance for times without an owner.

--- /dev/null
+++ b/crates/quota/src/election.rs
@@ -0,0 +1,305 @@
+//! Votes that determine the owner of each group of organisations.
+//!
+//! A daemon votes for one owner of a group at a time and may vote for another one only after its
+//! last vote has expired or was released. An owner needs valid votes of more than half of the
+//! daemons, so that no two owners of a group exist at the same time.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use wire::DaemonName;
+use wire::Millis;
+use wire::rendezvous;
+
+use crate::allowance::SHARE_HOLDERS;
+use crate::message::GROUPS;
+use crate::message::Message;
+use crate::message::OrgHash;
+
+/// The longest delay of a vote in the network at which two owners of a group exclude each other.
+pub const VOTE_DELAY_MS: Millis = 300;
+/// The bounds of the time between two votes, which grows with the number of daemons in order to
+/// bound an owner's load.
+const PERIOD_MS: (Millis, Millis) = (300, 1_000);
+const PERIOD_PER_DAEMON_MS: Millis = 6;
+/// The validity of a vote in quarters of the period: one vote of two may be lost.
+const VALID_QUARTERS: Millis = 10;
+/// How long a daemon that is no longer a member counts when the majority is computed. Both sides of
+/// a partition would have a majority if either forgot the other.
+const FORGET_AFTER_MS: Millis = 600_000;
+/// The time between two ticks, normally 50 ms, from which on this daemon counts as paused. Votes
+/// that arrived during a pause are read late and would count as new.
+const PAUSE_MS: Millis = 400;
+/// How long votes are ignored after a pause, until the socket's buffer has been read.
+const AFTER_PAUSE_MS: Millis = 250;
+/// How long the daemons of a system that starts for the first time find each other before they vote.
+const FIRST_SETTLE_MS: Millis = 1_000;
+/// How long the levels of a previous owner are kept until this daemon becomes the owner.
+const HAND_OVER_KEEP_MS: Millis = 2_000;
+
+/// The levels of buckets that a previous owner handed over.
+#[derive(Clone, Debug)]
+pub struct HandedOver {
+    /// When they were received.
+    pub received_ms: Millis,
+    /// The tokens of each organisation.
+    pub levels: HashMap<u64, f64>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Group {
+    preferred: Option<DaemonName>,
+    /// The daemon that got this daemon's last vote, and when it expires.
+    voted: Option<(DaemonName, Millis)>,
+    /// The ends of the votes for this daemon.
+    votes: HashMap<DaemonName, Millis>,
+    term_started_ms: Option<Millis>,
+    handed_over: Option<HandedOver>,
+    /// The last term that was handed over; a duplicated message is not used twice.
+    last_handed_over: Option<u64>,
+}
+
+/// A change of what this daemon owns.
+#[derive(Clone, Debug)]
+pub enum Change {
+    /// This daemon owns the group from now on.
+    Gained(u8, Option<HandedOver>),
+    /// This daemon no longer owns the group since too few votes are valid.
+    Lost(u8),
+    /// This daemon no longer owns the group and another daemon should.
+    Released(u8, Option<DaemonName>),
+}
+
+/// The votes of one daemon, and those for it.
+#[derive(Clone, Debug)]
+pub struct Election {
+    own: DaemonName,
+    started_ms: Millis,
+    is_first_start: bool,
+    is_fleet_known: bool,
+    known: BTreeMap<DaemonName, Millis>,
+    candidates: Vec<DaemonName>,
+    groups: Vec<Group>,
+    ticked_ms: Option<Millis>,
+    ignored_until_ms: Millis,
+    sent_ms: Option<Millis>,
+}
+
+impl Election {
+    /// Creates the votes of a daemon that starts now. Unless the whole system starts for the first
+    /// time, votes of a previous incarnation of this daemon may still be valid.
+    pub fn new(own: DaemonName, now_ms: Millis, is_first_start: bool) -> Self {
+        Self {
+            own,
+            started_ms: now_ms,
+            is_first_start,
+            is_fleet_known: false,
+            known: BTreeMap::new(),
+            candidates: Vec::new(),
+            groups: vec![Group::default(); usize::from(GROUPS)],
+            ticked_ms: None,
+            ignored_until_ms: 0,
+            sent_ms: None,
+        }
+    }
+
+    /// Returns the other daemons that count for the majority.
+    pub fn known(&self) -> impl Iterator<Item = &DaemonName> {
+        self.known.keys()
+    }
+
+    /// Returns whether a daemon counts for the majority.
+    pub fn is_known(&self, name: &DaemonName) -> bool {
+        self.known.contains_key(name)
+    }
+
+    /// Returns the number of daemons that count for the majority, with this one.
+    pub fn daemons(&self) -> usize {
+        self.known.len() + 1
+    }
+
+    /// Returns whether this daemon has read a list of all daemons.
+    pub fn is_fleet_known(&self) -> bool {
+        self.is_fleet_known
+    }
+
+    /// Returns the daemon that this daemon asks for credit of a group.
+    pub fn preferred(&self, group: u8) -> Option<&DaemonName> {
+        self.groups[usize::from(group)].preferred.as_ref()
+    }
+
+    /// Returns one of the daemons that hold the fixed share of an organisation, if any other than this
+    /// one can be reached; `turn` selects among them.
+    pub fn share_holder(&self, org: OrgHash, turn: u64) -> Option<DaemonName> {
+        let key = share_key(org);
+        let mut weighed: Vec<(u64, &DaemonName)> = self
+            .known
+            .keys()
+            .chain([&self.own])
+            .map(|name| (rendezvous::weight(&key, name.as_str()), name))
+            .collect();
+        weighed.sort_unstable_by(|a, b| b.cmp(a));
+        let holders = weighed.into_iter().take(SHARE_HOLDERS).map(|(_, name)| name);
+        let reachable: Vec<&DaemonName> =
+            holders.filter(|name| **name != self.own && self.candidates.contains(name)).collect();
+        let turn = usize::try_from(turn).unwrap_or_default();
+        let holder = reachable.get(turn.checked_rem(reachable.len())?)?;
+        Some((*holder).clone())
+    }
+
+    /// Returns when this daemon became the owner of a group, if it is.
+    pub fn term_started_ms(&self, group: u8) -> Option<Millis> {
+        self.groups[usize::from(group)].term_started_ms
+    }
+
+    /// Replaces the members and the candidates for the ownership of groups; `is_complete` tells
+    /// whether the members come from a list of all daemons.
+    pub fn set_members(
+        &mut self,
+        now_ms: Millis,
+        known: &[DaemonName],
+        candidates: &[DaemonName],
+        is_complete: bool,
+    ) {
+        self.is_fleet_known |= is_complete;
+        for name in known.iter().filter(|name| **name != self.own) {
+            self.known.insert(name.clone(), now_ms);
+        }
+        self.known.retain(|_, seen_ms| now_ms < *seen_ms + FORGET_AFTER_MS);
+        for (group, number) in self.groups.iter_mut().zip(0_u8..) {
+            group.preferred = rendezvous::owner(&format!("quota-{number}"), candidates).cloned();
+        }
+        self.candidates = candidates.to_vec();
+    }
+
+    /// Records a pause of this daemon; called with every event.
+    pub fn check_for_pause(&mut self, now_ms: Millis) {
+        if self.ticked_ms.is_some_and(|ticked_ms| now_ms > ticked_ms + PAUSE_MS) {
+            self.ignored_until_ms = now_ms + AFTER_PAUSE_MS;
+        }
+    }
+
+    /// Records votes for this daemon.
+    pub fn record_vote(&mut self, now_ms: Millis, from: &DaemonName, groups: u8, valid_ms: u32) {
+        if now_ms < self.ignored_until_ms || !self.known.contains_key(from) {
+            return;
+        }
+        for number in in_set(groups) {
+            let votes = &mut self.groups[usize::from(number)].votes;
+            votes.insert(from.clone(), now_ms + Millis::from(valid_ms));
+        }
+    }
+
+    /// Frees this daemon's votes for an owner that has stopped.
+    pub fn record_release(&mut self, from: &DaemonName, groups: u8) {
+        for number in in_set(groups) {
+            let voted = &mut self.groups[usize::from(number)].voted;
+            if voted.as_ref().is_some_and(|(owner, _)| owner == from) {
+                *voted = None;
+                // The next owner gets the vote at once.
+                self.sent_ms = None;
+            }
+        }
+    }
+
+    /// Keeps the levels that a previous owner hands over until this daemon becomes the owner.
+    pub fn record_hand_over(
+        &mut self,
+        now_ms: Millis,
+        group: u8,
+        term: u64,
+        levels: &[(u64, f32)],
+    ) {
+        let Some(group) = self.groups.get_mut(usize::from(group)) else { return };
+        if group.last_handed_over == Some(term) || now_ms < self.ignored_until_ms {
+            return;
+        }
+        group.last_handed_over = Some(term);
+        let levels = levels.iter().map(|(org, level)| (*org, f64::from(*level))).collect();
+        group.handed_over = Some(HandedOver { received_ms: now_ms, levels });
+    }
+
+    /// Updates the ownership of groups. It must be called before credit is granted, since votes may
+    /// have expired.
+    pub fn update(&mut self, now_ms: Millis) -> Vec<Change> {
+        let mut changes = Vec::new();
+        let majority = self.daemons() / 2 + 1;
+        let own = &self.own;
+        for (group, number) in self.groups.iter_mut().zip(0_u8..) {
+            group.votes.retain(|_, until_ms| now_ms < *until_ms);
+            let is_preferred = group.preferred.as_ref() == Some(own);
+            let has_majority = group.votes.len() >= majority;
+            match group.term_started_ms {
+                None if has_majority && is_preferred => {
+                    group.term_started_ms = Some(now_ms);
+                    let handed_over = group
+                        .handed_over
+                        .take()
+                        .filter(|handed_over| now_ms < handed_over.received_ms + HAND_OVER_KEEP_MS);
+                    changes.push(Change::Gained(number, handed_over));
+                }
+                Some(_) if !has_majority => {
+                    group.term_started_ms = None;
+                    changes.push(Change::Lost(number));
+                }
+                Some(_) if !is_preferred => {
+                    group.term_started_ms = None;
+                    group.votes.clear();
+                    if group.voted.as_ref().is_some_and(|(owner, _)| owner == own) {
+                        group.voted = None;
+                    }
+                    changes.push(Change::Released(number, group.preferred.clone()));
+                }
+                None | Some(_) => {}
+            }
+        }
+        changes
+    }
+
+    /// Returns the votes that are due.
+    pub fn tick(&mut self, now_ms: Millis) -> Vec<(DaemonName, Message)> {
+        self.check_for_pause(now_ms);
+        self.ticked_ms = Some(now_ms);
+        let daemons = self.daemons() as Millis;
+        let period_ms = (daemons * PERIOD_PER_DAEMON_MS).clamp(PERIOD_MS.0, PERIOD_MS.1);
+        let valid_ms = period_ms * VALID_QUARTERS / 4;
+        // Votes of a previous incarnation of this daemon may still be valid.
+        let settle_ms =
+            if self.is_first_start { FIRST_SETTLE_MS } else { valid_ms + VOTE_DELAY_MS };
+        let may_vote = self.is_fleet_known && now_ms >= self.started_ms + settle_ms;
+        let is_due = self.sent_ms.is_none_or(|sent_ms| now_ms >= sent_ms + period_ms);
+        if !is_due || !may_vote {
+            return Vec::new();
+        }
+        self.sent_ms = Some(now_ms);
+        let mut votes: BTreeMap<DaemonName, u8> = BTreeMap::new();
+        for (group, number) in self.groups.iter_mut().zip(0_u8..) {
+            let Some(preferred) = &group.preferred else { continue };
+            let is_bound = group.voted.as_ref().is_some_and(|(owner, until_ms)| {
+                owner != preferred && now_ms < until_ms + VOTE_DELAY_MS
+            });
+            if !is_bound {
+                group.voted = Some((preferred.clone(), now_ms + valid_ms));
+                *votes.entry(preferred.clone()).or_default() |= 1 << number;
+            }
+        }
+        if let Some(groups) = votes.remove(&self.own) {
+            let own = self.own.clone();
+            for number in in_set(groups) {
+                self.groups[usize::from(number)].votes.insert(own.clone(), now_ms + valid_ms);
+            }
+        }
+        let valid_ms = valid_ms as u32;
+        let message = |groups| Message::Vote { groups, valid_ms };
+        votes.into_iter().map(|(name, groups)| (name, message(groups))).collect()
+    }
+}
+
+/// Returns the key by which the daemons that hold the fixed share of an organisation are chosen.
+pub fn share_key(org: OrgHash) -> String {
+    format!("quota-share-{org}")
+}
+
+fn in_set(groups: u8) -> impl Iterator<Item = u8> {
+    (0..GROUPS).filter(move |number| groups & (1 << number) != 0)
+}
--- /dev/null
+++ b/crates/quota/tests/simulation.rs
@@ -0,0 +1,812 @@
+//! Simulates daemons that share the quotas of organisations over a network with lost, delayed and
+//! duplicated messages, partitions, pauses, restarts and changed limits.
+//!
+//! Each run checks that no sliding window admits more than the limit allows, counted at the moment
+//! of admission, and compares what is admitted with one ideal token bucket for all daemons.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+
+use quota::Action;
+use quota::Event;
+use quota::Limit;
+use quota::Message;
+use quota::OrgHash;
+use quota::QuotaCore;
+use quota::QuotaSettings;
+use quota::holder::Decision;
+use quota::message::hash_of;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use wire::DaemonName;
+
+/// The times after which a waiting request has its message repeated, and is decided alone.
+const RETRY_MS: u64 = 30;
+const GIVE_UP_MS: u64 = 80;
+/// The time after which a request that waits for a fixed share is decided.
+const SHARE_GIVE_UP_MS: u64 = 120;
+const TICK_MS: u64 = 50;
+const MEMBERS_MS: u64 = 200;
+/// The silence after which a daemon is no candidate any more.
+const SUSPECT_MS: u64 = 1_850;
+/// When a restarted daemon is ready.
+const READY_MS: u64 = 300;
+/// The bytes of a datagram beside its message: headers of IP and UDP, and the envelope.
+const ENVELOPE_BYTES: usize = 28 + 22;
+/// The requests per second of all organisations together.
+const TOTAL_RATE: f64 = 240.0;
+/// The quota relative to the usual rate.
+const HEADROOM: f64 = 1.6;
+
+#[derive(Clone)]
+struct Plan {
+    seed: u64,
+    daemons: usize,
+    orgs: usize,
+    until_ms: u64,
+    total_rate: f64,
+    is_first_start: bool,
+    /// Requests are divided among the first daemons.
+    busy_daemons: usize,
+    lost: f64,
+    duplicated: f64,
+    delayed: f64,
+    longest_delay_ms: u64,
+    /// An organisation that sends a multiple of its usual rate, from and until.
+    hot: Option<(usize, f64, u64, u64)>,
+    /// Cuts the daemons below the number from the others, from and until.
+    partitions: Vec<(usize, u64, u64)>,
+    /// Cuts single links, from and until.
+    cuts: Vec<(usize, usize, u64, u64)>,
+    /// Restarts a daemon at a time; it is down for the last number.
+    restarts: Vec<(usize, u64, u64)>,
+    /// Whether restarted daemons announce that they leave, 1 s before.
+    is_graceful: bool,
+    /// Stops a daemon's process from and until, while messages wait in its socket.
+    pauses: Vec<(usize, u64, u64)>,
+    /// Multiplies all limits from then on.
+    limit_changes: Vec<(u64, f64)>,
+    /// The share of admitted requests that find no replica and return their credit.
+    unserved: f64,
+}
+
+impl Plan {
+    fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            daemons: 77,
+            orgs: 88,
+            until_ms: 24_000,
+            total_rate: TOTAL_RATE,
+            is_first_start: true,
+            busy_daemons: 77,
+            lost: 0.0,
+            duplicated: 0.0,
+            delayed: 0.0,
+            longest_delay_ms: 0,
+            hot: None,
+            partitions: Vec::new(),
+            cuts: Vec::new(),
+            restarts: Vec::new(),
+            is_graceful: false,
+            pauses: Vec::new(),
+            limit_changes: Vec::new(),
+            unserved: 0.0,
+        }
+    }
+
+    fn is_down(&self, daemon: usize, now_ms: u64) -> bool {
+        self.restarts.iter().any(|(d, at, down)| *d == daemon && (*at..at + down).contains(&now_ms))
+    }
+
+    fn is_leaving(&self, daemon: usize, now_ms: u64) -> bool {
+        let leaves = |at: u64| (at.saturating_sub(1_000)..at).contains(&now_ms);
+        self.is_graceful && self.restarts.iter().any(|(d, at, _)| *d == daemon && leaves(*at))
+    }
+
+    fn paused_until(&self, daemon: usize, now_ms: u64) -> Option<u64> {
+        let is_paused = |(d, from, until): &&(usize, u64, u64)| {
+            *d == daemon && (*from..*until).contains(&now_ms)
+        };
+        self.pauses.iter().find(is_paused).map(|(_, _, until)| *until)
+    }
+
+    fn is_cut(&self, a: usize, b: usize, now_ms: u64) -> bool {
+        let crosses = |(n, from, until): &(usize, u64, u64)| {
+            (a < *n) != (b < *n) && (*from..*until).contains(&now_ms)
+        };
+        let is_link = |(x, y, from, until): &(usize, usize, u64, u64)| {
+            ((*x == a && *y == b) || (*x == b && *y == a)) && (*from..*until).contains(&now_ms)
+        };
+        self.partitions.iter().any(crosses) || self.cuts.iter().any(is_link)
+    }
+
+    fn factor(&self, now_ms: u64) -> f64 {
+        let mut changes = self.limit_changes.iter().filter(|(at, _)| *at <= now_ms);
+        changes.next_back().map_or(1.0, |(_, factor)| *factor)
+    }
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Kind {
+    Tick(usize),
+    Members(usize),
+    Start(usize),
+    Limits,
+    Request(usize),
+    Retry(usize, u64, usize),
+    GiveUp(usize, u64, usize),
+    Deliver(usize, usize),
+}
+
+struct Organisation {
+    hash: OrgHash,
+    limit: Limit,
+    usual_rate: f64,
+    sent: u64,
+    admitted: Vec<u64>,
+    refused: Vec<u64>,
+    /// An ideal bucket for all daemons: its level, its last refill and what it admitted.
+    ideal: (f64, u64, u64),
+    ideal_times: Vec<u64>,
+}
+
+struct Daemon {
+    core: QuotaCore,
+    incarnation: u64,
+    started_ms: u64,
+    heard_ms: Vec<Option<u64>>,
+}
+
+struct Simulation {
+    plan: Plan,
+    random: StdRng,
+    names: Vec<DaemonName>,
+    index: HashMap<DaemonName, usize>,
+    daemons: Vec<Daemon>,
+    orgs: Vec<Organisation>,
+    queue: BinaryHeap<Reverse<(u64, u64, Kind)>>,
+    order: u64,
+    now_ms: u64,
+    messages: Vec<(u64, Message)>,
+    tickets: HashMap<u64, usize>,
+    next_ticket: u64,
+    sent_messages: u64,
+    sent_bytes: u64,
+    terms_lost: u64,
+}
+
+impl Simulation {
+    fn run(plan: Plan) -> Self {
+        let random = StdRng::seed_from_u64(plan.seed);
+        let names: Vec<DaemonName> =
+            (0..plan.daemons).map(|n| DaemonName::from(format!("edge-{n}"))).collect();
+        let index = names.iter().cloned().zip(0..).collect();
+        let weights: Vec<f64> = (0..plan.orgs).map(|n| (n as f64 + 1.0).powf(-1.15)).collect();
+        let total: f64 = weights.iter().sum();
+        let orgs = weights.iter().enumerate().map(|(number, weight)| {
+            let usual_rate = plan.total_rate * weight / total;
+            let limit = Limit { rate_per_s: HEADROOM * usual_rate, burst: HEADROOM * usual_rate };
+            Organisation {
+                hash: hash_of(&format!("org-{number}")),
+                limit,
+                usual_rate,
+                sent: 0,
+                admitted: Vec::new(),
+                refused: Vec::new(),
+                ideal: (limit.capacity(), 0, 0),
+                ideal_times: Vec::new(),
+            }
+        });
+        let orgs = orgs.collect();
+        let mut simulation = Self {
+            random,
+            names,
+            index,
+            daemons: Vec::new(),
+            orgs,
+            queue: BinaryHeap::new(),
+            order: 0,
+            now_ms: 0,
+            messages: Vec::new(),
+            tickets: HashMap::new(),
+            next_ticket: 0,
+            sent_messages: 0,
+            sent_bytes: 0,
+            terms_lost: 0,
+            plan,
+        };
+        simulation.play();
+        simulation
+    }
+
+    fn play(&mut self) {
+        for daemon in 0..self.plan.daemons {
+            let started = self.start(daemon, self.plan.is_first_start);
+            self.daemons.push(started);
+            let offset = self.random.gen_range(0..TICK_MS);
+            self.push(offset, Kind::Tick(daemon));
+            self.push(offset, Kind::Members(daemon));
+        }
+        for (daemon, at, down) in self.plan.restarts.clone() {
+            self.push(at + down, Kind::Start(daemon));
+        }
+        for (at, _) in self.plan.limit_changes.clone() {
+            self.push(at, Kind::Limits);
+        }
+        for org in 0..self.plan.orgs {
+            self.push_next_request(org);
+        }
+        while let Some(Reverse((at, _, kind))) = self.queue.pop() {
+            if at > self.plan.until_ms {
+                break;
+            }
+            self.now_ms = at;
+            self.handle(kind);
+        }
+    }
+
+    fn start(&mut self, daemon: usize, is_first_start: bool) -> Daemon {
+        let settings = QuotaSettings::default();
+        let incarnation = 1_000_000 + self.now_ms;
+        let own = self.names[daemon].clone();
+        let mut core = QuotaCore::new(self.now_ms, own, incarnation, settings, is_first_start);
+        core.step(self.now_ms, Event::Limits(self.limits()));
+        let heard_ms = vec![None; self.plan.daemons];
+        Daemon { core, incarnation, started_ms: self.now_ms, heard_ms }
+    }
+
+    fn limits(&self) -> HashMap<OrgHash, Limit> {
+        let factor = self.plan.factor(self.now_ms);
+        self.orgs.iter().map(|org| (org.hash, scaled(org.limit, factor))).collect()
+    }
+
+    fn push(&mut self, at: u64, kind: Kind) {
+        self.order += 1;
+        self.queue.push(Reverse((at, self.order, kind)));
+    }
+
+    fn push_next_request(&mut self, org: usize) {
+        let mut rate = self.orgs[org].usual_rate;
+        if let Some((hot, factor, from, until)) = self.plan.hot
+            && hot == org
+            && (from..until).contains(&self.now_ms)
+        {
+            rate *= factor;
+        }
+        let gap_s = -self.random.gen_range(f64::EPSILON..1.0_f64).ln() / rate;
+        // A short step, so that a change of the rate takes effect soon.
+        let at = self.now_ms + ((gap_s * 1_000.0) as u64).max(u64::from(rate < 500.0));
+        self.push(at, Kind::Request(org));
+    }
+
+    fn handle(&mut self, kind: Kind) {
+        let now_ms = self.now_ms;
+        match kind {
+            Kind::Tick(daemon) => {
+                let next = self.plan.paused_until(daemon, now_ms);
+                if next.is_none() && !self.plan.is_down(daemon, now_ms) {
+                    self.step(daemon, Event::Tick);
+                }
+                self.push(next.unwrap_or(now_ms + TICK_MS), Kind::Tick(daemon));
+            }
+            Kind::Members(daemon) => {
+                let next = self.plan.paused_until(daemon, now_ms);
+                if next.is_none() && !self.plan.is_down(daemon, now_ms) {
+                    self.update_members(daemon);
+                }
+                self.push(next.unwrap_or(now_ms + MEMBERS_MS), Kind::Members(daemon));
+            }
+            Kind::Start(daemon) => self.daemons[daemon] = self.start(daemon, false),
+            Kind::Limits => {
+                let limits = self.limits();
+                for daemon in 0..self.plan.daemons {
+                    self.step(daemon, Event::Limits(limits.clone()));
+                }
+            }
+            Kind::Request(org) => {
+                self.request(org);
+                self.push_next_request(org);
+            }
+            Kind::Retry(daemon, ticket, org) => {
+                if self.tickets.contains_key(&ticket) {
+                    self.step_awake(
+                        daemon,
+                        Kind::Retry(daemon, ticket, org),
+                        |hash| Event::Retry { ticket, org: hash },
+                        org,
+                    );
+                }
+            }
+            Kind::GiveUp(daemon, ticket, org) => {
+                if self.tickets.contains_key(&ticket) {
+                    self.step_awake(
+                        daemon,
+                        Kind::GiveUp(daemon, ticket, org),
+                        |hash| Event::GiveUp { ticket, org: hash },
+                        org,
+                    );
+                }
+            }
+            Kind::Deliver(to, message) => {
+                if let Some(until) = self.plan.paused_until(to, now_ms) {
+                    self.push(until, Kind::Deliver(to, message));
+                    return;
+                }
+                let (from, message) = self.messages[message].clone();
+                let from = from as usize;
+                if self.plan.is_down(to, now_ms) {
+                    return;
+                }
+                let event = Event::Received {
+                    from: self.names[from].clone(),
+                    incarnation: self.daemons[from].incarnation,
+                    message,
+                };
+                self.step(to, event);
+            }
+        }
+    }
+
+    fn step_awake(
+        &mut self,
+        daemon: usize,
+        kind: Kind,
+        event: impl Fn(OrgHash) -> Event,
+        org: usize,
+    ) {
+        match self.plan.paused_until(daemon, self.now_ms) {
+            Some(until) => self.push(until, kind),
+            None if self.plan.is_down(daemon, self.now_ms) => {}
+            None => self.step(daemon, event(self.orgs[org].hash)),
+        }
+    }
+
+    fn update_members(&mut self, daemon: usize) {
+        let now_ms = self.now_ms;
+        for other in 0..self.plan.daemons {
+            let is_silent = other == daemon
+                || self.plan.is_down(other, now_ms)
+                || self.plan.paused_until(other, now_ms).is_some()
+                || self.plan.is_cut(daemon, other, now_ms);
+            let is_lost = self.plan.lost > 0.0 && self.random.gen_bool(self.plan.lost);
+            if !is_silent && !is_lost {
+                self.daemons[daemon].heard_ms[other] = Some(now_ms);
+            }
+        }
+        let is_ready = |other: usize| {
+            let started_ms = self.daemons[other].started_ms;
+            now_ms >= started_ms + READY_MS && !self.plan.is_leaving(other, now_ms)
+        };
+        let is_heard = |other: usize| {
+            let heard_ms = self.daemons[daemon].heard_ms[other];
+            other == daemon || heard_ms.is_some_and(|at| now_ms < at + SUSPECT_MS)
+        };
+        let candidates =
+            (0..self.plan.daemons).filter(|other| is_heard(*other) && is_ready(*other));
+        let candidates = candidates.map(|other| self.names[other].clone()).collect();
+        let known = self.names.clone();
+        self.step(daemon, Event::Members { known, candidates, is_complete: true });
+    }
+
+    fn request(&mut self, org: usize) {
+        let daemon = self.random.gen_range(0..self.plan.busy_daemons);
+        let now_ms = self.now_ms;
+        let is_gone = self.plan.is_down(daemon, now_ms);
+        if is_gone || self.plan.paused_until(daemon, now_ms).is_some() {
+            return;
+        }
+        let factor = self.plan.factor(now_ms);
+        let organisation = &mut self.orgs[org];
+        organisation.sent += 1;
+        let limit = scaled(organisation.limit, factor);
+        let (level, at, _) = organisation.ideal;
+        let refill = limit.rate_per_s * (now_ms - at) as f64 / 1_000.0;
+        let level = (level + refill).min(limit.capacity());
+        let admits = level >= 1.0;
+        organisation.ideal =
+            (level - f64::from(u8::from(admits)), now_ms, organisation.ideal.2 + u64::from(admits));
+        if admits {
+            organisation.ideal_times.push(now_ms);
+        }
+        let hash = organisation.hash;
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        self.tickets.insert(ticket, org);
+        self.push(now_ms + RETRY_MS, Kind::Retry(daemon, ticket, org));
+        self.push(now_ms + GIVE_UP_MS, Kind::GiveUp(daemon, ticket, org));
+        self.push(now_ms + SHARE_GIVE_UP_MS, Kind::GiveUp(daemon, ticket, org));
+        self.step(daemon, Event::Admit { ticket, org: hash, limit });
+    }
+
+    fn step(&mut self, daemon: usize, event: Event) {
+        let actions = self.daemons[daemon].core.step(self.now_ms, event);
+        for action in actions {
+            match action {
+                Action::Send(to, message) => self.send(daemon, &to, message),
+                Action::Decide(ticket, decision) => self.decide(daemon, ticket, decision),
+                Action::Owns { is_owner, cause, .. } => {
+                    self.terms_lost += u64::from(!is_owner && cause == "votes");
+                }
+            }
+        }
+    }
+
+    fn decide(&mut self, daemon: usize, ticket: u64, decision: Decision) {
+        let org = self.tickets.remove(&ticket).expect("a ticket is decided once");
+        match decision {
+            Decision::Admitted(source)
+                if self.plan.unserved > 0.0 && self.random.gen_bool(self.plan.unserved) =>
+            {
+                let org = self.orgs[org].hash;
+                self.step(daemon, Event::Unspent { org, source });
+            }
+            Decision::Admitted(_) => self.orgs[org].admitted.push(self.now_ms),
+            Decision::Refused { retry_after_ms } => {
+                assert!(retry_after_ms > 0, "a refused client is told to wait");
+                self.orgs[org].refused.push(self.now_ms);
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &DaemonName, message: Message) {
+        let to = self.index[to];
+        self.sent_messages += 1;
+        let bytes = postcard::to_allocvec(&message).expect("a message is encoded").len();
+        self.sent_bytes += (bytes + ENVELOPE_BYTES) as u64;
+        if self.plan.is_cut(from, to, self.now_ms) || self.random.gen_bool(self.plan.lost) {
+            return;
+        }
+        let copies = 1 + u64::from(self.random.gen_bool(self.plan.duplicated));
+        let number = self.messages.len();
+        self.messages.push((from as u64, message));
+        for _ in 0..copies {
+            let mut latency_ms = self.random.gen_range(1..6);
+            if self.random.gen_bool(self.plan.delayed) {
+                latency_ms += self.random.gen_range(0..=self.plan.longest_delay_ms);
+            }
+            self.push(self.now_ms + latency_ms, Kind::Deliver(to, number));
+        }
+    }
+
+    /// Panics if a sliding window admits more than the limit; windows that begin before the changes
+    /// of the limits are in force for one window are held to the highest limit.
+    ///
+    /// Returns the highest use of the limit.
+    fn check_limit(&self) -> f64 {
+        let mut highest = 0.0_f64;
+        let settings = QuotaSettings::default();
+        for (number, org) in self.orgs.iter().enumerate() {
+            let mut end = 0;
+            for (start, from_ms) in org.admitted.iter().enumerate() {
+                while end < org.admitted.len() && org.admitted[end] <= from_ms + settings.window_ms
+                {
+                    end += 1;
+                }
+                let before_ms = from_ms.saturating_sub(settings.window_ms);
+                let in_force = self.plan.limit_changes.iter().filter(|(at, _)| *at > before_ms);
+                let in_force = in_force.filter(|(at, _)| *at <= from_ms + settings.window_ms);
+                let factors = in_force.map(|(_, factor)| *factor);
+                let factor = factors.fold(self.plan.factor(before_ms), f64::max);
+                let bound = settings.bound(&scaled(org.limit, factor));
+                highest = highest.max((end - start) as f64 / bound);
+                assert!(
+                    (end - start) as f64 <= bound,
+                    "seed {}: organisation {number} had {} requests from {from_ms} ms, bound {bound}",
+                    self.plan.seed,
+                    end - start,
+                );
+            }
+        }
+        highest
+    }
+
+    /// Returns the admitted requests of an organisation in a time, as a share of the ideal bucket's.
+    fn share_of_ideal(&self, org: usize, from_ms: u64, until_ms: u64) -> f64 {
+        let count = |times: &[u64]| {
+            times.iter().filter(|at| (from_ms..until_ms).contains(*at)).count().max(1) as f64
+        };
+        count(&self.orgs[org].admitted) / count(&self.orgs[org].ideal_times)
+    }
+
+    /// Returns the admitted requests of all organisations but one, as a share of the ideal bucket's.
+    fn total_share(&self, but: Option<usize>, from_ms: u64, until_ms: u64) -> f64 {
+        let count = |times: &Vec<u64>| {
+            times.iter().filter(|at| (from_ms..until_ms).contains(*at)).count() as f64
+        };
+        let orgs = self.orgs.iter().enumerate().filter(|(number, _)| Some(*number) != but);
+        let (admitted, ideal) = orgs.fold((0.0, 0.0), |(admitted, ideal), (_, org)| {
+            (admitted + count(&org.admitted), ideal + count(&org.ideal_times))
+        });
+        admitted / ideal
+    }
+
+    fn bytes_per_daemon_s(&self) -> f64 {
+        self.sent_bytes as f64 / self.plan.daemons as f64 / (self.plan.until_ms as f64 / 1_000.0)
+    }
+
+    fn messages_per_daemon_s(&self) -> f64 {
+        self.sent_messages as f64 / self.plan.daemons as f64 / (self.plan.until_ms as f64 / 1_000.0)
+    }
+}
+
+fn scaled(limit: Limit, factor: f64) -> Limit {
+    Limit { rate_per_s: limit.rate_per_s * factor, burst: limit.burst * factor }
+}
+
+#[test]
+fn usual_load_is_admitted_within_the_budget_of_bytes() {
+    let run = Simulation::run(Plan::new(1));
+    run.check_limit();
+    let share = run.total_share(None, 4_000, 24_000);
+    println!(
+        "share={share:.4} bytes/s={:.0} messages/s={:.1}",
+        run.bytes_per_daemon_s(),
+        run.messages_per_daemon_s()
+    );
+    assert!(share > 0.99, "{share} of the ideal admissions");
+    assert!(run.bytes_per_daemon_s() < 2_000.0);
+}
+
+#[test]
+fn organisation_within_its_quota_is_admitted_beside_a_hot_one() {
+    for seed in 0..4 {
+        let hot = 3 * seed as usize;
+        let plan = Plan { hot: Some((hot, 7.5, 8_000, 16_000)), ..Plan::new(seed) };
+        let run = Simulation::run(plan);
+        let used = run.check_limit();
+        print!("used {used:.3} ");
+        println!(
+            "hot {hot}: itself {:.3} of ideal, others {:.4}, bytes/s={:.0}",
+            run.share_of_ideal(hot, 8_000, 16_000),
+            run.total_share(Some(hot), 8_000, 16_000),
+            run.bytes_per_daemon_s()
+        );
+        assert!(run.share_of_ideal(hot, 8_000, 16_000) > 0.9, "the hot one gets its own quota");
+        for org in (0..run.plan.orgs).filter(|org| *org != hot) {
+            let share = run.share_of_ideal(org, 8_000, 16_000);
+            assert!(share >= 0.9, "seed {seed}: organisation {org} got {share}");
+        }
+    }
+}
+
+#[test]
+fn limit_holds_and_service_goes_on_over_a_bad_network() {
+    for seed in 0..4 {
+        let plan = Plan {
+            lost: 0.05,
+            duplicated: 0.05,
+            delayed: 0.05,
+            longest_delay_ms: 250,
+            hot: Some((0, 7.5, 8_000, 16_000)),
+            ..Plan::new(seed)
+        };
+        let run = Simulation::run(plan);
+        run.check_limit();
+        let share = run.total_share(Some(0), 4_000, 24_000);
+        println!(
+            "bad network: others {share:.4}, hot {:.4}, terms lost {}",
+            run.share_of_ideal(0, 8_000, 16_000),
+            run.terms_lost
+        );
+        assert!(share >= 0.9, "seed {seed}: {share}");
+    }
+}
+
+#[test]
+fn limit_holds_on_both_sides_of_partitions() {
+    for seed in 0..6 {
+        let mut plan = Plan { hot: Some((seed as usize, 7.5, 5_000, 20_000)), ..Plan::new(seed) };
+        plan.partitions = match seed % 3 {
+            0 => vec![(38, 7_000, 14_000)],
+            1 => vec![(20, 6_000, 10_000), (50, 11_000, 15_000)],
+            // The side that has the majority changes every second.
+            _ => (0..8)
+                .map(|n| (10 + 57 * (n as usize % 2), 6_000 + 1_000 * n, 7_000 + 1_000 * n))
+                .collect(),
+        };
+        let run = Simulation::run(plan);
+        let used = run.check_limit();
+        print!("used {used:.3} ");
+        println!("partition {seed}: total {:.4}", run.total_share(None, 5_000, 20_000));
+    }
+}
+
+#[test]
+fn limit_holds_while_single_links_are_cut() {
+    for seed in 0..4 {
+        let mut plan = Plan { hot: Some((seed as usize, 7.5, 5_000, 20_000)), ..Plan::new(seed) };
+        let mut random = StdRng::seed_from_u64(seed);
+        for _ in 0..1_500 {
+            let from_ms = random.gen_range(3_000..18_000);
+            let until_ms = from_ms + random.gen_range(500..6_000);
+            plan.cuts.push((random.gen_range(0..77), random.gen_range(0..77), from_ms, until_ms));
+        }
+        let run = Simulation::run(plan);
+        let used = run.check_limit();
+        print!("used {used:.3} ");
+        println!("cuts {seed}: total {:.4}", run.total_share(None, 5_000, 20_000));
+    }
+}
+
+#[test]
+fn limit_holds_when_all_daemons_restart_at_once() {
+    for seed in 0..4 {
+        let mut plan = Plan { hot: Some((seed as usize, 7.5, 5_000, 20_000)), ..Plan::new(seed) };
+        plan.restarts = (0..77).map(|daemon| (daemon, 10_000, 300 + 3 * daemon as u64)).collect();
+        let run = Simulation::run(plan);
+        let used = run.check_limit();
+        print!("used {used:.3} ");
+        println!(
+            "restart {seed}: total {:.4}, from 2.5 s after {:.4}",
+            run.total_share(None, 10_000, 15_000),
+            run.total_share(None, 12_500, 20_000)
+        );
+        assert!(run.total_share(None, 13_000, 20_000) > 0.95, "owners exist 3 s after a restart");
+    }
+}
+
+#[test]
+fn limit_holds_while_daemons_restart_in_turn() {
+    for is_graceful in [false, true] {
+        for seed in 0..3 {
+            let mut plan =
+                Plan { hot: Some((seed as usize, 7.5, 5_000, 22_000)), ..Plan::new(seed) };
+            plan.restarts = (0..18).map(|n| (4 * n as usize, 5_000 + 1_000 * n, 400)).collect();
+            plan.is_graceful = is_graceful;
+            let run = Simulation::run(plan);
+            run.check_limit();
+            let share = run.total_share(None, 5_000, 24_000);
+            println!("in turn {seed}, graceful {is_graceful}: total {share:.4}");
+            assert!(share >= 0.9, "seed {seed}: {share}");
+        }
+    }
+}
+
+#[test]
+fn limit_holds_while_every_owner_is_killed_or_paused() {
+    for seed in 0..4 {
+        let mut plan = Plan { hot: Some((seed as usize, 7.5, 5_000, 22_000)), ..Plan::new(seed) };
+        for daemon in 0..77 {
+            let from_ms = 6_000 + 200 * daemon as u64;
+            if (daemon as u64 + seed).is_multiple_of(2) {
+                plan.pauses.push((daemon, from_ms, from_ms + 2_500));
+            } else {
+                plan.restarts.push((daemon, from_ms, 900));
+            }
+        }
+        let run = Simulation::run(plan);
+        let used = run.check_limit();
+        print!("used {used:.3} ");
+        println!("killed or paused {seed}: total {:.4}", run.total_share(None, 6_000, 22_000));
+    }
+}
+
+#[test]
+fn lowered_limit_binds_after_one_window_and_raised_one_is_used() {
+    for seed in 0..3 {
+        let plan = Plan {
+            hot: Some((seed as usize, 7.5, 3_000, 24_000)),
+            limit_changes: vec![(8_000, 0.3), (17_000, 1.0)],
+            ..Plan::new(seed)
+        };
+        let run = Simulation::run(plan);
+        run.check_limit();
+        let share = run.total_share(None, 18_000, 24_000);
+        println!("limits {seed}: total after the raise {share:.4}");
+        assert!(share > 0.97, "seed {seed}: {share}");
+    }
+}
+
+#[test]
+fn unspent_credit_goes_back_without_raising_the_limit() {
+    for seed in 0..3 {
+        let plan = Plan {
+            unserved: 0.4,
+            hot: Some((0, 7.5, 6_000, 16_000)),
+            duplicated: 0.2,
+            ..Plan::new(seed)
+        };
+        let run = Simulation::run(plan);
+        run.check_limit();
+        let share = run.share_of_ideal(0, 6_000, 16_000);
+        println!("unserved {seed}: hot one {share:.4}");
+        assert!(share > 0.9, "returned credit is granted again: {share}");
+    }
+}
+
+#[test]
+fn burst_at_one_of_three_daemons_gets_the_quota() {
+    for busy_daemons in [1, 3] {
+        let plan = Plan {
+            daemons: 3,
+            busy_daemons,
+            orgs: 4,
+            hot: Some((0, 7.5, 6_000, 14_000)),
+            ..Plan::new(7)
+        };
+        let run = Simulation::run(plan);
+        let used = run.check_limit();
+        print!("used {used:.3} ");
+        println!(
+            "three daemons, {busy_daemons} busy: hot {:.4} others {:.4} messages/s {:.1}",
+            run.share_of_ideal(0, 6_000, 14_000),
+            run.total_share(Some(0), 4_000, 24_000),
+            run.messages_per_daemon_s()
+        );
+        assert!(run.share_of_ideal(0, 6_000, 14_000) > 0.95);
+        assert!(run.total_share(Some(0), 4_000, 24_000) > 0.98);
+    }
+}
+
+#[test]
+fn large_fleet_stays_within_the_budget_of_bytes() {
+    let plan = Plan {
+        daemons: 390,
+        busy_daemons: 390,
+        orgs: 2_600,
+        until_ms: 7_000,
+        total_rate: 1_200.0,
+        ..Plan::new(3)
+    };
+    let run = Simulation::run(plan);
+    run.check_limit();
+    println!(
+        "large fleet: bytes/s={:.0} messages/s={:.1} total {:.4}",
+        run.bytes_per_daemon_s(),
+        run.messages_per_daemon_s(),
+        run.total_share(None, 4_000, 7_000)
+    );
+    assert!(run.bytes_per_daemon_s() < 2_000.0);
+    assert!(run.total_share(None, 4_000, 7_000) > 0.97);
+}
+
+#[test]
+fn limit_holds_under_random_faults() {
+    let seeds = std::env::var("QUOTA_SEEDS").ok().and_then(|seeds| seeds.parse().ok());
+    for seed in 100..100 + seeds.unwrap_or(16_u64) {
+        let mut random = StdRng::seed_from_u64(seed);
+        let daemons = *[3, 9, 30, 77].get(random.gen_range(0..4)).expect("one of four");
+        let mut plan = Plan {
+            daemons,
+            busy_daemons: random.gen_range(1..=daemons),
+            orgs: random.gen_range(3..30),
+            is_first_start: random.gen_bool(0.5),
+            lost: random.gen_range(0.0..0.1),
+            duplicated: random.gen_range(0.0..0.1),
+            delayed: random.gen_range(0.0..0.1),
+            longest_delay_ms: random.gen_range(1..250),
+            hot: Some((random.gen_range(0..3), 7.5, 4_000, 22_000)),
+            unserved: random.gen_range(0.0..0.5),
+            is_graceful: random.gen_bool(0.5),
+            ..Plan::new(seed)
+        };
+        for _ in 0..random.gen_range(0..3) {
+            let from_ms = random.gen_range(3_000..20_000);
+            let until_ms = from_ms + random.gen_range(500..7_000);
+            plan.partitions.push((random.gen_range(0..daemons), from_ms, until_ms));
+        }
+        for _ in 0..random.gen_range(0..daemons * 4) {
+            let from_ms = random.gen_range(3_000..20_000);
+            let until_ms = from_ms + random.gen_range(200..7_000);
+            let (a, b) = (random.gen_range(0..daemons), random.gen_range(0..daemons));
+            plan.cuts.push((a, b, from_ms, until_ms));
+        }
+        for daemon in 0..daemons {
+            let at = random.gen_range(2_000..22_000);
+            match random.gen_range(0..4) {
+                0 => plan.restarts.push((daemon, at, random.gen_range(200..3_000))),
+                1 => plan.pauses.push((daemon, at, at + random.gen_range(100..6_000))),
+                _ => {}
+            }
+        }
+        if random.gen_bool(0.3) {
+            plan.limit_changes = vec![(9_000, random.gen_range(0.2..3.0)), (17_000, 1.0)];
+        }
+        let run = Simulation::run(plan);
+        let used = run.check_limit();
+        println!("random {seed}: {daemons} daemons, used {used:.3}");
+    }
+}
