Enforce organisations' quotas at the gate, with credit from the owner

Cause: the configuration's rate_per_s and burst were decoded but not enforced. Change: Topic::Quotas at the end of the enum; quota::Quotas runs the core with the heartbeat ticks; the gate takes one credit for an online request before its first slot and refuses with 429 rate_limit; credit of a request that no replica ran goes back. Settings quota_window_s, quota_overage and quota_slack.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -15,6 +15,7 @@
 use kernel::pause_tolerant;
 use log::info;
 use quarantine::Suspect;
+use quota::Credit;
 use slots::Class;
 use slots::NoSlot;
 use slots::SlotLease;
@@ -133,8 +134,22 @@
             key: meta.key,
         };
         let request = Rc::new(request);
-        let call =
-            Call { request, route, arrived_ms: report.arrived_ms, last_event: meta.last_event };
+        let Some(credit) = self.unless_ending(self.request_credit(&request)).await else {
+            return self.answer_at_exit(report);
+        };
+        let credit = match credit {
+            Ok(credit) => credit.map(Rc::new),
+            Err(refusal) => {
+                return self.answer_without_replica(NextAction::Refuse(refusal), report);
+            }
+        };
+        let call = Call {
+            request,
+            route,
+            arrived_ms: report.arrived_ms,
+            last_event: meta.last_event,
+            credit,
+        };
         let Call { request, route, .. } = &call;
         loop {
             let sending = self.send_once(&call, &mut attempt, &mut report.sends);
@@ -205,6 +220,20 @@
         }
     }
 
+    /// Takes credit of the quota of the request's organisation, if it has one.
+    ///
+    /// The credit is taken before the first slot, so that requests over the quota are refused at once
+    /// and neither hold nor wait for slots that others need.
+    async fn request_credit(&self, request: &ClientRequest) -> Result<Option<Credit>, Refusal> {
+        let Some(name) = request.caller.organisation() else { return Ok(None) };
+        let configuration = self.in_force.borrow().current().cloned();
+        let organisation = configuration.as_ref().and_then(|current| current.organisation(name));
+        match organisation {
+            Some(organisation) => self.quotas.admit(organisation).await,
+            None => Ok(None),
+        }
+    }
+
     /// Acquires a slot, sends the request and reads the head of its answer.
     pub(crate) async fn send_once(
         self: &Rc<Self>,
@@ -256,6 +285,9 @@
         sends.replica = Some(lease.replica.name.clone());
         log_send(request, &lease, attempt, now_ms, self.slots.list_state());
         let lease = Rc::new(lease);
+        if let Some(credit) = &call.credit {
+            credit.record_sent();
+        }
         let head =
             self.clone().exchange(call.clone(), lease.clone(), policy.give_up_at_ms, admitted_ms);
         Ok(ReplicaRun { lease, head: head.boxed_local() })
@@ -289,6 +321,9 @@
                     self.crash_guard.record_loss(&lease.replica, request);
                 }
                 if !failure.may_have_run() {
+                    if let Some(credit) = &call.credit {
+                        credit.record_not_run();
+                    }
                     self.crash_guard.record_not_run(admitted_ms, request);
                 }
                 Err(failure)
--- a/crates/gate/src/gateway.rs
+++ b/crates/gate/src/gateway.rs
@@ -22,6 +22,7 @@
 use kernel::local_server::LocalBody;
 use kernel::local_server::LocalHandler;
 use log::info;
+use quota::Quotas;
 use slots::Slots;
 use tokio_util::sync::CancellationToken;
 use upstream::ConnectionPool;
@@ -82,6 +83,8 @@
     pub jobs: Rc<dyn JobCallHandler>,
     /// The quarantine of prompt parts.
     pub crash_guard: Rc<CrashGuard>,
+    /// The request quotas of organisations.
+    pub quotas: Rc<Quotas>,
 }
 
 /// The entry point for requests of clients.
@@ -102,6 +105,8 @@
     pub jobs: Rc<dyn JobCallHandler>,
     /// The quarantine of prompt parts.
     pub crash_guard: Rc<CrashGuard>,
+    /// The request quotas of organisations.
+    pub quotas: Rc<Quotas>,
     pub(crate) in_flight: Cell<usize>,
     shutdown: Cell<Option<ShutdownWindow>>,
     /// Cancelled when requests without an answer get a final one, since the process is about to exit.
@@ -129,6 +134,7 @@
             pool: deps.pool,
             jobs: deps.jobs,
             crash_guard: deps.crash_guard,
+            quotas: deps.quotas,
             in_flight: Cell::new(0),
             shutdown: Cell::new(None),
             ending: CancellationToken::new(),
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -186,6 +186,8 @@
             route: self.route.clone(),
             arrived_ms: self.report.arrived_ms,
             last_event: self.sequence.last_event(),
+            // The credit was spent by the first send.
+            credit: None,
         }
     }
 
--- a/crates/gate/src/silent_run.rs
+++ b/crates/gate/src/silent_run.rs
@@ -9,6 +9,7 @@
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
 use log::info;
+use quota::Credit;
 use slots::NoSlot;
 use slots::SlotLease;
 use tokio::time::sleep;
@@ -31,7 +32,7 @@
 const SEARCH_PAUSE: Duration = Duration::from_millis(200);
 
 /// A request with what its sends need.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Call {
     /// The request.
     pub request: Rc<ClientRequest>,
@@ -41,6 +42,8 @@
     pub arrived_ms: Millis,
     /// The event after which a replica resumes the stream.
     pub last_event: Option<u64>,
+    /// The credit of the organisation's quota, if it has one.
+    pub credit: Option<Rc<Credit>>,
 }
 
 /// A request that was sent to a replica; dropping it closes its connection.
--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -25,6 +25,7 @@
 use peers::transport::decode;
 use peers::transport::encode;
 use quarantine::QuarantineView;
+use quota::Quotas;
 use rand::seq::SliceRandom;
 use slots::Slots;
 use store::ObjectClient;
@@ -63,6 +64,8 @@
     pub leaving_notices: RefCell<LeavingNotices>,
     /// The quarantine of prompt parts and requests.
     pub crash_guard: Rc<CrashGuard>,
+    /// The request quotas of organisations.
+    pub quotas: Rc<Quotas>,
 }
 
 impl HeartbeatService {
@@ -75,6 +78,7 @@
         self.register(Topic::Lost, Self::handle_loss_report);
         self.register(Topic::Leaving, Self::handle_leaving_notices);
         self.register(Topic::Quarantine, Self::handle_quarantine_view);
+        self.quotas.listen();
     }
 
     fn register(self: &Rc<Self>, topic: Topic, handle: fn(&Self, &Datagram)) {
@@ -88,6 +92,7 @@
         let now_ms = self.state.clock.now_ms();
         let actions = self.state.membership.borrow_mut().add_members(now_ms, members);
         self.perform(actions);
+        self.quotas.record_member_list();
     }
 
     /// Runs the periodic work until the task is dropped.
@@ -106,6 +111,8 @@
             self.send_leaving_notices(now_ms);
             self.crash_guard.tick();
             self.push_quarantine();
+            let configuration = self.state.in_force.borrow().current().cloned();
+            self.quotas.tick(configuration.as_deref());
             let actions = self.state.membership.borrow_mut().tick(now_ms);
             self.perform(actions);
             if now_ms >= searched_ms + ORPHAN_SEARCH_INTERVAL_MS {
@@ -348,7 +355,8 @@
                 | Topic::Members
                 | Topic::Lost
                 | Topic::Leaving
-                | Topic::Quarantine => {}
+                | Topic::Quarantine
+                | Topic::Quotas => {}
             }
         }
         self.state.in_force.borrow_mut().record_reported(heartbeat.configuration_version);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -27,6 +27,8 @@
 use peers::heartbeat::Identity;
 use peers::heartbeat::Readiness;
 use platform::names::RETIREMENT_KIND;
+use quota::QuotaSettings;
+use quota::Quotas;
 use slots::Slots;
 use store::Call;
 use store::CallClass;
@@ -228,6 +230,18 @@
         keep_jobs_ms: settings.time_limits.job_status_ms,
         crash_guard: crash_guard.clone(),
     });
+    let quotas = Quotas::new(
+        clock,
+        counters.clone(),
+        transport.clone(),
+        membership.clone(),
+        QuotaSettings {
+            window_ms: settings.quota.window_ms,
+            overage: settings.quota.overage,
+            slack: settings.quota.slack,
+        },
+        settings.is_first_start,
+    );
     let gateway = Rc::new(Gateway::new(gate::gateway::Dependencies {
         codec: ingress_codec,
         clock,
@@ -237,6 +251,7 @@
         pool: pool.clone(),
         jobs: job_manager.clone(),
         crash_guard: crash_guard.clone(),
+        quotas: quotas.clone(),
     }));
     let ingress_lifecycle = Rc::new(ServerLifecycle::new(INITIAL_LIMITS));
     let state = Rc::new(PlatformState::new(
@@ -256,6 +271,7 @@
         store: store.clone(),
         leaving_notices: RefCell::default(),
         crash_guard,
+        quotas,
     });
     heartbeats.listen();
     spawn_local(transport.clone().run());
--- a/crates/peers/src/heartbeat.rs
+++ b/crates/peers/src/heartbeat.rs
@@ -27,6 +27,9 @@
     Leaving,
     /// The quarantine of prompt parts. Daemons of builds before it drop such messages.
     Quarantine,
+    /// Request quotas of organisations. Daemons of builds before it drop such messages, so that it is
+    /// never attached to a heartbeat, which they would drop with it.
+    Quotas,
 }
 
 /// The envelope of every datagram.
--- a/crates/quota/src/core.rs
+++ b/crates/quota/src/core.rs
@@ -163,6 +163,11 @@
         !self.limits.is_empty()
     }
 
+    /// Returns the number of organisations with a quota.
+    pub fn limits(&self) -> usize {
+        self.limits.len()
+    }
+
     /// Handles an event.
     pub fn step(&mut self, now_ms: Millis, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod message;
 pub mod owner;
 mod replay;
+pub mod service;
 
 pub use crate::core::Action;
 pub use crate::core::Event;
@@ -21,3 +22,5 @@
 pub use allowance::QuotaSettings;
 pub use message::Message;
 pub use message::OrgHash;
+pub use service::Credit;
+pub use service::Quotas;
--- a/crates/wire/src/node.rs
+++ b/crates/wire/src/node.rs
@@ -53,6 +53,17 @@
     pub replica_renewal_ms: Millis,
 }
 
+/// By how much the requests of an organisation may exceed its quota.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaBounds {
+    /// The length of the sliding window in which requests are counted.
+    pub window_ms: Millis,
+    /// The part of the quota by which it may be exceeded in a window.
+    pub overage: f64,
+    /// The requests by which the quota may be exceeded in a window in addition.
+    pub slack: f64,
+}
+
 /// The platform's object store.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StoreSettings {
@@ -97,6 +108,8 @@
     pub max_descriptors: u64,
     /// The time limits of the deployment.
     pub time_limits: TimeLimits,
+    /// The bounds on the excess over the quotas of organisations.
+    pub quota: QuotaBounds,
     /// The platform's store.
     pub store: StoreSettings,
 }
