Own and vote for quotas only with the list of all daemons

Cause: a restarted daemon that knows few others takes the votes of a few for more than half of all. Change: a daemon votes, owns groups and spends its fixed share only after it has read the daemons from the store, or 3 s after the first list of a peer.

--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -88,11 +88,11 @@
     }
 
     /// Adds daemons that a peer or the store names to the membership.
-    pub fn add_members(&self, members: Vec<Identity>) {
+    pub fn add_members(&self, members: Vec<Identity>, is_from_store: bool) {
         let now_ms = self.state.clock.now_ms();
         let actions = self.state.membership.borrow_mut().add_members(now_ms, members);
         self.perform(actions);
-        self.quotas.record_member_list();
+        self.quotas.record_member_list(is_from_store);
     }
 
     /// Runs the periodic work until the task is dropped.
@@ -373,7 +373,7 @@
 
     fn handle_members(&self, datagram: &Datagram) {
         if let Some(members) = decode::<Vec<Identity>>(Topic::Members, &datagram.payload) {
-            self.add_members(members);
+            self.add_members(members, false);
         }
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -370,7 +370,7 @@
         Ok(Reply::Page(page)) => {
             let members: Vec<Identity> = page.objects.iter().filter_map(decode_identity).collect();
             info!("event=daemons_read daemons={}", members.len());
-            heartbeats.add_members(members);
+            heartbeats.add_members(members, true);
         }
         Ok(_) => warn!("event=daemons_not_read error=\"unexpected kind of answer\""),
         Err(error) => warn!("event=daemons_not_read error=\"{error}\""),
--- a/crates/quota/src/election.rs
+++ b/crates/quota/src/election.rs
@@ -228,7 +228,8 @@
         for (group, number) in self.groups.iter_mut().zip(0_u8..) {
             group.votes.retain(|_, until_ms| now_ms < *until_ms);
             let is_preferred = group.preferred.as_ref() == Some(own);
-            let has_majority = group.votes.len() >= majority;
+            // A daemon that knows only a few others could get the votes of more than half of them.
+            let has_majority = self.is_fleet_known && group.votes.len() >= majority;
             match group.term_started_ms {
                 None if has_majority && is_preferred => {
                     group.term_started_ms = Some(now_ms);
--- a/crates/quota/src/service.rs
+++ b/crates/quota/src/service.rs
@@ -45,6 +45,9 @@
 const SHARE_TIMEOUT: Duration = Duration::from_millis(40);
 /// The time between two updates of the members, each of which computes the owners anew.
 const MEMBERS_INTERVAL_MS: Millis = 200;
+/// How long after the first list of a peer the members count as all daemons while the store does not
+/// answer: several heartbeats and lists of the others have arrived by then.
+const PEER_LIST_SETTLE_MS: Millis = 3_000;
 /// The time between two log lines about refusals of one organisation.
 const REFUSAL_LOG_INTERVAL_MS: Millis = 1_000;
 /// The organisations with a counter of their own; the others share one.
@@ -118,7 +121,8 @@
     waiting: RefCell<HashMap<Ticket, oneshot::Sender<Decision>>>,
     next_ticket: Cell<Ticket>,
     version: Cell<Option<u64>>,
-    is_fleet_known: Cell<bool>,
+    /// From when on the members count as all daemons.
+    fleet_known_from_ms: Cell<Option<Millis>>,
     members_ms: Cell<Option<Millis>>,
     refusals: RefCell<HashMap<OrgName, RefusalLog>>,
 }
@@ -145,7 +149,7 @@
             waiting: RefCell::default(),
             next_ticket: Cell::new(0),
             version: Cell::new(None),
-            is_fleet_known: Cell::new(false),
+            fleet_known_from_ms: Cell::new(None),
             members_ms: Cell::new(None),
             refusals: RefCell::default(),
         })
@@ -158,9 +162,13 @@
         self.transport.set_handler(Topic::Quotas, Rc::new(handler));
     }
 
-    /// Records that a list of all daemons was read.
-    pub fn record_member_list(&self) {
-        self.is_fleet_known.set(true);
+    /// Records that the members were read from the store, or from a peer, which may itself know only
+    /// a few daemons yet.
+    pub fn record_member_list(&self, is_from_store: bool) {
+        let settle_ms = if is_from_store { 0 } else { PEER_LIST_SETTLE_MS };
+        let from_ms = self.clock.now_ms() + settle_ms;
+        let earlier_ms = self.fleet_known_from_ms.get().unwrap_or(from_ms);
+        self.fleet_known_from_ms.set(Some(earlier_ms.min(from_ms)));
         self.members_ms.set(None);
     }
 
@@ -276,7 +284,8 @@
         let candidates: Vec<DaemonName> =
             membership.ready_daemons().iter().map(|identity| identity.name.clone()).collect();
         drop(membership);
-        let is_complete = self.is_fleet_known.get();
+        let now_ms = self.clock.now_ms();
+        let is_complete = self.fleet_known_from_ms.get().is_some_and(|from_ms| now_ms >= from_ms);
         self.step(Event::Members { known, candidates, is_complete });
     }
 
--- a/crates/quota/tests/election.rs
+++ b/crates/quota/tests/election.rs
@@ -73,6 +73,16 @@
     assert!(owner.update(5_400).iter().any(gained));
 }
 
+#[test]
+fn daemon_that_knows_only_a_few_others_owns_nothing() {
+    let mut owner = Election::new(DaemonName::from("b"), 0, false);
+    owner.set_members(0, &names()[..1], &names(), false);
+    for voter in ["a", "b"] {
+        owner.record_vote(100, &DaemonName::from(voter), u8::MAX, 750);
+    }
+    assert!(owner.update(100).is_empty(), "the votes of one of many daemons made an owner");
+}
+
 #[test]
 fn owner_without_votes_of_more_than_half_stops_at_once() {
     let mut owner = daemon("b", 0, true);
--- a/crates/quota/tests/simulation.rs
+++ b/crates/quota/tests/simulation.rs
@@ -33,6 +33,8 @@
 const SUSPECT_MS: u64 = 1_850;
 /// When a restarted daemon is ready.
 const READY_MS: u64 = 300;
+/// When a restarted daemon has read the list of all daemons.
+const LIST_MS: u64 = 800;
 /// The bytes of a datagram beside its message: headers of IP and UDP, and the envelope.
 const ENVELOPE_BYTES: usize = 28 + 22;
 /// The requests per second of all organisations together.
@@ -387,8 +389,14 @@
         let candidates =
             (0..self.plan.daemons).filter(|other| is_heard(*other) && is_ready(*other));
         let candidates = candidates.map(|other| self.names[other].clone()).collect();
-        let known = self.names.clone();
-        self.step(daemon, Event::Members { known, candidates, is_complete: true });
+        // A restarted daemon knows those that it has heard from until it has read the list of all.
+        let started_ms = self.daemons[daemon].started_ms;
+        let is_complete = started_ms == 0 || now_ms >= started_ms + LIST_MS;
+        let heard_ms = &self.daemons[daemon].heard_ms;
+        let is_known = |other: &usize| is_complete || heard_ms[*other].is_some();
+        let known = (0..self.plan.daemons).filter(is_known);
+        let known = known.map(|other| self.names[other].clone()).collect();
+        self.step(daemon, Event::Members { known, candidates, is_complete });
     }
 
     fn request(&mut self, org: usize) {
