--- a/crates/quota/tests/simulation.rs
+++ b/crates/quota/tests/simulation.rs
@@ -147,6 +147,8 @@
     hash: OrgHash,
     limit: Limit,
     usual_rate: f64,
+    /// The time of the next request, in milliseconds.
+    next_ms: f64,
     sent: u64,
     admitted: Vec<u64>,
     refused: Vec<u64>,
@@ -195,6 +197,7 @@
                 hash: hash_of(&format!("org-{number}")),
                 limit,
                 usual_rate,
+                next_ms: 0.0,
                 sent: 0,
                 admitted: Vec::new(),
                 refused: Vec::new(),
@@ -279,8 +282,10 @@
             rate *= factor;
         }
         let gap_s = -self.random.gen_range(f64::EPSILON..1.0_f64).ln() / rate;
-        // A short step, so that a change of the rate takes effect soon.
-        let at = self.now_ms + ((gap_s * 1_000.0) as u64).max(u64::from(rate < 500.0));
+        // Fractions of milliseconds are kept, since several requests may come within one.
+        let next_ms = &mut self.orgs[org].next_ms;
+        *next_ms += gap_s * 1_000.0;
+        let at = *next_ms as u64;
         self.push(at, Kind::Request(org));
     }
 
