--- a/crates/gate/src/gateway.rs
+++ b/crates/gate/src/gateway.rs
@@ -21,6 +21,7 @@
 use kernel::local_server::LocalBody;
 use kernel::local_server::LocalHandler;
 use log::info;
+use quota::Quotas;
 use slots::Slots;
 use tokio_util::sync::CancellationToken;
 use upstream::ConnectionPool;
@@ -89,6 +90,8 @@
     pub crash_guard: Rc<CrashGuard>,
     /// The memory for the bodies of requests.
     pub budget: Arc<Budget>,
+    /// The request quotas of organisations.
+    pub quotas: Rc<Quotas>,
 }
 
 /// The entry point for requests of clients.
@@ -110,6 +113,8 @@
     /// The quarantine of prompt parts.
     pub crash_guard: Rc<CrashGuard>,
     budget: Arc<Budget>,
+    /// The request quotas of organisations.
+    pub quotas: Rc<Quotas>,
     pub(crate) in_flight: Cell<usize>,
     shutdown: Cell<Option<ShutdownWindow>>,
     /// Cancelled when requests without an answer get a final one, since the process is about to exit.
@@ -138,6 +143,7 @@
             jobs: deps.jobs,
             crash_guard: deps.crash_guard,
             budget: deps.budget,
+            quotas: deps.quotas,
             in_flight: Cell::new(0),
             shutdown: Cell::new(None),
             ending: CancellationToken::new(),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -31,6 +31,8 @@
 use peers::heartbeat::Identity;
 use peers::heartbeat::Readiness;
 use platform::names::RETIREMENT_KIND;
+use quota::QuotaSettings;
+use quota::Quotas;
 use slots::Slots;
 use store::Call;
 use store::CallClass;
@@ -230,6 +232,18 @@
         crash_guard: crash_guard.clone(),
         budget: budget.clone(),
     });
+    let quotas = Quotas::new(
+        clock,
+        counters.clone(),
+        transport.clone(),
+        membership.clone(),
+        QuotaSettings {
+            window_ms: settings.quota.window_ms,
+            overage: settings.quota.overage,
+            slack: settings.quota.slack,
+        },
+        settings.is_first_start,
+    );
     let gateway = Rc::new(Gateway::new(gate::gateway::Dependencies {
         codec: ingress_codec,
         clock,
@@ -240,6 +254,7 @@
         jobs: job_manager.clone(),
         crash_guard: crash_guard.clone(),
         budget,
+        quotas: quotas.clone(),
     }));
     let ingress_lifecycle = Rc::new(ServerLifecycle::new(INITIAL_LIMITS));
     let state = Rc::new(PlatformState::new(
@@ -259,6 +274,7 @@
         store: store.clone(),
         leaving_notices: RefCell::default(),
         crash_guard,
+        quotas,
     });
     heartbeats.listen();
     spawn_local(transport.clone().run());
@@ -370,7 +386,7 @@
         Ok(Reply::Page(page)) => {
             let members: Vec<Identity> = page.objects.iter().filter_map(decode_identity).collect();
             info!("event=daemons_read daemons={}", members.len());
-            heartbeats.add_members(members);
+            heartbeats.add_members(members, true);
         }
         Ok(_) => warn!("event=daemons_not_read error=\"unexpected kind of answer\""),
         Err(error) => warn!("event=daemons_not_read error=\"{error}\""),
