--- a/crates/daemon/tests/platform_answers.rs
+++ b/crates/daemon/tests/platform_answers.rs
@@ -60,6 +60,8 @@
 const EVENTS_BEFORE_BREAK: u64 = 2;
 /// The number of slots of a replica.
 const SLOTS: usize = 8;
+/// Longer than the probe of a replica may take, 250 ms.
+const PROBE_TIME: Duration = Duration::from_millis(400);
 
 /// A name and the bytes that a replica writes for a request before it closes the connection.
 type FaultyAnswer = (&'static str, fn(&str) -> String);
@@ -353,6 +355,11 @@
         });
         let fleet = start_with_raw_engines(folder, 1, answer).await;
         let daemon = fleet.ingress(0);
+        // The first request makes the daemon probe the replica; the connection of the probe would
+        // otherwise be idle beside that of the refusal, and either could be reused.
+        let first = Client.stream(daemon, STREAM, "first", EVENTS).await.expect("an answer");
+        assert!(is_complete_stream("first", EVENTS, &first.body));
+        sleep(PROBE_TIME).await;
         let refused = Client.stream(daemon, STREAM, "refused", EVENTS).await.expect("an answer");
         assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
         let ran = Client.stream(daemon, STREAM, "ran", EVENTS).await.expect("an answer");
