Serve waiting requests by priority and fair shares of organisations

Cause: an organisation that sends many times its usual rate takes the slots of the others: owners order waiting requests by deadline alone. Change: slots::fair_share, start-time fair queueing by slot time: a grant is charged with the mean run and corrected when the slot is released. Owners order online requests by priority, then on time before late, then by the virtual start of the organisation, then as before. The organisation's hash and priority follow an ask, where older builds ignore them; requests without them share one queue. Without organisations the order is unchanged.

--- a/crates/gate/src/caller.rs
+++ b/crates/gate/src/caller.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use catalog::contact::MAX_CONTACT_GAP_MS;
+use slots::Share;
 use wire::Configuration;
 use wire::OrgName;
 use wire::Reason;
@@ -143,6 +144,20 @@
         }
     }
 
+    /// Returns by which organisation and priority a request waits for a slot; `None` if the
+    /// configuration has no organisations. The organisation's priority takes precedence.
+    pub(crate) fn share(&self, route: &Route, caller: &Caller) -> Option<Share> {
+        let organisation = match caller {
+            Caller::Unchecked | Caller::Unknown => return None,
+            Caller::Anonymous | Caller::Member(_) => caller.organisation(),
+        };
+        let in_force = self.in_force.borrow();
+        let priority = organisation
+            .and_then(|name| in_force.current()?.organisation(name)?.priority)
+            .unwrap_or(route.priority);
+        Some(Share::new(organisation, priority))
+    }
+
     /// Returns the refusal of a missing or unknown key, which may be valid in a newer configuration.
     fn refuse_key(&self) -> Refusal {
         let list = self.slots.list_state();
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -244,6 +244,7 @@
             give_up_at_ms: policy.slot_deadline_ms(slot_asked_ms).min(latest_send_ms),
             waits_for_replica: attempt.may_have_run() || current.is_some(),
             excluded: &sends.tried,
+            share: self.share(route, &request.caller),
         };
         let lease = self.acquire_slot(&slot_request, current).await;
         let now_ms = self.now_ms();
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -229,6 +229,7 @@
             give_up_at_ms: self.now_ms() + SLOT_WAIT_MS,
             waits_for_replica: true,
             excluded: &[],
+            share: None,
         };
         self.deps.slots.acquire(&slot_request).await.ok()
     }
--- a/crates/jobs/tests/overload.rs
+++ b/crates/jobs/tests/overload.rs
@@ -163,7 +163,7 @@
         give_up_left_ms: Millis,
     ) {
         let holder = DaemonName::from("home");
-        let request = GrantRequest { ticket, holder, class, urgency, give_up_left_ms };
+        let request = GrantRequest { ticket, holder, class, urgency, give_up_left_ms, share: None };
         let actions = self.tables[replica].request(self.now_ms, request);
         self.apply(replica, actions);
     }
--- a/crates/peers/src/transport.rs
+++ b/crates/peers/src/transport.rs
@@ -135,6 +135,24 @@
     }
 }
 
+/// Decodes a payload with an extension after the message, which older builds neither send nor read.
+///
+/// An extension that cannot be read is logged and left out.
+pub fn decode_extended<M, E>(topic: Topic, payload: &[u8]) -> Option<(M, Option<E>)>
+where
+    M: serde::de::DeserializeOwned,
+    E: serde::de::DeserializeOwned,
+{
+    match postcard::take_from_bytes(payload) {
+        Ok((message, [])) => Some((message, None)),
+        Ok((message, extension)) => Some((message, decode(topic, extension))),
+        Err(error) => {
+            debug!("event=datagram_malformed topic={topic:?} error=\"{error}\"");
+            None
+        }
+    }
+}
+
 /// Encodes a message for a payload, or logs the failure and returns an empty one.
 pub fn encode<M: Serialize>(topic: Topic, message: &M) -> Vec<u8> {
     postcard::to_allocvec(message).unwrap_or_else(|error| {
--- a/crates/slots/src/client.rs
+++ b/crates/slots/src/client.rs
@@ -21,6 +21,7 @@
 use peers::Transport;
 use peers::heartbeat::Datagram;
 use peers::transport::decode;
+use peers::transport::decode_extended;
 use rand::Rng;
 use wire::DaemonName;
 use wire::Millis;
@@ -30,6 +31,7 @@
 use wire::ServiceName;
 
 use crate::balancer::Balancer;
+use crate::fair_share::Share;
 use crate::lease::HeldRun;
 use crate::lease::Revocation;
 use crate::lease::SlotLease;
@@ -511,31 +513,43 @@
             urgency: urgency(now_ms, request.on_time_at_ms, request.order_at_ms),
             give_up_left_ms: request.give_up_at_ms.saturating_sub(now_ms),
         };
-        self.send_to_owner(owner, message);
+        self.send_to_owner(owner, message, request.share);
     }
 
     fn send_to_owner_of(&self, replica: &ReplicaName, message: ToOwner) {
         let record = self.replicas.borrow().get(replica).cloned();
         let Some(owner) = record.and_then(|record| self.owner_of(&record)) else { return };
-        self.send_to_owner(&owner, message);
+        self.send_to_owner(&owner, message, None);
     }
 
-    fn send_to_owner(&self, owner: &DaemonName, message: ToOwner) {
+    /// Sends a message to an owner; the share follows the message, where older builds, which decode
+    /// the message alone, ignore it.
+    fn send_to_owner(&self, owner: &DaemonName, message: ToOwner, share: Option<Share>) {
         let membership = self.membership.borrow();
         if membership.own().name == *owner {
             drop(membership);
-            self.handle_as_owner(owner, message);
+            self.handle_as_owner(owner, message, share);
             return;
         }
         if let Some(peer) = membership.peer(owner) {
-            self.transport.send(peer.identity.ip, Topic::Slots, &Envelope::ToOwner(message));
+            let envelope = Envelope::ToOwner(message);
+            match share {
+                Some(share) => {
+                    self.transport.send(peer.identity.ip, Topic::Slots, &(envelope, share));
+                }
+                None => self.transport.send(peer.identity.ip, Topic::Slots, &envelope),
+            }
         }
     }
 
     fn handle_datagram(&self, datagram: &Datagram, _from: IpAddr) {
-        match decode::<Envelope>(Topic::Slots, &datagram.payload) {
-            Some(Envelope::ToOwner(message)) => self.handle_as_owner(&datagram.from, message),
-            Some(Envelope::ToHolder(replica, message)) => self.handle_as_holder(&replica, message),
+        match decode_extended::<Envelope, Share>(Topic::Slots, &datagram.payload) {
+            Some((Envelope::ToOwner(message), share)) => {
+                self.handle_as_owner(&datagram.from, message, share);
+            }
+            Some((Envelope::ToHolder(replica, message), _)) => {
+                self.handle_as_holder(&replica, message)
+            }
             None => {}
         }
     }
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod balancer;
 pub mod client;
+pub mod fair_share;
 pub mod lease;
 pub mod message;
 pub mod owner;
@@ -16,6 +17,7 @@
 pub mod table;
 
 pub use client::Slots;
+pub use fair_share::Share;
 pub use lease::SlotLease;
 pub use message::Class;
 pub use message::Ticket;
--- a/crates/slots/src/owner.rs
+++ b/crates/slots/src/owner.rs
@@ -18,6 +18,7 @@
 use crate::client::Inner;
 use crate::client::Probe;
 use crate::client::Slots;
+use crate::fair_share::Share;
 use crate::message::LoadReport;
 use crate::message::ToHolder;
 use crate::message::ToOwner;
@@ -77,7 +78,12 @@
         }
     }
 
-    pub(crate) fn handle_as_owner(&self, holder: &DaemonName, message: ToOwner) {
+    pub(crate) fn handle_as_owner(
+        &self,
+        holder: &DaemonName,
+        message: ToOwner,
+        share: Option<Share>,
+    ) {
         let now_ms = self.clock.now_ms();
         let (replica, ticket) = match &message {
             ToOwner::Ask { replica, ticket, .. } => (replica.clone(), Some(*ticket)),
@@ -102,7 +108,8 @@
             match message {
                 ToOwner::Ask { ticket, class, urgency, give_up_left_ms, .. } => {
                     let holder = holder.clone();
-                    let request = GrantRequest { ticket, holder, class, urgency, give_up_left_ms };
+                    let request =
+                        GrantRequest { ticket, holder, class, urgency, give_up_left_ms, share };
                     (table.request(now_ms, request), table.begin_first_probe())
                 }
                 ToOwner::Release { ticket, .. } => (table.release(now_ms, ticket), false),
--- a/crates/slots/src/request.rs
+++ b/crates/slots/src/request.rs
@@ -4,6 +4,7 @@
 use wire::ReplicaName;
 use wire::ServiceName;
 
+use crate::fair_share::Share;
 use crate::message::Class;
 
 /// A request for a slot at any replica of a service.
@@ -24,6 +25,8 @@
     pub waits_for_replica: bool,
     /// Replicas that were tried before; one is chosen again only if no other replica is left.
     pub excluded: &'a [ReplicaName],
+    /// The organisation of an online request; absent if the configuration has no organisations.
+    pub share: Option<Share>,
 }
 
 /// Why no slot was acquired.
--- a/crates/slots/src/table.rs
+++ b/crates/slots/src/table.rs
@@ -3,6 +3,8 @@
 use wire::DaemonName;
 use wire::Millis;
 
+use crate::fair_share::FairShares;
+use crate::fair_share::Share;
 use crate::message::Class;
 use crate::message::Load;
 use crate::message::Run;
@@ -36,6 +38,11 @@
 const OVERLOAD_MS: Millis = 1_000;
 /// The number of runs over which the duration of an online run is averaged.
 const AVERAGED_RUNS: Millis = 8;
+/// The least charge for a grant before the first run has ended, so that no organisation gets all
+/// slots of a new replica at once.
+const MIN_CHARGE_MS: Millis = 1;
+/// The organisation of requests whose holder sent none, as older builds do.
+const NO_ORGANISATION: u64 = 0;
 /// Longer than any run; keeps the sort key of grants above zero.
 const MAX_RUN_MS: Millis = 600_000;
 
@@ -47,10 +54,18 @@
     on_time_at_ms: Millis,
     order_at_ms: Millis,
     granted_at_ms: Millis,
+    charge: Option<Charge>,
     confirmed_at_ms: Millis,
     revoked_at_ms: Option<Millis>,
 }
 
+/// What an organisation was charged for a grant.
+#[derive(Clone, Copy, Debug)]
+struct Charge {
+    organisation: u64,
+    expected_ms: Millis,
+}
+
 #[derive(Clone, Debug)]
 struct QueuedRequest {
     ticket: Ticket,
@@ -60,6 +75,7 @@
     order_at_ms: Millis,
     give_up_at_ms: Millis,
     last_requested_at_ms: Millis,
+    share: Option<Share>,
 }
 
 /// A holder's request for a slot of the replica.
@@ -75,8 +91,14 @@
     pub urgency: Urgency,
     /// How long the request may stay queued.
     pub give_up_left_ms: Millis,
+    /// The organisation of an online request, if its holder sent one.
+    pub share: Option<Share>,
 }
 
+/// The class, the priority, whether the request is late, the virtual start of its organisation, its
+/// sort key and its ticket.
+type ServiceOrder = (Class, u32, bool, Millis, Millis, Ticket);
+
 /// A message that the owner must send to a holder.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TableAction {
@@ -128,6 +150,7 @@
     is_suspect: bool,
     has_been_probed: bool,
     has_reported: bool,
+    fair_shares: FairShares,
 }
 
 impl SlotTable {
@@ -154,6 +177,7 @@
             is_suspect: false,
             has_been_probed: false,
             has_reported: false,
+            fair_shares: FairShares::default(),
         }
     }
 
@@ -183,7 +207,7 @@
 
     /// Grants, queues or refuses a request; a repeated request is answered again.
     pub fn request(&mut self, now_ms: Millis, request: GrantRequest) -> Vec<TableAction> {
-        let GrantRequest { ticket, holder, class, urgency, give_up_left_ms } = request;
+        let GrantRequest { ticket, holder, class, urgency, give_up_left_ms, share } = request;
         if self.grants.iter().any(|grant| grant.ticket == ticket) {
             return vec![TableAction::Grant { holder, ticket }];
         }
@@ -198,6 +222,7 @@
                 order_at_ms: now_ms.saturating_add(urgency.order_left_ms),
                 give_up_at_ms: now_ms.saturating_add(give_up_left_ms),
                 last_requested_at_ms: now_ms,
+                share: share.filter(|_| class == Class::Online),
             });
         }
         let mut actions = self.update_grants(now_ms);
@@ -223,8 +248,9 @@
         if request.class != Class::Online || !is_overloaded {
             return false;
         }
-        let key = service_order(request, now_ms);
-        let ahead = self.queue.iter().filter(|other| service_order(other, now_ms) < key).count();
+        let key = self.service_order(request, now_ms);
+        let ahead =
+            self.queue.iter().filter(|other| self.service_order(other, now_ms) < key).count();
         let wait_ms = ahead as Millis * self.mean_online_run_ms
             / (Millis::from(self.slots.max(1)) * QUEUES_PER_REQUEST);
         now_ms + wait_ms > request.on_time_at_ms
@@ -244,6 +270,9 @@
         let mut grants = self.grants.iter().filter(|grant| grant.class == Class::Online);
         if let Some(grant) = grants.find(|grant| grant.ticket == ticket) {
             let run_ms = now_ms.saturating_sub(grant.granted_at_ms);
+            if let Some(Charge { organisation, expected_ms }) = grant.charge {
+                self.fair_shares.settle(organisation, expected_ms, run_ms);
+            }
             self.mean_online_run_ms = match self.mean_online_run_ms {
                 0 => run_ms,
                 mean_ms => (mean_ms * (AVERAGED_RUNS - 1) + run_ms) / AVERAGED_RUNS,
@@ -290,6 +319,7 @@
                 on_time_at_ms: now_ms.saturating_add(run.urgency.on_time_left_ms),
                 order_at_ms: now_ms.saturating_add(run.urgency.order_left_ms),
                 granted_at_ms: now_ms,
+                charge: None,
                 confirmed_at_ms: now_ms,
                 revoked_at_ms: None,
             });
@@ -370,6 +400,7 @@
         while runs_without_grant.saturating_add(self.grants.len() as u32) < self.slots {
             let Some(next) = self.next_to_grant(now_ms) else { break };
             let queued = self.queue.swap_remove(next);
+            let charge = self.charge(&queued);
             actions
                 .push(TableAction::Grant { holder: queued.holder.clone(), ticket: queued.ticket });
             self.grants.push(Grant {
@@ -379,6 +410,7 @@
                 on_time_at_ms: queued.on_time_at_ms,
                 order_at_ms: queued.order_at_ms,
                 granted_at_ms: now_ms,
+                charge,
                 confirmed_at_ms: now_ms,
                 revoked_at_ms: None,
             });
@@ -387,15 +419,30 @@
         actions
     }
 
+    /// Charges an organisation for a grant with the mean slot time, until the grant is released.
+    ///
+    /// Requests without a share are charged only once others have one.
+    fn charge(&mut self, queued: &QueuedRequest) -> Option<Charge> {
+        let has_shares = queued.share.is_some() || self.fair_shares.remembered() > 0;
+        if queued.class != Class::Online || !has_shares {
+            return None;
+        }
+        let organisation = queued.share.map_or(NO_ORGANISATION, |share| share.organisation);
+        let expected_ms = self.mean_online_run_ms.max(MIN_CHARGE_MS);
+        self.fair_shares.charge(organisation, expected_ms);
+        Some(Charge { organisation, expected_ms })
+    }
+
     /// Returns the index of the request that is granted next: online before batch, and in each
-    /// class those that can still be on time, by their sort key, before those that are late.
+    /// class by priority, then those that can still be on time before those that are late, then by
+    /// the fair shares of the organisations, then by the sort key.
     fn next_to_grant(&self, now_ms: Millis) -> Option<usize> {
         let is_allowed = |queued: &QueuedRequest| {
             queued.class == Class::Online || now_ms >= self.batch_blocked_until_ms
         };
         (0..self.queue.len())
             .filter(|index| is_allowed(&self.queue[*index]))
-            .min_by_key(|index| service_order(&self.queue[*index], now_ms))
+            .min_by_key(|index| self.service_order(&self.queue[*index], now_ms))
     }
 
     /// Revokes the slot of one batch item for each queued online request: first those of items that
@@ -434,11 +481,17 @@
                 .push(TableAction::Revoke { holder: victim.holder.clone(), ticket: victim.ticket });
         }
     }
-}
 
-/// Returns the sort key of a queued request; the lowest is served first.
-fn service_order(queued: &QueuedRequest, now_ms: Millis) -> (Class, bool, Millis, Ticket) {
-    let is_late = queued.on_time_at_ms < now_ms;
-    let at_ms = if is_late { queued.give_up_at_ms } else { queued.order_at_ms };
-    (queued.class, is_late, at_ms, queued.ticket)
+    /// Returns the sort key of a queued request; the lowest is served first.
+    ///
+    /// Requests without a share have the same priority and virtual start, so that these decide
+    /// nothing among them; beside requests with shares, they share one queue.
+    fn service_order(&self, queued: &QueuedRequest, now_ms: Millis) -> ServiceOrder {
+        let is_late = queued.on_time_at_ms < now_ms;
+        let at_ms = if is_late { queued.give_up_at_ms } else { queued.order_at_ms };
+        let priority = queued.share.map_or(0, |share| share.priority);
+        let organisation = queued.share.map_or(NO_ORGANISATION, |share| share.organisation);
+        let start_ms = self.fair_shares.start_ms(organisation);
+        (queued.class, priority, is_late, start_ms, at_ms, queued.ticket)
+    }
 }
--- a/crates/slots/tests/leaving.rs
+++ b/crates/slots/tests/leaving.rs
@@ -101,6 +101,7 @@
         give_up_at_ms: u64::MAX / 4,
         waits_for_replica: waits,
         excluded: &[],
+        share: None,
     };
     slots.acquire(&request).await
 }
--- a/crates/slots/tests/probe.rs
+++ b/crates/slots/tests/probe.rs
@@ -126,6 +126,7 @@
         give_up_at_ms: u64::MAX / 4,
         waits_for_replica: true,
         excluded: &[],
+        share: None,
     };
     timeout(wait, slots.acquire(&request)).await.is_ok_and(|lease| lease.is_ok())
 }
--- a/crates/slots/tests/table.rs
+++ b/crates/slots/tests/table.rs
@@ -21,6 +21,7 @@
         class,
         urgency,
         give_up_left_ms: 5_000,
+        share: None,
     }
 }
 
