Test fair shares with two daemons and log the organisation of a send

Cause: the operations page counts sends by organisation, which the log did not show, and no test sent a share to another daemon. Change: request_sent has the organisation; a test with real processes sends four times the slots for one organisation and then four requests of another.

--- a/crates/daemon/tests/platform_organisations.rs
+++ b/crates/daemon/tests/platform_organisations.rs
@@ -430,6 +430,41 @@
     });
 }
 
+/// Guards against an organisation whose requests wait behind all those of another one, also at the
+/// owners of slots at another daemon.
+#[test]
+fn waiting_requests_get_slots_by_fair_shares() {
+    run_local("org-shares", |folder| async move {
+        let fleet = Fleet::start(folder, 2).await;
+        fleet.deployment.configure(|configuration| {
+            configuration["routes"][0]["timeout_ms"] = json!(15_000);
+            configuration["tenants"] = organisations();
+            configuration["tenants"][1]["priority"] = Value::Null;
+        });
+        sleep(IN_FORCE_AFTER).await;
+        let stream = |id: String, key: &str, daemon: usize| {
+            let stream = OutgoingRequest::stream(STREAM, &id, 60).with_deadline_ms(15_000);
+            let (request, daemon) = (stream.with_key(key), fleet.ingress(daemon));
+            spawn_local(async move { Client.call(daemon, &request).await })
+        };
+        // Four times the slots of all engines.
+        let mut streams: Vec<_> =
+            (0..96).map(|number| stream(format!("a{number}"), ALPHA, number % 2)).collect();
+        sleep(Duration::from_millis(200)).await;
+        streams.extend((0..4).map(|number| stream(format!("b{number}"), BETA, number % 2)));
+        for stream in streams {
+            let answer = stream.await.expect("the task ends").expect("an answer");
+            assert_eq!(answer.status, StatusCode::OK);
+        }
+        let log = fleet.deployment.log.borrow();
+        let started_ms = |id: &str| log.runs_of(id).first().expect("it ran").started_ms;
+        let last_of_beta = (0..4).map(|number| started_ms(&format!("b{number}"))).max();
+        let later = (0..96).map(|number| started_ms(&format!("a{number}")));
+        let later = later.filter(|started_ms| Some(*started_ms) > last_of_beta).count();
+        assert!(later >= 30, "{later} requests of alpha started after those of beta");
+    });
+}
+
 /// Guards against a paused daemon that serves a revoked key after the pause.
 #[test]
 fn key_that_is_revoked_during_a_pause_does_not_work_after_it() {
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -24,6 +24,7 @@
 use upstream::EventSplitter;
 use upstream::RunSequence;
 use wire::Millis;
+use wire::OrgName;
 use wire::Reason;
 use wire::Refusal;
 use wire::ReplicaRecord;
@@ -541,7 +542,7 @@
     let (load, age_ms) = lease.load.unwrap_or_default();
     info!(
         "event=request_sent id={} replica={} granted={} slots={} online={} batch={} waiting={} \
-         load_age_ms={age_ms} runs={} left_ms={} {list}",
+         load_age_ms={age_ms} runs={} left_ms={} {list} organisation=\"{}\"",
         request.id,
         lease.replica.name,
         lease.is_granted,
@@ -550,7 +551,8 @@
         load.batch,
         load.online_waiting,
         attempt.runs(),
-        attempt.policy().give_up_at_ms.saturating_sub(now_ms)
+        attempt.policy().give_up_at_ms.saturating_sub(now_ms),
+        request.caller.organisation().map_or("-", OrgName::as_str).escape_debug()
     );
 }
 
