Let the test of fair shares fail without them

Cause: with the usual objective, waiting requests are late and stand behind new ones whatever the shares are, so the test passed without the feature. Change: the route's objective is 14 s.

--- a/crates/daemon/tests/platform_organisations.rs
+++ b/crates/daemon/tests/platform_organisations.rs
@@ -438,6 +438,8 @@
         let fleet = Fleet::start(folder, 2).await;
         fleet.deployment.configure(|configuration| {
             configuration["routes"][0]["timeout_ms"] = json!(15_000);
+            // Late requests would wait behind those of beta whatever the shares are.
+            configuration["routes"][0]["goal_ms"] = json!(14_000);
             configuration["tenants"] = organisations();
             configuration["tenants"][1]["priority"] = Value::Null;
         });
