Refuse a resubmission of another organisation's job with a quarantined part

Cause: the quarantine's look-up of a repeated job answered 202 for a job of another organisation with the same id. Change: it checks the owner as the other look-ups do.

--- a/crates/jobs/src/quarantine_check.rs
+++ b/crates/jobs/src/quarantine_check.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use gate::Caller;
 use log::info;
 use wire::JobId;
 use wire::Millis;
@@ -34,17 +35,18 @@
         self: &Rc<Self>,
         id: &JobId,
         host: &str,
+        caller: &Caller,
         submission: &Submission,
         store_timeout: Duration,
     ) -> Result<Novelty, Refusal> {
         let Some(refusal) = self.refuse_items(host, submission) else { return Ok(Novelty::New) };
         match self.load(id, store_timeout).await {
-            Ok(LoadedJob::Local(_)) => Ok(Novelty::Repeated),
-            Ok(LoadedJob::Remote(home, _)) => {
+            Ok(LoadedJob::Local(handle)) => self.check_owner(&handle, caller),
+            Ok(LoadedJob::Remote(home, handle)) => {
                 // The home may have given up before it received the answer that the record exists.
                 self.notify_home(id, &home.daemon);
                 self.note_home(id, &home);
-                Ok(Novelty::Repeated)
+                self.check_owner(&handle, caller)
             }
             Ok(LoadedJob::NotFound) => {
                 self.deps.counters.count("jobs_with_quarantined_part");
--- a/crates/jobs/src/serve.rs
+++ b/crates/jobs/src/serve.rs
@@ -402,7 +402,7 @@
         }
         let wait_ms = meta.deadline_ms.unwrap_or(DEFAULT_SUBMIT_DEADLINE_MS);
         let store_timeout = Duration::from_millis(wait_ms.saturating_sub(ANSWER_RESERVE_MS).max(1));
-        let checked = self.check_quarantine(id, &route.host, &submission, store_timeout);
+        let checked = self.check_quarantine(id, &route.host, caller, &submission, store_timeout);
         if let Novelty::Repeated = checked.await? {
             info!("event=job_repeated job={id}");
             return Ok(());
@@ -482,6 +482,15 @@
                 }
             },
         };
+        self.check_owner(&handle, caller)
+    }
+
+    /// Refuses a submission with the id of another organisation's job.
+    pub(crate) fn check_owner(
+        &self,
+        handle: &JobHandle,
+        caller: &Caller,
+    ) -> Result<Novelty, Refusal> {
         let is_denied = self.deny(caller, &handle.job.borrow(), CallOrigin::Client).is_some();
         if is_denied { Err(id_taken()) } else { Ok(Novelty::Repeated) }
     }
