Explain the refusal of a request whose key went away

Cause: crocus explain reported its outcome as an answer that ended. Change: a sentence for the outcomes unauthenticated and outdated_bundle.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -260,6 +260,10 @@
             "It was refused without being run: a part of its prompt crashed replicas and is quarantined."
                 .to_owned()
         }
+        "unauthenticated" | "outdated_bundle" => {
+            "It was refused without being run: its key went away while it waited for a slot."
+                .to_owned()
+        }
         "no_backend" => {
             "It was refused without being run: no replica of the service accepted it.".to_owned()
         }
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -90,6 +90,18 @@
     );
 }
 
+#[test]
+fn refusal_of_a_key_that_went_away_is_reported() {
+    let line = "ts=2026-12-04T10:00:04.000Z level=info at=gate::report event=request id=r6 route=r \
+                version=2 outcome=unauthenticated status=401 replica=- tried=0 slot_wait_ms=700 \
+                first_ms=-1 events=0 total_ms=700";
+    let lines = LogLine::parse(line, "daemon-1").into_iter().collect();
+    assert_eq!(
+        build_timeline("r6", lines).outcome_summary(),
+        "It was refused without being run: its key went away while it waited for a slot."
+    );
+}
+
 #[test]
 fn item_timeline_covers_its_attempts_and_job() {
     let timeline = build_timeline("i1", lines());
