--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -25,6 +25,7 @@
 use upstream::EventSplitter;
 use upstream::RunSequence;
 use wire::Millis;
+use wire::OrgName;
 use wire::Reason;
 use wire::Refusal;
 use wire::ReplicaRecord;
@@ -273,6 +274,7 @@
             give_up_at_ms: policy.slot_deadline_ms(slot_asked_ms).min(latest_send_ms),
             waits_for_replica: attempt.may_have_run() || current.is_some(),
             excluded: &sends.tried,
+            share: self.share(route, &request.caller),
         };
         let lease = self.acquire_slot(&slot_request, current).await;
         let now_ms = self.now_ms();
@@ -575,7 +577,7 @@
     let (load, age_ms) = lease.load.unwrap_or_default();
     info!(
         "event=request_sent id={} replica={} granted={} slots={} online={} batch={} waiting={} \
-         load_age_ms={age_ms} runs={} left_ms={} {list}",
+         load_age_ms={age_ms} runs={} left_ms={} {list} organisation=\"{}\"",
         request.id,
         lease.replica.name,
         lease.is_granted,
@@ -584,7 +586,8 @@
         load.batch,
         load.online_waiting,
         attempt.runs(),
-        attempt.policy().give_up_at_ms.saturating_sub(now_ms)
+        attempt.policy().give_up_at_ms.saturating_sub(now_ms),
+        request.caller.organisation().map_or("-", OrgName::as_str).escape_debug()
     );
 }
 
