--- a/crates/jobs/tests/handover.rs
+++ b/crates/jobs/tests/handover.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 
 use budget::Budget;
+use budget::Kind;
+use budget::Limits;
 use bytes::Bytes;
 use catalog::ConfigurationInForce;
 use catalog::ReplicaSet;
@@ -20,8 +22,11 @@
 use gate::codec::ForwardMeta;
 use gate::codec::InvalidHead;
 use gate::codec::RequestMeta;
+use gate::gateway::JobCallHandler;
 use http::HeaderMap;
 use http::Method;
+use http::Request;
+use http::Response;
 use http::StatusCode;
 use http::request::Parts;
 use jobs::adoption::LoadedJob;
@@ -44,6 +49,7 @@
 use jobs::record::JobRecord;
 use kernel::BootClock;
 use kernel::Counters;
+use kernel::local_server::LocalBody;
 use peers::ControlClient;
 use peers::Membership;
 use peers::Topic;
@@ -73,6 +79,8 @@
 use upstream::RequestWriter;
 use wire::Configuration;
 use wire::JobId;
+use wire::Route;
+use wire::RouteKind;
 use wire::route::IngressLimits;
 
 const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
@@ -237,6 +245,16 @@
     codec: Rc<OneObject>,
     peers: &[Identity],
     in_force: ConfigurationInForce,
+) -> Rc<JobManager> {
+    manager_with_budget(name, codec, peers, in_force, Budget::unlimited()).await
+}
+
+async fn manager_with_budget(
+    name: &str,
+    codec: Rc<OneObject>,
+    peers: &[Identity],
+    in_force: ConfigurationInForce,
+    budget: Arc<Budget>,
 ) -> Rc<JobManager> {
     let clock = BootClock::start();
     let counters = Counters::new(None).expect("counters without an address");
@@ -276,7 +294,7 @@
         max_object_bytes: 1 << 20,
         transport,
         keep_jobs_ms: 60_000,
-        budget: Budget::unlimited(),
+        budget,
     })
 }
 
@@ -456,3 +474,71 @@
     };
     LocalSet::new().run_until(run).await;
 }
+
+// Guards against jobs that take memory without a limit, and against a refusal of a new job that ends one
+// that was accepted.
+#[tokio::test]
+async fn held_jobs_count_and_keep_new_ones_out() {
+    let run = async {
+        let (mut job, store) = recorded_job(&JobId::from("j"), home("here"));
+        let item = Item {
+            id: "large".into(),
+            path: "/i".to_owned(),
+            headers: vec![("x".to_owned(), "y".repeat(1_000))],
+            body: Bytes::from(vec![b'x'; 60_000]),
+            tokens: 1,
+        };
+        job = Job::new(job.id, "host", "/jobs/", 0, vec![item], Vec::new());
+        let budget = Budget::new(Limits { jobs_bytes: 50_000, ..Limits::unlimited() });
+        let in_force = ConfigurationInForce::default();
+        let manager = manager_with_budget("here", store, &[], in_force, budget.clone()).await;
+        let handle = manager.add_job(job);
+        let held_bytes = budget.used_bytes(Kind::Jobs);
+        assert!((61_000..64_000).contains(&held_bytes), "{held_bytes}");
+
+        let refused = submit(&manager, 1_000).await;
+        assert_eq!(refused.status(), StatusCode::SERVICE_UNAVAILABLE);
+        assert!(refused.headers().contains_key("retry-after"));
+        assert!(matches!(manager.locate(&JobId::from("new")), JobLocation::Unknown));
+        manager.drop_deposed_job(&JobId::from("j"), None);
+        drop(handle);
+        assert_eq!(budget.total_used_bytes(), 0);
+        // The codec of this test decodes nothing.
+        let decoded = submit(&manager, 1_000).await;
+        assert_eq!(decoded.status(), StatusCode::BAD_REQUEST);
+        assert_eq!(budget.total_used_bytes(), 0, "a refused submission keeps memory");
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+async fn submit(manager: &Rc<JobManager>, body_bytes: usize) -> Response<LocalBody> {
+    let meta = RequestMeta {
+        id: "new".into(),
+        deadline_ms: None,
+        last_event: None,
+        max_output_tokens: None,
+        prompt_parts: Vec::new(),
+    };
+    let (parts, ()) = Request::new(()).into_parts();
+    let body = Bytes::from(vec![b'x'; body_bytes]);
+    manager.clone().submit(Arc::new(batch_route()), meta, parts, body).await
+}
+
+fn batch_route() -> Route {
+    Route {
+        name: "r".into(),
+        host: "host".into(),
+        path_prefix: "/jobs/".into(),
+        kind: RouteKind::Batch,
+        timeout_ms: None,
+        objective_ms: None,
+        gap_objective_ms: None,
+        priority: 1,
+        targets: Vec::new(),
+        max_attempts: 1,
+        is_resumable: true,
+        due_ms: None,
+        retention_ms: None,
+        max_waiting_tokens: None,
+    }
+}
