Count answers of the store and of peers in the memory budget

Change: a pool of connections names the kind that its answers count as. The line answer_without_memory names the kind; crocus explain knows body_refused.

--- a/crates/budget/src/reservation.rs
+++ b/crates/budget/src/reservation.rs
@@ -68,10 +68,6 @@
     pub fn attach(self, body: Bytes) -> Bytes {
         if self.bytes == 0 { body } else { attach(body, self) }
     }
-
-    pub(crate) fn budget(&self) -> &Arc<Budget> {
-        &self.budget
-    }
 }
 
 impl Drop for Reservation {
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -193,6 +193,17 @@
             }
             return request_summary(request, &self.context);
         }
+        if let Some(refused) = last("body_refused") {
+            let field = |name: &str| refused.get(name).unwrap_or("?");
+            return format!(
+                "It was refused without being run: its body was not read ({}); {} of {} bytes came in \
+                 {} ms.",
+                field("reason"),
+                field("received_bytes"),
+                field("announced_bytes"),
+                field("took_ms")
+            );
+        }
         if let Some(refused) = last("job_refused") {
             let message = refused.get("message").unwrap_or("no message");
             return format!("The job was refused: {message}.");
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -78,6 +78,19 @@
     );
 }
 
+#[test]
+fn refusal_of_a_body_is_reported() {
+    let line = "ts=2026-12-04T10:00:04.000Z level=info at=gate::gateway event=body_refused id=r6 \
+                reason=evicted client=10.0.0.1 path=/a received_bytes=1000 announced_bytes=4000 \
+                took_ms=700 bodies_held_bytes=9000 held_bytes=9500";
+    let lines = LogLine::parse(line, "daemon-1").into_iter().collect();
+    assert_eq!(
+        build_timeline("r6", lines).outcome_summary(),
+        "It was refused without being run: its body was not read (evicted); 1000 of 4000 bytes came in \
+         700 ms."
+    );
+}
+
 #[test]
 fn refusal_by_a_stopping_daemon_is_reported() {
     let line = "ts=2026-12-04T10:00:04.000Z level=info at=gate::report event=request id=r3 route=r \
--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -23,8 +23,8 @@
 use wire::Reason;
 use wire::Refusal;
 
-/// The least rate of a body that takes longer than the idle time, in bytes per second: slower than any
-/// working path, and 4 KiB of prompt still arrive within a few seconds.
+/// The least rate of a body that takes longer than the idle time, in bytes per second. Working paths are
+/// far faster; a client that sends single bytes would hold its connection until the request's deadline.
 pub const MIN_BODY_BYTES_PER_S: u64 = 1 << 10;
 /// The first capacity of the buffer of a body without a length, in bytes.
 const FIRST_CAPACITY_BYTES: usize = 4 << 10;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use budget::Budget;
+use budget::Kind;
 use budget::Limits;
 use budget::limits::MIN_MEMORY_MB;
 use catalog::ConfigurationInForce;
@@ -127,14 +128,15 @@
     );
     let counters = Counters::new(None)
         .map_err(|source| KernelError::Start { what: "the counters".to_owned(), source })?;
-    let store = Rc::new(ObjectClient::new(
+    let budget = Budget::new(budget_limits(&settings));
+    let store = ObjectClient::new(
         Rc::new(platform::objects::PlatformObjectCodec),
         settings.store.address,
         settings.store.writes_per_s,
         settings.store.reads_per_s,
         counters.clone(),
-    ));
-    let budget = Budget::new(budget_limits(&settings));
+    );
+    let store = Rc::new(store.with_budget(budget.clone()));
     serve_metrics(&settings, &counters, &budget);
     spawn_local(log_counters(counters.clone(), budget.clone()));
     let probed_store = store.clone();
@@ -204,10 +206,15 @@
         membership.clone(),
         replicas.clone(),
     );
-    let control = Rc::new(ControlClient::default());
+    let control = Rc::new(ControlClient::with_budget(budget.clone()));
     let relay = PeerRelay { membership: membership.clone(), control: control.clone() };
     store.set_relay(Rc::new(relay));
-    let pool = ConnectionPool::with_budget(IDLE_TIMEOUT, CONNECT_TIMEOUT, budget.clone());
+    let pool = ConnectionPool::with_budget(
+        IDLE_TIMEOUT,
+        CONNECT_TIMEOUT,
+        budget.clone(),
+        Kind::ReplicaAnswers,
+    );
     let pool = Rc::new(pool);
     slots.set_probe(Rc::new(StateProbe { pool: pool.clone() }));
     let delegates = Box::new(QuarantineDelegates { membership: membership.clone() });
--- a/crates/peers/src/control.rs
+++ b/crates/peers/src/control.rs
@@ -1,8 +1,11 @@
 //! Control calls between daemons over HTTP.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use budget::Budget;
+use budget::Kind;
 use bytes::Bytes;
 use http::Method;
 use http::StatusCode;
@@ -38,6 +41,12 @@
 }
 
 impl ControlClient {
+    /// Creates a client whose answers count towards `budget`.
+    pub fn with_budget(budget: Arc<Budget>) -> Self {
+        let kind = Kind::PeerCalls;
+        Self { pool: ConnectionPool::with_budget(IDLE_TIMEOUT, CONNECT_TIMEOUT, budget, kind) }
+    }
+
     /// Calls a peer and returns the status and the complete body of its answer.
     pub async fn call(
         &self,
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -4,8 +4,11 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use budget::Budget;
+use budget::Kind;
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
 use http::StatusCode;
@@ -126,6 +129,13 @@
         }
     }
 
+    /// Returns the client such that its answers count towards `budget`.
+    pub fn with_budget(self, budget: Arc<Budget>) -> Self {
+        let kind = Kind::StoreAnswers;
+        let pool = ConnectionPool::with_budget(MAX_IDLE_TIME, CONNECT_TIMEOUT, budget, kind);
+        Self { pool, ..self }
+    }
+
     /// Sets the relay that carries calls which this daemon cannot complete itself.
     pub fn set_relay(&self, relay: Rc<dyn Relay>) {
         *self.relay.borrow_mut() = Some(relay);
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod plugin;
 pub mod store;
 
-pub use budget::CallClass;
+pub use crate::budget::CallClass;
 pub use call::Call;
 pub use call::Reply;
 pub use client::ObjectClient;
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -101,20 +101,23 @@
     keep_alive_timeout_ms: Option<u64>,
     idle_since: Instant,
     budget: Arc<Budget>,
+    kind: Kind,
     reservation: AnswerReservation,
 }
 
 impl Connection {
     /// Opens a connection to `peer` within `limit`.
     pub async fn open(peer: SocketAddr, limit: Duration) -> Result<Self, ExchangeError> {
-        Self::open_with_budget(peer, limit, Budget::unlimited()).await
+        Self::open_with_budget(peer, limit, Budget::unlimited(), Kind::ReplicaAnswers).await
     }
 
-    /// Opens a connection to `peer` within `limit`, whose answers count towards `budget`.
+    /// Opens a connection to `peer` within `limit`, whose answers count towards `budget` as
+    /// `kind`.
     pub async fn open_with_budget(
         peer: SocketAddr,
         limit: Duration,
         budget: Arc<Budget>,
+        kind: Kind,
     ) -> Result<Self, ExchangeError> {
         let stream = match timeout(limit, TcpStream::connect(peer)).await {
             Ok(Ok(stream)) => stream,
@@ -142,8 +145,9 @@
             request_ids: Vec::new(),
             keep_alive_timeout_ms: None,
             idle_since: Instant::now(),
-            reservation: AnswerReservation::new(&budget),
+            reservation: AnswerReservation::new(&budget, kind),
             budget,
+            kind,
         })
     }
 
@@ -269,7 +273,7 @@
             self.set_kept_bytes(parts.capacity())?;
         }
         let body = if parts.is_empty() { body } else { parts.freeze() };
-        let next = AnswerReservation::new(&self.budget);
+        let next = AnswerReservation::new(&self.budget, self.kind);
         Ok(std::mem::replace(&mut self.reservation, next).attach(body))
     }
 
@@ -298,7 +302,7 @@
     pub fn mark_idle(&mut self) {
         self.idle_since = Instant::now();
         self.decoder.received = BytesMut::new();
-        self.reservation = AnswerReservation::new(&self.budget);
+        self.reservation = AnswerReservation::new(&self.budget, self.kind);
     }
 
     /// Returns whether an idle connection is still open and has no bytes to read.
@@ -381,9 +385,10 @@
             }
             Err(ExchangeError::NoMemory) => {
                 warn!(
-                    "event=answer_without_memory peer={} used_bytes={}",
+                    "event=answer_without_memory peer={} kind={} used_bytes={}",
                     self.peer,
-                    self.budget.used_bytes(Kind::ReplicaAnswers)
+                    self.kind.as_str(),
+                    self.budget.used_bytes(self.kind)
                 );
             }
             _ => {}
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use budget::Budget;
+use budget::Kind;
 use bytes::Bytes;
 use http::Method;
 use http::StatusCode;
@@ -25,23 +26,30 @@
     max_idle: Duration,
     connect_timeout: Duration,
     budget: Arc<Budget>,
+    kind: Kind,
 }
 
 impl ConnectionPool {
     /// Creates an empty pool, which keeps a connection for its keep-alive time and at most for
     /// `max_idle`.
     pub fn new(max_idle: Duration, connect_timeout: Duration) -> Self {
-        Self::with_budget(max_idle, connect_timeout, Budget::unlimited())
+        let budget = Budget::unlimited();
+        Self::with_budget(max_idle, connect_timeout, budget, Kind::ReplicaAnswers)
     }
 
-    /// Like [`Self::new`], with a limit for the memory of all answers together, for peers that are not
-    /// trusted.
-    pub fn with_budget(max_idle: Duration, connect_timeout: Duration, budget: Arc<Budget>) -> Self {
-        Self { idle: RefCell::new(HashMap::new()), max_idle, connect_timeout, budget }
+    /// Like [`Self::new`], with a limit for the memory of all answers together, which count as `kind`.
+    pub fn with_budget(
+        max_idle: Duration,
+        connect_timeout: Duration,
+        budget: Arc<Budget>,
+        kind: Kind,
+    ) -> Self {
+        Self { idle: RefCell::new(HashMap::new()), max_idle, connect_timeout, budget, kind }
     }
 
     async fn open(&self, peer: SocketAddr) -> Result<Connection, ExchangeError> {
-        Connection::open_with_budget(peer, self.connect_timeout, self.budget.clone()).await
+        let budget = self.budget.clone();
+        Connection::open_with_budget(peer, self.connect_timeout, budget, self.kind).await
     }
 
     /// Returns the most recently used idle connection to `peer`, or opens one.
