Bound open connections, heads, unread answers and the bodies of peers' calls

Cause: a daemon accepted any number of connections, waited idle_ms from the last read of a head that never ended, kept answers for clients that read nothing for good, and read bodies of 16 MiB each for any number of peers' calls.

Change: each server of the daemon has a bound of open connections, a share of the descriptors; at the bound the oldest idle connection is closed for a new one, those without a request first, and a new one is refused if all are busy. A head is complete within header_ms of its first byte. A client that reads under 16 KiB in each of five checks, 2 s apart, while bytes wait is disconnected, and its handler dropped. Bodies of peers' calls are read into one buffer that is counted in the budget; large ones take half of it together. Requests carry the address of their client.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -1,6 +1,7 @@
 //! What all processes share: settings, plug-ins, life cycle, clocks, counters, logs and HTTP.
 
 pub mod clock;
+pub mod connection_table;
 pub mod counters;
 pub mod error;
 pub mod http_client;
@@ -15,6 +16,7 @@
 pub mod services;
 pub mod settings;
 pub mod tls;
+pub mod unread_answer;
 
 pub use clock::BootClock;
 pub use clock::Clock;
--- a/crates/kernel/src/local_server.rs
+++ b/crates/kernel/src/local_server.rs
@@ -5,6 +5,8 @@
 //! cannot do that, since xitca-web runs every handler to completion.
 
 use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -34,16 +36,26 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
+use tokio::task::yield_now;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::Counters;
 use crate::KernelError;
+use crate::connection_table::Admission;
+use crate::connection_table::ConnectionId;
+use crate::connection_table::ConnectionTable;
 use crate::idle_timer::BusyConnection;
+use crate::idle_timer::Expiry;
 use crate::idle_timer::IdleTimer;
+use crate::idle_timer::TimeLimits;
 
 /// The length of the queue of connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 /// The pause after a failed accept, such as when no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// The least time between two log lines about connections over the bound.
+const BOUND_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// The minimum read buffer that the HTTP library allows, in bytes.
 const MIN_HEAD_BYTES: usize = 8192;
 
@@ -136,6 +148,19 @@
     /// The maximum time that a connection waits for a complete head: the longer of the limits at
     /// the beginning and at the end of the wait.
     pub idle: Duration,
+    /// The maximum time from the first byte of a head to its end, of which the longer applies likewise.
+    pub head: Duration,
+}
+
+/// The bound of a server's open connections, and where its decisions are counted.
+pub struct ConnectionBound {
+    /// The name of the server in logs and counters.
+    pub server: &'static str,
+    /// The maximum number of open connections; at the bound idle ones are closed for new ones, and
+    /// new ones are refused if none is idle.
+    pub max_connections: usize,
+    /// The counters of the daemon.
+    pub counters: Counters,
 }
 
 /// The lifecycle of a server: its limits, the stages of its shutdown and its open connections.
@@ -148,24 +173,115 @@
     pub closing: CancellationToken,
     /// Cancelled when all connections are closed at once.
     pub stopped: CancellationToken,
-    connections: Cell<usize>,
+    bound: Option<ConnectionBound>,
+    table: Rc<RefCell<ConnectionTable>>,
+    /// Cancelled when the connection is closed for a new one.
+    replaced: RefCell<HashMap<ConnectionId, CancellationToken>>,
+    over_bound: RefCell<OverBound>,
+}
+
+/// What was done at the bound since the last log line.
+#[derive(Default)]
+struct OverBound {
+    logged_at: Option<Instant>,
+    closed_idle: u64,
+    refused: u64,
 }
 
 impl ServerLifecycle {
-    /// Creates the lifecycle of a server that has not started.
+    /// Creates the lifecycle of a server that has not started, without a bound of its connections.
     pub fn new(limits: ConnectionLimits) -> Self {
+        Self::create(limits, None)
+    }
+
+    /// Creates the lifecycle of a server that has not started, with a bound of its connections.
+    pub fn bounded(limits: ConnectionLimits, bound: ConnectionBound) -> Self {
+        Self::create(limits, Some(bound))
+    }
+
+    fn create(limits: ConnectionLimits, bound: Option<ConnectionBound>) -> Self {
+        let max_connections = bound.as_ref().map_or(usize::MAX, |bound| bound.max_connections);
         Self {
             limits: Cell::new(limits),
             leaving: CancellationToken::new(),
             closing: CancellationToken::new(),
             stopped: CancellationToken::new(),
-            connections: Cell::new(0),
+            bound,
+            table: Rc::new(RefCell::new(ConnectionTable::new(max_connections))),
+            replaced: RefCell::default(),
+            over_bound: RefCell::default(),
         }
     }
 
     /// Returns the number of open connections.
     pub fn connections(&self) -> usize {
-        self.connections.get()
+        self.table.borrow().len()
+    }
+
+    fn is_at_bound(&self) -> bool {
+        self.bound.as_ref().is_some_and(|bound| self.connections() >= bound.max_connections)
+    }
+
+    /// Decides about a new connection; returns its id, or `None` if it is refused.
+    fn admit(&self) -> Option<ConnectionId> {
+        let admission = self.table.borrow_mut().admit();
+        let (opened, outcome) = match admission {
+            Admission::Open(opened) => (Some(opened), None),
+            Admission::Replace { opened, closed } => {
+                if let Some(replaced) = self.replaced.borrow().get(&closed) {
+                    replaced.cancel();
+                }
+                (Some(opened), Some("idle_at_bound"))
+            }
+            Admission::Refuse => (None, Some("refused")),
+        };
+        if let Some(outcome) = outcome {
+            self.record_over_bound(outcome, opened.is_some());
+        }
+        opened
+    }
+
+    fn record_over_bound(&self, outcome: &str, is_opened: bool) {
+        self.count_closed(outcome);
+        let mut over_bound = self.over_bound.borrow_mut();
+        if is_opened {
+            over_bound.closed_idle += 1;
+        } else {
+            over_bound.refused += 1;
+        }
+        if over_bound.logged_at.is_some_and(|at| at.elapsed() < BOUND_LOG_INTERVAL) {
+            return;
+        }
+        warn!(
+            "event=connections_at_bound server={} open={} closed_idle={} refused={}",
+            self.server(),
+            self.connections(),
+            over_bound.closed_idle,
+            over_bound.refused
+        );
+        *over_bound = OverBound { logged_at: Some(Instant::now()), ..OverBound::default() };
+    }
+
+    fn count_closed(&self, reason: &str) {
+        if let Some(bound) = &self.bound {
+            bound.counters.count_tagged("connections_closed", "reason", reason);
+        }
+    }
+
+    fn server(&self) -> &'static str {
+        self.bound.as_ref().map_or("-", |bound| bound.server)
+    }
+
+    /// Returns a token that is cancelled when a connection is closed for a new one.
+    fn watch_replacement(&self, id: ConnectionId) -> CancellationToken {
+        let replaced = CancellationToken::new();
+        self.replaced.borrow_mut().insert(id, replaced.clone());
+        replaced
+    }
+
+    fn record_end(&self, id: ConnectionId) {
+        self.table.borrow_mut().remove(id);
+        self.replaced.borrow_mut().remove(&id);
     }
 }
 
@@ -194,8 +310,15 @@
         };
         match accepted {
             Ok((stream, peer)) => {
-                let connection = serve_connection(stream, peer, handler.clone(), lifecycle.clone());
-                spawn_local(connection);
+                // A refused connection is closed at once.
+                let Some(id) = lifecycle.admit() else { continue };
+                let connection = OpenConnection { id, peer, lifecycle: lifecycle.clone() };
+                let replaced = lifecycle.watch_replacement(id);
+                spawn_local(connection.serve(stream, handler.clone(), replaced));
+                if lifecycle.is_at_bound() {
+                    // Lets the replaced connection close its descriptor.
+                    yield_now().await;
+                }
             }
             Err(error) => {
                 warn!("event=accept_failed error=\"{error}\"");
@@ -205,54 +328,96 @@
     }
 }
 
-async fn serve_connection<H: LocalHandler>(
-    stream: TcpStream,
+/// A connection of a client.
+struct OpenConnection {
+    id: ConnectionId,
     peer: SocketAddr,
-    handler: Rc<H>,
     lifecycle: Rc<ServerLifecycle>,
-) {
-    if let Err(error) = stream.set_nodelay(true) {
-        debug!("event=socket_option_refused peer={peer} error=\"{error}\"");
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.lifecycle.record_end(self.id);
     }
-    lifecycle.connections.set(lifecycle.connections.get() + 1);
-    let limits = lifecycle.limits.get();
-    let idle_timer = IdleTimer::new({
-        let lifecycle = lifecycle.clone();
-        move || lifecycle.limits.get().idle
-    });
-    let service = service_fn(|request| {
-        let busy = idle_timer.begin_request();
-        let answer = handler.clone().handle(request);
-        let lifecycle = lifecycle.clone();
-        async move {
-            let mut answer = answer.await;
-            if lifecycle.leaving.is_cancelled() {
-                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
+impl OpenConnection {
+    async fn serve<H: LocalHandler>(
+        self,
+        stream: TcpStream,
+        handler: Rc<H>,
+        replaced: CancellationToken,
+    ) {
+        let (peer, lifecycle) = (self.peer, &self.lifecycle);
+        if let Err(error) = stream.set_nodelay(true) {
+            debug!("event=socket_option_refused peer={peer} error=\"{error}\"");
+        }
+        let limits = lifecycle.limits.get();
+        let idle_timer = IdleTimer::new(lifecycle.table.clone(), self.id, {
+            let lifecycle = lifecycle.clone();
+            move || {
+                let limits = lifecycle.limits.get();
+                TimeLimits { idle: limits.idle, head: limits.head }
+            }
+        });
+        let service = service_fn(|mut request: Request<Incoming>| {
+            let busy = idle_timer.begin_request();
+            request.extensions_mut().insert(peer);
+            let answer = handler.clone().handle(request);
+            let lifecycle = lifecycle.clone();
+            async move {
+                let mut answer = answer.await;
+                if lifecycle.leaving.is_cancelled() {
+                    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                }
+                Ok::<_, Infallible>(answer.map(|body| BusyBody { body, _busy: busy }))
             }
-            Ok::<_, Infallible>(answer.map(|body| BusyBody { body, _busy: busy }))
+        });
+        let connection = http1::Builder::new()
+            .max_buf_size(limits.header_bytes.max(MIN_HEAD_BYTES))
+            .serve_connection(TokioIo::new(idle_timer.watch(stream)), service);
+        let mut connection = std::pin::pin!(connection);
+        let mut is_closing = false;
+        let mut is_kept = false;
+        let result = loop {
+            tokio::select! {
+                result = connection.as_mut() => break Some(result),
+                () = lifecycle.closing.cancelled(), if !is_closing => {
+                    is_closing = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+                () = replaced.cancelled(), if !is_kept => {
+                    // A request that came meanwhile is served.
+                    if !idle_timer.is_busy() {
+                        break None;
+                    }
+                    is_kept = true;
+                }
+                expiry = idle_timer.expired() => {
+                    self.record_expiry(expiry);
+                    break None;
+                }
+                () = lifecycle.stopped.cancelled() => break None,
+            }
+        };
+        if let Some(Err(error)) = result {
+            debug!("event=connection_ended peer={peer} error=\"{error}\"");
         }
-    });
-    let connection = http1::Builder::new()
-        .max_buf_size(limits.header_bytes.max(MIN_HEAD_BYTES))
-        .serve_connection(TokioIo::new(idle_timer.watch(stream)), service);
-    let mut connection = std::pin::pin!(connection);
-    let mut is_closing = false;
-    let result = loop {
-        tokio::select! {
-            result = connection.as_mut() => break Some(result),
-            () = lifecycle.closing.cancelled(), if !is_closing => {
-                is_closing = true;
-                connection.as_mut().graceful_shutdown();
+    }
+
+    fn record_expiry(&self, expiry: Expiry) {
+        let (reason, peer) = (expiry.as_str(), self.peer);
+        self.lifecycle.count_closed(reason);
+        let server = self.lifecycle.server();
+        match expiry {
+            Expiry::UnreadAnswer => {
+                warn!("event=client_connection_closed server={server} reason={reason} peer={peer}");
             }
-            () = idle_timer.expired() => {
-                debug!("event=connection_idle peer={peer}");
-                break None;
+            Expiry::SlowHead | Expiry::Idle => {
+                debug!(
+                    "event=client_connection_closed server={server} reason={reason} peer={peer}"
+                );
             }
-            () = lifecycle.stopped.cancelled() => break None,
         }
-    };
-    if let Some(Err(error)) = result {
-        debug!("event=connection_ended peer={peer} error=\"{error}\"");
     }
-    lifecycle.connections.set(lifecycle.connections.get().saturating_sub(1));
 }
--- a/crates/kernel/tests/local_server.rs
+++ b/crates/kernel/tests/local_server.rs
@@ -1,5 +1,6 @@
 //! Tests the server of a single-threaded daemon with slow clients.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,7 +8,9 @@
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
+use kernel::Counters;
 use kernel::local_server;
+use kernel::local_server::ConnectionBound;
 use kernel::local_server::ConnectionLimits;
 use kernel::local_server::LocalBody;
 use kernel::local_server::LocalHandler;
@@ -21,6 +24,7 @@
 use tokio::time::timeout;
 
 const IDLE: Duration = Duration::from_millis(200);
+const HEAD: Duration = Duration::from_millis(100);
 /// More than the socket buffers of both ends hold.
 const BODY_BYTES: usize = 48 << 20;
 const READ_BYTES: usize = 4 << 20;
@@ -37,13 +41,22 @@
     }
 }
 
-/// Connects to a server with the idle limit `IDLE` and sends one request.
-async fn request_large_answer() -> TcpStream {
+/// Starts a server with the idle limit `IDLE`, the limit `HEAD` of a head and a bound of connections.
+fn start_server(max_connections: usize, counters: &Counters) -> SocketAddr {
     let listener = local_server::listen(([127, 0, 0, 1], 0).into()).expect("it listens");
     let address = listener.local_addr().expect("it has an address");
-    let limits = ConnectionLimits { header_bytes: 8192, idle: IDLE };
-    let lifecycle = Rc::new(ServerLifecycle::new(limits));
+    let limits = ConnectionLimits { header_bytes: 8192, idle: IDLE, head: HEAD };
+    let counters = counters.clone();
+    let bound = ConnectionBound { server: "test", max_connections, counters };
+    let lifecycle = Rc::new(ServerLifecycle::bounded(limits, bound));
     spawn_local(local_server::serve(listener, Rc::new(LargeAnswer), lifecycle));
+    address
+}
+
+/// Connects to a server and sends one request.
+async fn request_large_answer() -> TcpStream {
+    let counters = Counters::new(None).expect("the counters are created");
+    let address = start_server(usize::MAX, &counters);
     let mut stream = TcpStream::connect(address).await.expect("it connects");
     stream.write_all(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n").await.expect("it is written");
     stream
@@ -77,3 +90,58 @@
         assert!(rest.len() > BODY_BYTES, "the answer is not whole");
     });
 }
+
+// Guards against a head that never ends and is never idle.
+#[test]
+fn connection_is_closed_when_its_head_is_not_complete_in_time() {
+    run_local(async {
+        let counters = Counters::new(None).expect("the counters are created");
+        let address = start_server(usize::MAX, &counters);
+        let mut stream = TcpStream::connect(address).await.expect("it connects");
+        stream.write_all(b"GET / HTTP/1.1\r\nx-endless: ").await.expect("it is written");
+        let trickling = async {
+            while stream.write_all(b"x").await.is_ok() {
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        timeout(Duration::from_secs(5), trickling).await.expect("the connection is closed");
+        assert!(counters.render_page().contains("slow_head"), "the reason is not counted");
+    });
+}
+
+// Guards against an answer that is held for ever for a client that does not read.
+#[test]
+fn client_that_does_not_read_its_answer_is_disconnected() {
+    run_local(async {
+        let counters = Counters::new(None).expect("the counters are created");
+        let address = start_server(usize::MAX, &counters);
+        let mut stream = TcpStream::connect(address).await.expect("it connects");
+        stream.write_all(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n").await.expect("it is written");
+        let closed = async {
+            while !counters.render_page().contains("unread_answer") {
+                sleep(Duration::from_millis(100)).await;
+            }
+        };
+        timeout(Duration::from_secs(30), closed).await.expect("the client is disconnected");
+    });
+}
+
+// Guards against silent connections that keep others from being served.
+#[test]
+fn silent_connections_give_way_to_a_new_one() {
+    run_local(async {
+        let counters = Counters::new(None).expect("the counters are created");
+        let address = start_server(4, &counters);
+        let mut silent = Vec::new();
+        for _ in 0..20 {
+            silent.push(TcpStream::connect(address).await.expect("it connects"));
+        }
+        let mut stream = TcpStream::connect(address).await.expect("it connects");
+        stream.write_all(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n").await.expect("it is written");
+        let mut status = [0; 15];
+        let reading = timeout(Duration::from_secs(5), stream.read_exact(&mut status));
+        reading.await.expect("it is answered").expect("it is not closed");
+        assert_eq!(&status, b"HTTP/1.1 200 OK");
+        assert!(counters.render_page().contains("idle_at_bound"), "the reason is not counted");
+    });
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -9,18 +9,20 @@
 use futures::future::LocalBoxFuture;
 use gate::JobCall;
 use gate::answer;
+use http::HeaderMap;
 use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
+use http::header;
 use hyper::body::Incoming;
 use jobs::JobManager;
 use jobs::serve::CallOrigin;
+use kernel::Counters;
 use kernel::local_server::LocalBody;
 use kernel::local_server::LocalHandler;
 use log::debug;
+use log::info;
 use peers::ControlClient;
 use peers::Membership;
 use peers::Topic;
@@ -35,10 +37,9 @@
 use store::client::Relay;
 
 use crate::configuration_transfer::COMPRESSED_QUERY;
+use crate::peer_calls::PeerCalls;
 use crate::platform_state::PlatformState;
 
-/// The size limit of the body of a control call: an object, or a job with its output.
-const MAX_BODY_BYTES: usize = 16 << 20;
 /// How long a relayed call may take at the store.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1_200);
 
@@ -50,6 +51,10 @@
     pub job_manager: Rc<JobManager>,
     /// The client of the store, to which calls are relayed.
     pub store: Rc<ObjectClient>,
+    /// The memory of the bodies of the calls.
+    pub calls: Rc<PeerCalls>,
+    /// The counters of the daemon.
+    pub counters: Counters,
 }
 
 /// A store call that a daemon relays for a peer.
@@ -80,11 +85,18 @@
             (&Method::GET, "/configuration") => self.configuration(parts.uri.query()),
             (&Method::GET, "/replicas") => self.replicas(parts.uri.query()),
             (&Method::POST | &Method::PUT, _) => {
-                match Limited::new(body, MAX_BODY_BYTES).collect().await {
-                    Ok(collected) => self.answer_with_body(path, &collected.to_bytes()).await,
-                    Err(error) => {
-                        debug!("event=peer_call_malformed path={path} error=\"{error}\"");
-                        (StatusCode::BAD_REQUEST, Bytes::new())
+                let announced_bytes = announced_bytes(&parts.headers);
+                match self.calls.read(body, announced_bytes).await {
+                    Ok(body) => self.answer_with_body(path, body.bytes()).await,
+                    Err(unread) => {
+                        self.counters.count_tagged("peer_calls_unread", "reason", unread.as_str());
+                        info!(
+                            "event=peer_call_unread path={path} reason={unread} peer={} \
+                             announced_bytes={}",
+                            text_or_dash(parts.extensions.get::<SocketAddr>()),
+                            text_or_dash(announced_bytes.as_ref())
+                        );
+                        (unread.status(), Bytes::new())
                     }
                 }
             }
@@ -148,6 +160,15 @@
     }
 }
 
+/// Returns the length of the body that the head announces, if any.
+fn announced_bytes(headers: &HeaderMap) -> Option<usize> {
+    headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+fn text_or_dash(value: Option<&impl ToString>) -> String {
+    value.map_or_else(|| "-".to_owned(), ToString::to_string)
+}
+
 fn job_call(method: &Method, path: &str) -> Option<JobCall> {
     let mut segments = path.strip_prefix("/jobs/")?.split('/');
     let job = segments.next()?.to_owned();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -19,6 +19,7 @@
 use kernel::Counters;
 use kernel::KernelError;
 use kernel::local_server;
+use kernel::local_server::ConnectionBound;
 use kernel::local_server::ConnectionLimits;
 use kernel::local_server::LocalHandler;
 use kernel::local_server::ServerLifecycle;
@@ -48,12 +49,14 @@
 use wire::Millis;
 use wire::NodeSettings;
 
+use crate::connection_bounds::ConnectionBounds;
 use crate::control::ControlServer;
 use crate::control::PeerRelay;
 use crate::directory::Directory;
 use crate::directory::ReadyCheck;
 use crate::heartbeats::HeartbeatService;
 use crate::metrics::MetricsPage;
+use crate::peer_calls::PeerCalls;
 use crate::platform_state::PlatformState;
 use crate::probe::StateProbe;
 use crate::quarantine_delegates::QuarantineDelegates;
@@ -71,8 +74,11 @@
 /// The timeout of a connect to a replica; a round trip takes a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// The connection limits until a configuration is in force.
-const INITIAL_LIMITS: ConnectionLimits =
-    ConnectionLimits { header_bytes: 16 << 10, idle: Duration::from_secs(15) };
+const INITIAL_LIMITS: ConnectionLimits = ConnectionLimits {
+    header_bytes: 16 << 10,
+    idle: Duration::from_secs(15),
+    head: Duration::from_secs(3),
+};
 /// By which factor clients may exceed the time for which they may cache a directory answer.
 const DIRECTORY_OVERRUN_FACTOR: u64 = 3;
 /// The last part of the grace period, in which no connections are accepted and running requests
@@ -167,7 +173,8 @@
     match local_server::listen(address) {
         Ok(listener) => {
             let page = Rc::new(MetricsPage { counters: counters.clone() });
-            let lifecycle = Rc::new(ServerLifecycle::new(INITIAL_LIMITS));
+            let bounds = ConnectionBounds::for_max_descriptors(settings.max_descriptors);
+            let lifecycle = bounded_lifecycle("metrics", bounds.metrics, counters);
             spawn_local(local_server::serve(listener, page, lifecycle));
         }
         Err(error) => warn!("event=metrics_not_served error=\"{error}\""),
@@ -229,14 +236,15 @@
     let gateway = Rc::new(Gateway::new(gate::gateway::Dependencies {
         codec: ingress_codec,
         clock,
-        counters,
+        counters: counters.clone(),
         in_force: in_force.clone(),
         slots: slots.clone(),
         pool: pool.clone(),
         jobs: job_manager.clone(),
         crash_guard: crash_guard.clone(),
     }));
-    let ingress_lifecycle = Rc::new(ServerLifecycle::new(INITIAL_LIMITS));
+    let bounds = ConnectionBounds::for_max_descriptors(settings.max_descriptors);
+    let ingress_lifecycle = bounded_lifecycle("ingress", bounds.ingress, &counters);
     let state = Rc::new(PlatformState::new(
         clock,
         in_force,
@@ -271,19 +279,37 @@
     }
     spawn_local(sweep(pool, control));
 
-    let fixed_limits = || Rc::new(ServerLifecycle::new(INITIAL_LIMITS));
     let listeners = &settings.listeners;
-    let control = Rc::new(ControlServer { state, job_manager: job_manager.clone(), store });
-    listen(listeners.control, control, fixed_limits())?;
+    let control = Rc::new(ControlServer {
+        state,
+        job_manager: job_manager.clone(),
+        store,
+        calls: PeerCalls::new(budget),
+        counters: counters.clone(),
+    });
+    let lifecycle = bounded_lifecycle("control", bounds.control, &counters);
+    listen(listeners.control, control, lifecycle)?;
     let check = Rc::new(ReadyCheck { membership: membership.clone() });
-    listen(listeners.readiness, check, fixed_limits())?;
+    let lifecycle = bounded_lifecycle("readiness", bounds.readiness, &counters);
+    listen(listeners.readiness, check, lifecycle)?;
     let keep_ms = directory_keep_ms(&settings);
     let directory = Rc::new(Directory { membership: membership.clone(), keep_ms });
-    listen(listeners.directory, directory, fixed_limits())?;
+    let lifecycle = bounded_lifecycle("directory", bounds.directory, &counters);
+    listen(listeners.directory, directory, lifecycle)?;
     listen(listeners.ingress, gateway.clone(), ingress_lifecycle.clone())?;
     Ok(Node { settings, membership, gateway, job_manager, ingress_lifecycle })
 }
 
+/// Returns the lifecycle of a server with at most `max_connections` open connections.
+fn bounded_lifecycle(
+    server: &'static str,
+    max_connections: usize,
+    counters: &Counters,
+) -> Rc<ServerLifecycle> {
+    let bound = ConnectionBound { server, max_connections, counters: counters.clone() };
+    Rc::new(ServerLifecycle::bounded(INITIAL_LIMITS, bound))
+}
+
 fn listen<H: LocalHandler>(
     address: Option<SocketAddr>,
     handler: Rc<H>,
--- a/crates/node/src/platform_state.rs
+++ b/crates/node/src/platform_state.rs
@@ -350,5 +350,6 @@
     ConnectionLimits {
         header_bytes: configuration.limits.header_bytes,
         idle: Duration::from_millis(configuration.limits.idle_ms),
+        head: Duration::from_millis(configuration.limits.header_ms),
     }
 }
