--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -4,6 +4,7 @@
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use budget::Budget;
@@ -55,6 +56,7 @@
 use crate::directory::Directory;
 use crate::directory::ReadyCheck;
 use crate::heartbeats::HeartbeatService;
+use crate::metrics;
 use crate::metrics::MetricsPage;
 use crate::peer_calls::PeerCalls;
 use crate::platform_state::PlatformState;
@@ -138,12 +140,13 @@
         settings.store.reads_per_s,
         counters.clone(),
     ));
-    serve_metrics(&settings, &counters);
-    spawn_local(log_counters(counters.clone()));
+    let budget = Budget::new(budget_limits(&settings));
+    serve_metrics(&settings, &counters, &budget);
+    spawn_local(log_counters(counters.clone(), budget.clone()));
     let probed_store = store.clone();
     spawn_local(async move { probed_store.watch_reachability(RETIREMENT_KIND).await });
     if settings.roles.ingress {
-        let node = start(settings, counters, store.clone()).await?;
+        let node = start(settings, counters, store.clone(), budget).await?;
         let reloader = SettingsReloader { store, membership: Some(node.membership.clone()) };
         wait_for_sigterm(terminate, hangup, reloader).await;
         node.shut_down().await;
@@ -168,11 +171,11 @@
     }
 }
 
-fn serve_metrics(settings: &NodeSettings, counters: &Counters) {
+fn serve_metrics(settings: &NodeSettings, counters: &Counters, budget: &Arc<Budget>) {
     let address = SocketAddr::new(settings.ip, METRICS_PORT);
     match local_server::listen(address) {
         Ok(listener) => {
-            let page = Rc::new(MetricsPage { counters: counters.clone() });
+            let page = Rc::new(MetricsPage { counters: counters.clone(), budget: budget.clone() });
             let bounds = ConnectionBounds::for_max_descriptors(settings.max_descriptors);
             let lifecycle = bounded_lifecycle("metrics", bounds.metrics, counters);
             spawn_local(local_server::serve(listener, page, lifecycle));
@@ -185,6 +188,7 @@
     settings: NodeSettings,
     counters: Counters,
     store: Rc<ObjectClient>,
+    budget: Arc<Budget>,
 ) -> Result<Node, KernelError> {
     let clock = BootClock::start();
     let own = identity(&settings);
@@ -210,7 +214,6 @@
     let control = Rc::new(ControlClient::default());
     let relay = PeerRelay { membership: membership.clone(), control: control.clone() };
     store.set_relay(Rc::new(relay));
-    let budget = Budget::new(budget_limits(&settings));
     let pool = ConnectionPool::with_budget(IDLE_TIMEOUT, CONNECT_TIMEOUT, budget.clone());
     let pool = Rc::new(pool);
     slots.set_probe(Rc::new(StateProbe { pool: pool.clone() }));
@@ -232,6 +235,7 @@
         transport: transport.clone(),
         keep_jobs_ms: settings.time_limits.job_status_ms,
         crash_guard: crash_guard.clone(),
+        budget: budget.clone(),
     });
     let gateway = Rc::new(Gateway::new(gate::gateway::Dependencies {
         codec: ingress_codec,
@@ -242,6 +246,7 @@
         pool: pool.clone(),
         jobs: job_manager.clone(),
         crash_guard: crash_guard.clone(),
+        budget: budget.clone(),
     }));
     let bounds = ConnectionBounds::for_max_descriptors(settings.max_descriptors);
     let ingress_lifecycle = bounded_lifecycle("ingress", bounds.ingress, &counters);
@@ -411,9 +416,10 @@
 }
 
 /// Logs the counters periodically, for operators who have only the log.
-async fn log_counters(counters: Counters) {
+async fn log_counters(counters: Counters, budget: Arc<Budget>) {
     loop {
         sleep(SUMMARY_INTERVAL).await;
+        metrics::set_budget_gauges(&counters, &budget);
         info!("event=counters {}", counters.summary());
     }
 }
