Keep test processes from using each other's addresses

Change: a fleet claims its addresses with a listener for as long as it lives and takes the next ones if they are in use; it also checks that its own daemons run once they are ready.

--- a/crates/daemon/tests/platform_fleet/mod.rs
+++ b/crates/daemon/tests/platform_fleet/mod.rs
@@ -4,6 +4,8 @@
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::UdpSocket;
 use std::path::Path;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -37,6 +39,8 @@
 pub struct Fleet {
     pub deployment: Rc<Deployment>,
     pub daemons: Vec<DaemonProcess>,
+    /// Keeps other test processes from using the same addresses.
+    _claim: TcpListener,
 }
 
 impl Fleet {
@@ -68,8 +72,7 @@
                 .add_replica(replica_settings(PLAIN_SERVICE, "plain", number))
                 .expect("the replica starts");
         }
-        let net = (std::process::id() % 200) as u8 + 20;
-        let subnet = NEXT_SUBNET.fetch_add(1, Ordering::Relaxed);
+        let (claim, [net, subnet]) = claim_subnet();
         let ip = |number: u8| IpAddr::V4(Ipv4Addr::new(127, net, subnet, number + 1));
         let binary = Path::new(env!("CARGO_BIN_EXE_crocusd"));
         let mut daemons = Vec::new();
@@ -96,8 +99,9 @@
                 daemon.wait_until_ready(Duration::from_secs(10)).await,
                 "the daemon was not ready in time"
             );
+            assert!(daemon.is_running(), "the daemon ended, and another process is ready");
         }
-        let fleet = Self { deployment, daemons };
+        let fleet = Self { deployment, daemons, _claim: claim };
         fleet.wait_until_settled(count as usize).await;
         fleet
     }
@@ -127,6 +131,24 @@
     }
 }
 
+/// Chooses addresses that no other process uses; returns a listener that claims them and the second and
+/// the third byte.
+///
+/// Test processes that run at the same time may have ids that differ by a multiple of 200.
+fn claim_subnet() -> (TcpListener, [u8; 2]) {
+    let net = (std::process::id() % 200) as u8 + 20;
+    for _ in 0..u8::MAX {
+        let subnet = NEXT_SUBNET.fetch_add(1, Ordering::Relaxed);
+        let address = |number| Ipv4Addr::new(127, net, subnet, number);
+        let claim = TcpListener::bind((address(u8::MAX), FIRST_PORT));
+        let is_free = UdpSocket::bind((address(1), FIRST_PORT + 4)).is_ok();
+        if let (Ok(claim), true) = (claim, is_free) {
+            return (claim, [net, subnet]);
+        }
+    }
+    panic!("no addresses in 127.{net} are free");
+}
+
 /// Runs a test on one thread with a temporary folder of its own.
 pub fn run_local<F, T>(name: &str, test: F)
 where
