Bound the request bodies of the product's own interface together

Cause: each server of the product's own interface (callers and admin) read any number of bodies of up to 17 MiB, and waited for their rest without a limit.

Change: the bodies of one server hold at most 102 MiB together, counted by the crate budget: a quarter is for bodies of at most 32 KiB, a body that stalls gives way to one that makes progress, a client address has a share of a quarter while others want room. A body without a byte for 15 s, or not complete within 60 s, is refused with 408; a full bound gives 503 and Retry-After.

--- a/crates/kernel/src/http_server.rs
+++ b/crates/kernel/src/http_server.rs
@@ -1,6 +1,7 @@
 //! The HTTP server: connects xitca-web to handlers that run on the daemon's runtime.
 
 use std::io;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -12,7 +13,6 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use bytes::BytesMut;
 use futures::StreamExt;
 use http::HeaderValue;
 use http::Request;
@@ -20,6 +20,7 @@
 use http::StatusCode;
 use http::header::CONNECTION;
 use http::header::CONTENT_TYPE;
+use log::info;
 use log::warn;
 use rustls::ServerConfig;
 use serde::Serialize;
@@ -34,11 +35,13 @@
 use xitca_web::body::Frame;
 use xitca_web::body::ResponseBody;
 use xitca_web::body::StreamDataBody;
+use xitca_web::error::BodyError;
 use xitca_web::error::Error;
 use xitca_web::http::WebResponse;
 use xitca_web::service::fn_service;
 
 use crate::KernelError;
+use crate::request_body::RequestBodies;
 
 /// The chunks of a streamed body; an error closes the connection.
 pub type BodyChunks = mpsc::Receiver<Result<Bytes, io::Error>>;
@@ -58,8 +61,6 @@
     async fn handle(&self, request: Request<Bytes>) -> Response<Body>;
 }
 
-/// The maximum size of a request body, in bytes.
-const MAX_BODY_BYTES: usize = 17 << 20;
 /// The number of threads that read and write connections of one server.
 const WORKER_THREADS: usize = 1;
 /// The interval at which a draining server checks whether its requests have ended.
@@ -86,6 +87,7 @@
             handler,
             runtime: Handle::current(),
             in_flight: AtomicUsize::new(0),
+            bodies: RequestBodies::default(),
             closing: CancellationToken::new(),
         });
         let bind_error = |source| KernelError::Bind { address: address.to_string(), source };
@@ -175,6 +177,7 @@
     handler: Arc<dyn Handler>,
     runtime: Handle,
     in_flight: AtomicUsize,
+    bodies: RequestBodies,
     closing: CancellationToken,
 }
 
@@ -225,10 +228,19 @@
 async fn handle_request(mut ctx: WebContext<'_, Arc<Bridge>>) -> Result<WebResponse, Error> {
     let bridge = Arc::clone(ctx.state());
     let guard = InFlightGuard::begin(&bridge);
+    let client = ctx.req().body().socket_addr().ip();
     let (head, body) = ctx.take_request().into_parts();
-    let response = match read_body(body).await {
+    let response = match read_body(&bridge.bodies, client, body).await {
         Ok(bytes) => call_handler(&bridge, to_http_request(head, bytes)).await,
-        Err(refusal) => refusal_response(&refusal),
+        Err(refusal) => {
+            info!(
+                "event=body_refused client={client} reason={} bodies_held_bytes={} message=\"{}\"",
+                refusal.reason.as_str(),
+                bridge.bodies.held_bytes(),
+                refusal.message
+            );
+            refusal_response(&refusal)
+        }
     };
     Ok(to_web_response(response, &bridge, guard))
 }
@@ -241,25 +253,20 @@
     request
 }
 
-async fn read_body(body: impl xitca_web::body::BodyStream) -> Result<Bytes, Refusal> {
-    let mut body = std::pin::pin!(body);
-    let mut collected = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else {
-            let message = "the request body ended early";
-            return Err(Refusal::not_run(Reason::BadRequest, message));
-        };
-        let Frame::Data(chunk) = frame else {
-            continue;
+async fn read_body(
+    bodies: &RequestBodies,
+    client: IpAddr,
+    body: impl xitca_web::body::BodyStream,
+) -> Result<Bytes, Refusal> {
+    let parts = futures::stream::unfold(Box::pin(body), |mut body| async move {
+        let part = match body.frame().await? {
+            Ok(Frame::Data(part)) => Ok(part.into()),
+            Ok(_) => Ok(Bytes::new()),
+            Err(error) => Err(error.into()),
         };
-        let chunk: Bytes = chunk.into();
-        if collected.len() + chunk.len() > MAX_BODY_BYTES {
-            let message = format!("the request body is over {MAX_BODY_BYTES} bytes");
-            return Err(Refusal::not_run(Reason::TooLarge, message));
-        }
-        collected.extend_from_slice(&chunk);
-    }
-    Ok(collected.freeze())
+        Some((part, body))
+    });
+    bodies.read::<_, BodyError>(client, std::pin::pin!(parts)).await
 }
 
 async fn call_handler(bridge: &Arc<Bridge>, request: Request<Bytes>) -> Response<Body> {
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod logs;
 pub mod pause_tolerant;
 pub mod plugin;
+pub mod request_body;
 pub mod services;
 pub mod settings;
 pub mod tls;
