Detect replicas that fail at their owner from the outcomes of all daemons

Cause: the balancer chooses by occupied slots, and each daemon ejects replicas alone, so a replica that answers 500 at once looks empty and attracts requests; answers of 500 ejected nothing.

Change: holders append outcomes to the releases and run lists that they send to owners anyway. The owner compares the replica with its service (slots::outlier), grants fewer slots by degrees, then single trials, and restores them by degrees. Heartbeats carry two more bytes a replica. The choice counts granted slots and the share of failures. Only where the settings' contracts list health; otherwise nothing changes. Older builds ignore bytes after a complete message, so both sides read each other.

--- a/crates/bench/src/path_cost.rs
+++ b/crates/bench/src/path_cost.rs
@@ -81,6 +81,7 @@
         store: deployment.store_address,
         grace_s: 3,
         status_s: 120,
+        contracts: Vec::new(),
         is_first_start: true,
     };
     let program = binary(args)?;
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use futures::future::join_all;
 use http::StatusCode;
 use platform::names::DEADLINE_MS;
 use platform::names::REPLICA_KIND;
@@ -12,6 +13,7 @@
 use platform_stub::client::OutgoingRequest;
 use platform_stub::client::expected_text;
 use platform_stub::client::is_complete_stream;
+use platform_stub::deployment::ENGINE_SERVICE;
 use platform_stub::deployment::JOBS;
 use platform_stub::deployment::LOOKUP;
 use platform_stub::deployment::RESUMABLE;
@@ -19,6 +21,7 @@
 use platform_stub::replica::FAILING_SEGMENT;
 use platform_stub::replica::IMPOSSIBLE_SEGMENT;
 use platform_stub::replica::ReplicaFault;
+use platform_stub::replica::ReplicaSettings;
 use platform_stub::replica::plain_body;
 use platform_stub::store_server::StoreFault;
 use rustix::process::Signal;
@@ -31,6 +34,13 @@
 use crate::platform_fleet::read_all_results;
 use crate::platform_fleet::run_local;
 
+/// The requests after the fault; an equal share of the faulty engine, one of four, is 60.
+const REQUESTS: usize = 240;
+/// The requests in which the fault may be found.
+const FINDING: usize = 60;
+/// The runs of the faulty engine after it was found: single trials, each after a longer pause.
+const MAX_LATER_RUNS: usize = 12;
+
 #[test]
 fn streams_lookups_and_job_are_served_completely() {
     run_local("whole", |folder| async move {
@@ -365,3 +375,49 @@
         busy.iter().for_each(tokio::task::JoinHandle::abort);
     });
 }
+
+/// Guards against a replica that answers 500 at once and gets ever more requests for being empty.
+#[test]
+fn an_engine_that_answers_500_gets_few_requests() {
+    run_local("uneven", |folder| async move {
+        let fleet = Fleet::start_with_contracts(folder, 3, 120, &["health"]).await;
+        let settings = ReplicaSettings::with_defaults("engine-3", ENGINE_SERVICE, "a");
+        fleet.deployment.add_replica(settings).expect("the replica starts");
+        sleep(Duration::from_millis(700)).await;
+        send(&fleet, "sound", 30).await;
+        let faulty = fleet.deployment.replica("engine-3").expect("the replica runs");
+        faulty.fault.set(ReplicaFault::ServerError);
+        let finding_lost = send(&fleet, "finding", FINDING).await;
+        let later_lost = send(&fleet, "later", REQUESTS - FINDING).await;
+        let runs = |prefix: &str, count: usize| {
+            let log = fleet.deployment.log.borrow();
+            let runs = (0..count).flat_map(|number| log.runs_of(&format!("{prefix}-{number}")));
+            runs.filter(|run| run.replica == "engine-3").count()
+        };
+        let (finding, later) = (runs("finding", FINDING), runs("later", REQUESTS - FINDING));
+        println!("runs {finding} then {later}, lost {finding_lost} then {later_lost}");
+        assert!(finding <= FINDING / 4, "{finding} runs while it is found");
+        assert!(later <= MAX_LATER_RUNS, "{later} runs after it is found");
+        assert!(later_lost <= MAX_LATER_RUNS, "{later_lost} requests lost");
+
+        faulty.fault.set(ReplicaFault::None);
+        sleep(Duration::from_secs(5)).await;
+        send(&fleet, "sound-again", REQUESTS).await;
+        assert!(runs("sound-again", REQUESTS) > MAX_LATER_RUNS, "it gets requests again");
+    });
+}
+
+/// Sends streams of 5 events through all daemons, six at a time; returns how many were not answered.
+async fn send(fleet: &Fleet, prefix: &str, count: usize) -> usize {
+    let mut lost = 0;
+    let numbers: Vec<usize> = (0..count).collect();
+    for batch in numbers.chunks(6) {
+        let calls = batch.iter().map(|number| async move {
+            let daemon = fleet.ingress(number % fleet.daemons.len());
+            let answer = Client.stream(daemon, STREAM, &format!("{prefix}-{number}"), 5).await;
+            answer.is_ok_and(|answer| answer.status.is_success())
+        });
+        lost += join_all(calls).await.into_iter().filter(|is_answered| !is_answered).count();
+    }
+    lost
+}
--- a/crates/daemon/tests/platform_fleet/mod.rs
+++ b/crates/daemon/tests/platform_fleet/mod.rs
@@ -45,6 +45,16 @@
 
     /// Starts a fleet that keeps the results of jobs for `status_s` seconds.
     pub async fn start_with_retention(folder: PathBuf, count: u8, status_s: u64) -> Self {
+        Self::start_with_contracts(folder, count, status_s, &[]).await
+    }
+
+    /// Starts a fleet in a deployment with optional parts of the platform's contract.
+    pub async fn start_with_contracts(
+        folder: PathBuf,
+        count: u8,
+        status_s: u64,
+        contracts: &[&str],
+    ) -> Self {
         let deployment = Deployment::start().expect("the deployment starts");
         deployment.configure(|_| {});
         for number in 0..3 {
@@ -72,6 +82,7 @@
                 store: deployment.store_address,
                 grace_s: 3,
                 status_s,
+                contracts: contracts.iter().map(|name| (*name).to_owned()).collect(),
                 is_first_start: true,
             };
             daemons
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -9,6 +9,7 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::Response;
+use http::StatusCode;
 use http::header;
 use http::request::Parts;
 use kernel::local_server::LocalBody;
@@ -69,6 +70,10 @@
 /// The shortest `Retry-After` of a refusal.
 const MIN_RETRY_AFTER_MS: Millis = 50;
 
+/// The least time that a run had before its request's deadline, for the deadline to count as a failure
+/// of the replica.
+const MIN_COUNTED_TIMEOUT_MS: Millis = 500;
+
 /// The headers that apply to one connection only and are not forwarded.
 const HOP_BY_HOP_HEADERS: [HeaderName; 6] = [
     header::CONNECTION,
@@ -143,16 +148,23 @@
                 }
                 Err(SendError::Failed(failure)) => failure,
                 Ok((lease, answer)) if self.should_retry_answer(&attempt, &answer) => {
-                    report.sends.tried.push(lease.replica.name.clone());
-                    SendFailure::ServerError
+                    let failure = SendFailure::ServerError;
+                    self.record_failure(request, &lease, failure, &mut report.sends);
+                    failure
                 }
                 Ok((lease, answer)) if is_empty_stream(&call, &answer) => {
-                    self.record_failure(&lease, SendFailure::BrokenOff, &mut report.sends);
-                    SendFailure::BrokenOff
+                    let failure = SendFailure::BrokenOff;
+                    self.record_failure(request, &lease, failure, &mut report.sends);
+                    failure
                 }
                 Ok((lease, answer)) if route.kind == RouteKind::Streaming => {
                     let is_event_stream =
                         answer.head.status.is_success() && answer.head.has_body(&request.method);
+                    let status = answer.head.status;
+                    if status.is_server_error() {
+                        // Known now: the server may drop a body that has no bytes left unread.
+                        self.record_failed_run(request, &lease, SendFailure::ServerError);
+                    }
                     let relay = StreamRelay {
                         gateway: self.clone(),
                         request: request.clone(),
@@ -166,6 +178,7 @@
                         run_events: 0,
                         splitter: EventSplitter::default(),
                         is_event_stream,
+                        status,
                     };
                     return relay.into_answer(answer.head);
                 }
@@ -299,11 +312,11 @@
             match waited {
                 Waited::Progress(answer) => return Ok((run.lease, answer)),
                 Waited::Failed(failure) => {
-                    self.record_failure(&run.lease, failure, sends);
+                    self.record_failure(&call.request, &run.lease, failure, sends);
                     return Err(failure);
                 }
                 Waited::Replaced(replacement, failure) => {
-                    self.record_failure(&run.lease, failure, sends);
+                    self.record_failure(&call.request, &run.lease, failure, sends);
                     attempt.record_ended_run(failure);
                     run = replacement;
                 }
@@ -366,7 +379,7 @@
                     self.crash_guard.record_sound(request);
                 }
                 self.pool.put(answer.connection);
-                self.slots.record_success(&lease.replica.name);
+                self.record_complete_answer(request, lease, answer.head.status);
                 report.outcome = "answered";
                 report.status = answer.head.status.as_u16();
                 report.first_ms = Some(self.now_ms().saturating_sub(report.arrived_ms));
@@ -385,7 +398,7 @@
             }
             Err(_) => SendFailure::Stalled,
         };
-        self.record_failure(lease, failure, &mut report.sends);
+        self.record_failure(request, lease, failure, &mut report.sends);
         Err(failure)
     }
 
@@ -426,10 +439,12 @@
     /// the request or the request's time was over.
     pub(crate) fn record_failure(
         &self,
+        request: &ClientRequest,
         lease: &SlotLease,
         failure: SendFailure,
         sends: &mut Sends,
     ) {
+        self.record_failed_run(request, lease, failure);
         let replica = &lease.replica;
         if !matches!(
             failure,
@@ -445,6 +460,37 @@
         sends.tried.push(replica.name.clone());
     }
 
+    /// Records a run for the owner of the replica, unless the failure says nothing about the replica.
+    pub(crate) fn record_failed_run(
+        &self,
+        request: &ClientRequest,
+        lease: &SlotLease,
+        failure: SendFailure,
+    ) {
+        let replica = &lease.replica.name;
+        match failure {
+            SendFailure::TurnedAway | SendFailure::ReplicaLeaving | SendFailure::NoMemory => {}
+            SendFailure::ServerError => self.slots.record_server_error(replica, &request.id),
+            SendFailure::TimedOut
+                if self.now_ms() < lease.acquired_at_ms + MIN_COUNTED_TIMEOUT_MS => {}
+            _ => self.slots.record_failed_run(replica, &request.id),
+        }
+    }
+
+    /// Records a complete answer that is passed on to the client.
+    pub(crate) fn record_complete_answer(
+        &self,
+        request: &ClientRequest,
+        lease: &SlotLease,
+        status: StatusCode,
+    ) {
+        if status.is_server_error() && self.slots.replicas_may_degrade() {
+            self.record_failed_run(request, lease, SendFailure::ServerError);
+        } else {
+            self.slots.record_success(&lease.replica.name);
+        }
+    }
+
     fn log_retry(&self, request: &ClientRequest, attempt: &Attempt, failure: SendFailure) {
         self.counters.count_tagged("request_retried", "cause", failure.as_str());
         info!(
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -10,6 +10,7 @@
 use futures::FutureExt;
 use futures::stream::unfold;
 use http::Response;
+use http::StatusCode;
 use http::header::CONTENT_LENGTH;
 use kernel::local_server::BodyStream;
 use kernel::local_server::LocalBody;
@@ -77,6 +78,8 @@
     pub splitter: EventSplitter,
     /// Whether the answer is a stream of events, as every success is.
     pub is_event_stream: bool,
+    /// The status of the run's answer.
+    pub status: StatusCode,
 }
 
 impl StreamRelay {
@@ -316,7 +319,7 @@
         self.connection = None;
         self.splitter.clear();
         if let Some(lease) = self.lease.take() {
-            self.gateway.record_failure(&lease, failure, &mut self.report.sends);
+            self.gateway.record_failure(&self.request, &lease, failure, &mut self.report.sends);
         }
         if !self.can_resume() {
             return Err(failure);
@@ -351,13 +354,20 @@
                 None => gateway.send_once(&call, attempt, &mut report.sends).await,
             };
             failure = match sent {
-                Ok((_, answer)) if !answer.head.status.is_success() => SendFailure::ServerError,
+                Ok((lease, answer)) if !answer.head.status.is_success() => {
+                    if answer.head.status.is_server_error() {
+                        gateway.record_failed_run(&call.request, &lease, SendFailure::ServerError);
+                    }
+                    SendFailure::ServerError
+                }
                 Ok((lease, answer)) if !answer.head.may_have_events() => {
                     exchange::log_rejected(&call.request, "the body is no event stream");
-                    gateway.record_failure(&lease, SendFailure::Garbled, &mut report.sends);
-                    SendFailure::Garbled
+                    let failure = SendFailure::Garbled;
+                    gateway.record_failure(&call.request, &lease, failure, &mut report.sends);
+                    failure
                 }
                 Ok((lease, answer)) => {
+                    self.status = answer.head.status;
                     self.lease = Some(lease);
                     self.connection = Some(answer.connection);
                     self.run_events = 0;
@@ -392,8 +402,10 @@
             }
             self.gateway.pool.put(connection);
         }
-        if let Some(lease) = self.lease.take() {
-            self.gateway.slots.record_success(&lease.replica.name);
+        let slots = &self.gateway.slots;
+        let is_failure = self.status.is_server_error() && slots.replicas_may_degrade();
+        if let Some(lease) = self.lease.take().filter(|_| !is_failure) {
+            slots.record_success(&lease.replica.name);
         }
     }
 }
--- a/crates/gate/src/silent_run.rs
+++ b/crates/gate/src/silent_run.rs
@@ -189,7 +189,8 @@
             Ok(Err(failure)) => failure,
         };
         if let Some(run) = self.replacement.take() {
-            self.gateway.record_failure(&run.lease, failure, &mut self.sends);
+            let request = &self.call.request;
+            self.gateway.record_failure(request, &run.lease, failure, &mut self.sends);
         }
         self.attempt.record_ended_run(failure);
         self.sends.replica = Some(self.current.replica.name.clone());
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -278,18 +278,21 @@
                 if !failure.may_have_run() {
                     guard.record_not_run(admitted_ms, &request);
                 }
-                return self.record_replica_failure(lease, failure);
+                return self.record_replica_failure(&request.id, lease, failure);
             }
         };
         match answer.head.status {
             StatusCode::UNPROCESSABLE_ENTITY => return (ItemRunEnd::Impossible, "answered_422"),
-            StatusCode::INTERNAL_SERVER_ERROR => return (ItemRunEnd::Failed, "answered_500"),
+            StatusCode::INTERNAL_SERVER_ERROR => {
+                self.deps.slots.record_server_error(&lease.replica.name, &request.id);
+                return (ItemRunEnd::Failed, "answered_500");
+            }
             status if !status.is_success() => {
-                return self.record_replica_failure(lease, SendFailure::ServerError);
+                return self.record_replica_failure(&request.id, lease, SendFailure::ServerError);
             }
             _ if !answer.head.may_have_events() => {
                 exchange::log_rejected(&request, "the body is no event stream");
-                return self.record_replica_failure(lease, SendFailure::Garbled);
+                return self.record_replica_failure(&request.id, lease, SendFailure::Garbled);
             }
             _ => {}
         }
@@ -315,7 +318,7 @@
                     if answer.connection.has_ended_by_close() {
                         guard.record_loss(&lease.replica, &request);
                     }
-                    return self.record_replica_failure(lease, SendFailure::BrokenOff);
+                    return self.record_replica_failure(&request.id, lease, SendFailure::BrokenOff);
                 }
                 Ok(Ok(false)) => {
                     if !is_sound && answer.connection.has_ended_by_close() {
@@ -331,9 +334,11 @@
                     if !is_sound && failure == SendFailure::BrokenOff {
                         guard.record_loss(&lease.replica, &request);
                     }
-                    return self.record_replica_failure(lease, failure);
+                    return self.record_replica_failure(&request.id, lease, failure);
+                }
+                Err(_) => {
+                    return self.record_replica_failure(&request.id, lease, SendFailure::Stalled);
                 }
-                Err(_) => return self.record_replica_failure(lease, SendFailure::Stalled),
             }
             if !is_sound && run_events >= SOUND_EVENTS {
                 is_sound = true;
@@ -346,7 +351,7 @@
                     answer.connection.peer()
                 );
                 progress.clone_from(&run.progress);
-                return self.record_replica_failure(lease, SendFailure::Garbled);
+                return self.record_replica_failure(&request.id, lease, SendFailure::Garbled);
             }
             if progress.events >= reported_events + EVENTS_PER_PROGRESS_UPDATE {
                 reported_events = progress.events;
@@ -376,6 +381,7 @@
     /// Records the failure of a replica; returns the end of the run and its cause for the log.
     fn record_replica_failure(
         &self,
+        request: &RequestId,
         lease: &SlotLease,
         failure: SendFailure,
     ) -> (ItemRunEnd, &'static str) {
@@ -387,6 +393,7 @@
             self.deps.slots.report_suspect(&replica.name);
         }
         if !matches!(failure, SendFailure::TurnedAway | SendFailure::NoMemory) {
+            self.deps.slots.record_failed_run(&replica.name, request);
             self.deps.slots.record_failure(&replica.name, failure.as_str());
             self.deps.pool.close_idle(replica.address);
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -203,6 +203,7 @@
         replicas.clone(),
     );
     let control = Rc::new(ControlClient::default());
+    slots.set_replicas_may_degrade(settings.replicas_may_degrade);
     let relay = PeerRelay { membership: membership.clone(), control: control.clone() };
     store.set_relay(Rc::new(relay));
     let memory = AnswerMemory::new(answer_memory_bytes(&settings));
--- a/crates/peers/src/transport.rs
+++ b/crates/peers/src/transport.rs
@@ -135,6 +135,20 @@
     }
 }
 
+/// Decodes a message and returns it with the bytes that follow it, which newer builds may append.
+pub fn decode_prefix<M: serde::de::DeserializeOwned>(
+    topic: Topic,
+    payload: &[u8],
+) -> Option<(M, &[u8])> {
+    match postcard::take_from_bytes(payload) {
+        Ok(decoded) => Some(decoded),
+        Err(error) => {
+            debug!("event=datagram_malformed topic={topic:?} error=\"{error}\"");
+            None
+        }
+    }
+}
+
 /// Encodes a message for a payload, or logs the failure and returns an empty one.
 pub fn encode<M: Serialize>(topic: Topic, message: &M) -> Vec<u8> {
     postcard::to_allocvec(message).unwrap_or_else(|error| {
--- a/crates/slots/src/balancer.rs
+++ b/crates/slots/src/balancer.rs
@@ -9,6 +9,7 @@
 
 use crate::message::Class;
 use crate::message::Load;
+use crate::outlier::HealthSummary;
 
 /// The cost of a replica in another data centre, in units of a fully occupied replica; it decides
 /// between replicas of about equal load.
@@ -17,6 +18,12 @@
 const REVOKE_COST: f64 = 1.0;
 /// The cost of a replica that is suspected of not answering.
 const SUSPECT_COST: f64 = 100.0;
+/// The cost of a failed run, so that a replica that fails fast is not preferred for being empty.
+const FAILURE_COST: f64 = 0.5;
+/// The slots that an owner grants for a trial.
+const TRIAL_SLOTS: u32 = 1;
+/// The cost of a replica whose owner grants no slots or a trial; higher than that of a queue.
+const WITHHELD_COST: f64 = 20.0;
 /// The cost of waiting for a slot.
 const WAIT_COST: f64 = 10.0;
 /// The maximum of the random part of the cost, which makes daemons that know the same loads choose
@@ -37,16 +44,41 @@
     requested_since_load: u16,
     own_runs: u16,
     failures: u32,
+    /// The request of the last answer of 500 or above, if no success followed.
+    server_error: Option<u32>,
+    health: HealthSummary,
     ejected_until_ms: Millis,
 }
 
 /// Tracks the load and failures of replicas and chooses among them.
 #[derive(Clone, Debug, Default)]
 pub struct Balancer {
+    /// Whether the reported slots are those that owners grant, and less than a replica has if it fails.
+    replicas_may_degrade: bool,
     replicas: HashMap<ReplicaName, ReplicaStats>,
 }
 
 impl Balancer {
+    /// Sets whether owners withhold slots of replicas that fail.
+    pub fn set_replicas_may_degrade(&mut self, replicas_may_degrade: bool) {
+        self.replicas_may_degrade = replicas_may_degrade;
+    }
+
+    /// Returns whether owners withhold slots of replicas that fail.
+    pub fn replicas_may_degrade(&self) -> bool {
+        self.replicas_may_degrade
+    }
+
+    /// Records the recent outcomes that the owner reported.
+    pub fn record_health(&mut self, replica: &ReplicaName, health: HealthSummary) {
+        self.stats_mut(replica).health = health;
+    }
+
+    /// Returns the recent outcomes that the owner reported.
+    pub fn health(&self, replica: &ReplicaName) -> HealthSummary {
+        self.replicas.get(replica).map(|stats| stats.health).unwrap_or_default()
+    }
+
     /// Records a load that the owner reported.
     pub fn record_load(&mut self, now_ms: Millis, replica: &ReplicaName, load: Load) {
         let stats = self.stats_mut(replica);
@@ -77,9 +109,26 @@
     pub fn record_success(&mut self, replica: &ReplicaName) {
         let stats = self.stats_mut(replica);
         stats.failures = 0;
+        stats.server_error = None;
         stats.ejected_until_ms = 0;
     }
 
+    /// Records an answer of 500 or above; returns for how long the replica is ejected.
+    ///
+    /// One such answer may be due to its request; two requests in a row without a success eject the
+    /// replica.
+    pub fn record_server_error(
+        &mut self,
+        now_ms: Millis,
+        replica: &ReplicaName,
+        request: u32,
+    ) -> Millis {
+        match self.stats_mut(replica).server_error.replace(request) {
+            Some(previous) if previous != request => self.record_failure(now_ms, replica),
+            _ => 0,
+        }
+    }
+
     /// Records a failure of a replica; returns for how long the replica is ejected, or 0 if it
     /// already was.
     pub fn record_failure(&mut self, now_ms: Millis, replica: &ReplicaName) -> Millis {
@@ -123,6 +172,9 @@
     ) -> Option<&'a ReplicaRecord> {
         let is_usable = |replica: &&&ReplicaRecord| !self.is_ejected(now_ms, &replica.name);
         let ejected = candidates.len() - candidates.iter().filter(is_usable).count();
+        if let Some(trial) = self.choose_trial(candidates, &mut random) {
+            return Some(trial);
+        }
         let is_ejection_ignored = ejected * 100 > candidates.len() * MAX_EJECTED_PERCENT;
         candidates
             .iter()
@@ -140,9 +192,46 @@
         self.cost(replica, class, &replica.data_centre) < WAIT_COST
     }
 
+    /// Chooses a replica whose owner allows a trial, with half the probability that an equal share of
+    /// the service's requests would give it: a trial goes to few of the daemons that know of it.
+    fn choose_trial<'a>(
+        &self,
+        candidates: &[&'a ReplicaRecord],
+        random: &mut impl FnMut() -> f64,
+    ) -> Option<&'a ReplicaRecord> {
+        if !self.replicas_may_degrade {
+            return None;
+        }
+        let is_due = |replica: &&&ReplicaRecord| {
+            let Some(stats) = self.replicas.get(&replica.name) else { return false };
+            stats.load_at_ms.is_some()
+                && u32::from(stats.load.slots) == TRIAL_SLOTS
+                && replica.slots > TRIAL_SLOTS
+                && !stats.load.is_suspect
+                && stats.load.online == 0
+                && stats.load.batch == 0
+                && stats.requested_since_load == 0
+        };
+        let due: Vec<&&ReplicaRecord> = candidates.iter().filter(is_due).collect();
+        if due.is_empty() {
+            return None;
+        }
+        let index = (random() * 2.0 * candidates.len() as f64) as usize;
+        due.get(index).map(|replica| **replica)
+    }
+
+    /// Returns the slots that the owner of a replica grants, as far as known.
+    fn granted_slots(&self, replica: &ReplicaRecord, stats: &ReplicaStats) -> u32 {
+        if !self.replicas_may_degrade || stats.load_at_ms.is_none() {
+            return replica.slots;
+        }
+        u32::from(stats.load.slots).min(replica.slots)
+    }
+
     fn cost(&self, replica: &ReplicaRecord, class: Class, own_data_centre: &DataCentre) -> f64 {
         let stats = self.replicas.get(&replica.name).copied().unwrap_or_default();
-        let slots = f64::from(replica.slots.max(1));
+        let granted = self.granted_slots(replica, &stats);
+        let slots = f64::from(granted.max(1));
         let requested = stats.requested_since_load;
         let (online, total) = if stats.load_at_ms.is_some() {
             let load = stats.load;
@@ -158,6 +247,12 @@
         } else if f64::from(total) >= slots {
             cost += REVOKE_COST;
         }
+        if self.replicas_may_degrade {
+            cost += FAILURE_COST * stats.health.cautious_failure_share();
+            if granted == 0 || (granted == TRIAL_SLOTS && replica.slots > TRIAL_SLOTS) {
+                cost += WITHHELD_COST;
+            }
+        }
         if stats.load.is_suspect {
             cost += SUSPECT_COST;
         }
--- a/crates/slots/src/client.rs
+++ b/crates/slots/src/client.rs
@@ -20,7 +20,7 @@
 use peers::Topic;
 use peers::Transport;
 use peers::heartbeat::Datagram;
-use peers::transport::decode;
+use peers::transport::decode_prefix;
 use rand::Rng;
 use wire::DaemonName;
 use wire::Millis;
@@ -40,6 +40,10 @@
 use crate::message::ToHolder;
 use crate::message::ToOwner;
 use crate::message::Urgency;
+use crate::outcomes::OutcomeReport;
+use crate::outcomes::PendingOutcomes;
+use crate::outlier::Detector;
+use crate::outlier::HealthSummary;
 use crate::request::NoSlot;
 use crate::request::SlotRequest;
 use crate::search::GrantState;
@@ -57,6 +61,8 @@
 pub(crate) struct Inner {
     pub(crate) tables: HashMap<ReplicaName, SlotTable>,
     pub(crate) balancer: Balancer,
+    pub(crate) detectors: HashMap<ReplicaName, Detector>,
+    pub(crate) outcomes: PendingOutcomes,
     pending: HashMap<Ticket, Rc<PendingGrant>>,
     held: HashMap<Ticket, HeldRun>,
     last_run_at_ms: HashMap<ReplicaName, Millis>,
@@ -214,13 +220,21 @@
 
     /// Records a success of a replica, which ends its ejection.
     pub fn record_success(&self, replica: &ReplicaName) {
-        self.inner.borrow_mut().balancer.record_success(replica);
+        let mut inner = self.inner.borrow_mut();
+        inner.balancer.record_success(replica);
+        if inner.balancer.replicas_may_degrade() {
+            inner.outcomes.record_success(replica);
+        }
     }
 
     /// Records a failure of a replica, which ejects it for a while.
     pub fn record_failure(&self, replica: &ReplicaName, cause: &str) {
         let now_ms = self.clock.now_ms();
         let ejection_ms = self.inner.borrow_mut().balancer.record_failure(now_ms, replica);
+        self.report_ejection(replica, cause, ejection_ms);
+    }
+
+    pub(crate) fn report_ejection(&self, replica: &ReplicaName, cause: &str, ejection_ms: Millis) {
         if ejection_ms > 0 {
             self.counters.count_tagged("replica_ejected", "cause", cause);
             info!("event=replica_ejected replica={replica} cause={cause} for_ms={ejection_ms}");
@@ -300,17 +314,30 @@
         let mut inner = self.inner.borrow_mut();
         inner.balancer.remove(replica);
         inner.tables.remove(replica);
+        inner.detectors.remove(replica);
+        inner.outcomes.take(replica);
         inner.last_run_at_ms.remove(replica);
     }
 
     /// Records the replica loads that a peer's heartbeat carries.
     pub fn apply_loads(&self, payload: &[u8]) {
         let now_ms = self.clock.now_ms();
-        let Some(reports) = decode::<Vec<LoadReport>>(Topic::Slots, payload) else { return };
+        let Some((reports, rest)) = decode_prefix::<Vec<LoadReport>>(Topic::Slots, payload) else {
+            return;
+        };
         let mut inner = self.inner.borrow_mut();
-        for report in reports {
+        for report in &reports {
             inner.balancer.record_load(now_ms, &report.replica, report.load);
         }
+        if rest.is_empty() || !inner.balancer.replicas_may_degrade() {
+            return;
+        }
+        let Some((summaries, _)) = decode_prefix::<Vec<HealthSummary>>(Topic::Slots, rest) else {
+            return;
+        };
+        for (report, summary) in reports.iter().zip(summaries) {
+            inner.balancer.record_health(&report.replica, summary);
+        }
     }
 
     /// Sends each owner the list of runs that this daemon has at the owner's replicas.
@@ -467,7 +494,8 @@
     ) -> SlotLease {
         let revocation = Rc::new(Revocation::default());
         let mut inner = self.inner.borrow_mut();
-        let load = inner.balancer.load(self.clock.now_ms(), &replica.name);
+        let acquired_at_ms = self.clock.now_ms();
+        let load = inner.balancer.load(acquired_at_ms, &replica.name);
         inner.balancer.record_start(&replica.name);
         inner.held.insert(
             ticket,
@@ -480,7 +508,15 @@
             },
         );
         drop(inner);
-        SlotLease { replica, is_granted, load, revocation, ticket, slots: self.clone() }
+        SlotLease {
+            replica,
+            is_granted,
+            load,
+            acquired_at_ms,
+            revocation,
+            ticket,
+            slots: self.clone(),
+        }
     }
 
     pub(crate) fn release(&self, replica: &ReplicaName, ticket: Ticket) {
@@ -524,19 +560,34 @@
         let membership = self.membership.borrow();
         if membership.own().name == *owner {
             drop(membership);
-            self.handle_as_owner(owner, message);
+            let outcomes = self.take_outcomes(&message);
+            self.handle_as_owner(owner, message, outcomes);
             return;
         }
         if let Some(peer) = membership.peer(owner) {
-            self.transport.send(peer.identity.ip, Topic::Slots, &Envelope::ToOwner(message));
+            let outcomes = self.take_outcomes(&message);
+            let envelope = Envelope::ToOwner(message);
+            match outcomes {
+                Some(outcomes) => {
+                    self.transport.send(peer.identity.ip, Topic::Slots, &(envelope, outcomes));
+                }
+                None => self.transport.send(peer.identity.ip, Topic::Slots, &envelope),
+            }
         }
     }
 
     fn handle_datagram(&self, datagram: &Datagram, _from: IpAddr) {
-        match decode::<Envelope>(Topic::Slots, &datagram.payload) {
-            Some(Envelope::ToOwner(message)) => self.handle_as_owner(&datagram.from, message),
-            Some(Envelope::ToHolder(replica, message)) => self.handle_as_holder(&replica, message),
-            None => {}
+        let decoded = decode_prefix::<Envelope>(Topic::Slots, &datagram.payload);
+        let Some((envelope, rest)) = decoded else { return };
+        match envelope {
+            Envelope::ToOwner(message) => {
+                let outcomes = (!rest.is_empty())
+                    .then(|| decode_prefix::<OutcomeReport>(Topic::Slots, rest))
+                    .flatten();
+                let outcomes = outcomes.map(|(outcomes, _)| outcomes);
+                self.handle_as_owner(&datagram.from, message, outcomes);
+            }
+            Envelope::ToHolder(replica, message) => self.handle_as_holder(&replica, message),
         }
     }
 
--- a/crates/slots/src/lease.rs
+++ b/crates/slots/src/lease.rs
@@ -51,6 +51,8 @@
     pub is_granted: bool,
     /// The replica's load when the slot was taken, with the age of that load in milliseconds.
     pub load: Option<(Load, Millis)>,
+    /// When the slot was taken.
+    pub acquired_at_ms: Millis,
     /// Signals that the slot is needed for an online request.
     pub revocation: Rc<Revocation>,
     pub(crate) ticket: Ticket,
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -8,8 +8,11 @@
 
 pub mod balancer;
 pub mod client;
+mod health;
 pub mod lease;
 pub mod message;
+pub mod outcomes;
+pub mod outlier;
 pub mod owner;
 pub mod request;
 mod search;
--- a/crates/slots/src/owner.rs
+++ b/crates/slots/src/owner.rs
@@ -21,6 +21,9 @@
 use crate::message::LoadReport;
 use crate::message::ToHolder;
 use crate::message::ToOwner;
+use crate::outcomes::OutcomeReport;
+use crate::outlier::Detector;
+use crate::outlier::HealthSummary;
 use crate::table::GrantRequest;
 use crate::table::SlotTable;
 use crate::table::TableAction;
@@ -56,20 +59,33 @@
             .iter()
             .map(|(replica, table)| LoadReport { replica: replica.clone(), load: table.load() })
             .collect();
-        Attachment { topic: Topic::Slots, payload: encode(Topic::Slots, &reports) }
+        let mut payload = encode(Topic::Slots, &reports);
+        if inner.balancer.replicas_may_degrade() {
+            let summary = |report: &LoadReport| {
+                inner.detectors.get(&report.replica).map(Detector::summary).unwrap_or_default()
+            };
+            let summaries: Vec<HealthSummary> = reports.iter().map(summary).collect();
+            // Builds before it ignore bytes after the loads.
+            payload.extend(encode(Topic::Slots, &summaries));
+        }
+        Attachment { topic: Topic::Slots, payload }
     }
 
     /// Follows changes of ownership and grants free slots.
     pub fn tick(&self) {
         let now_ms = self.clock.now_ms();
         self.update_ownership(now_ms);
+        self.update_limits(now_ms);
         let mut all = Vec::new();
         {
             let mut inner = self.inner.borrow_mut();
-            let Inner { tables, balancer, .. } = &mut *inner;
+            let Inner { tables, balancer, detectors, .. } = &mut *inner;
             for (replica, table) in tables {
                 all.push((replica.clone(), table.tick(now_ms)));
                 balancer.record_load(now_ms, replica, table.load());
+                if let Some(detector) = detectors.get(replica) {
+                    balancer.record_health(replica, detector.summary());
+                }
             }
         }
         for (replica, actions) in all {
@@ -77,7 +93,12 @@
         }
     }
 
-    pub(crate) fn handle_as_owner(&self, holder: &DaemonName, message: ToOwner) {
+    pub(crate) fn handle_as_owner(
+        &self,
+        holder: &DaemonName,
+        message: ToOwner,
+        outcomes: Option<OutcomeReport>,
+    ) {
         let now_ms = self.clock.now_ms();
         let (replica, ticket) = match &message {
             ToOwner::Ask { replica, ticket, .. } => (replica.clone(), Some(*ticket)),
@@ -96,6 +117,10 @@
             }
             return;
         }
+        if let Some(outcomes) = outcomes {
+            // Before a released slot is granted again.
+            self.apply_outcomes(now_ms, holder, &replica, &outcomes);
+        }
         let (actions, needs_probe) = {
             let mut inner = self.inner.borrow_mut();
             let Some(table) = inner.tables.get_mut(&replica) else { return };
@@ -200,7 +225,7 @@
         self.apply_actions(name, actions.unwrap_or_default());
     }
 
-    fn apply_actions(&self, replica: &ReplicaName, actions: Vec<TableAction>) {
+    pub(crate) fn apply_actions(&self, replica: &ReplicaName, actions: Vec<TableAction>) {
         if actions.is_empty() {
             return;
         }
@@ -290,13 +315,16 @@
             .filter(|record| self.is_owned(record))
             .map(|record| &record.name)
             .collect();
-        self.inner.borrow_mut().tables.retain(|name, _| {
+        let mut inner = self.inner.borrow_mut();
+        inner.detectors.retain(|name, _| owned.contains(&name));
+        inner.tables.retain(|name, _| {
             let is_kept = owned.contains(&name);
             if !is_kept {
                 info!("event=replica_disowned replica={name}");
             }
             is_kept
         });
+        drop(inner);
         for name in owned {
             self.ensure_table(now_ms, name);
         }
--- a/crates/slots/src/table.rs
+++ b/crates/slots/src/table.rs
@@ -114,6 +114,8 @@
 #[derive(Clone, Debug)]
 pub struct SlotTable {
     slots: u32,
+    /// How many of the slots may be granted.
+    limit: u32,
     grants: Vec<Grant>,
     queue: Vec<QueuedRequest>,
     inherited_runs: u32,
@@ -141,6 +143,7 @@
     pub fn inherit(slots: u32, occupied: u32, until_ms: Millis) -> Self {
         Self {
             slots,
+            limit: slots,
             grants: Vec::new(),
             queue: Vec::new(),
             inherited_runs: occupied,
@@ -157,6 +160,25 @@
         }
     }
 
+    /// Sets how many of the slots may be granted; grants in excess of it go on.
+    pub fn set_limit(&mut self, now_ms: Millis, limit: u32) -> Vec<TableAction> {
+        let limit = limit.min(self.slots);
+        if std::mem::replace(&mut self.limit, limit) >= limit {
+            return Vec::new();
+        }
+        self.update_grants(now_ms)
+    }
+
+    /// Returns how many of the slots may be granted.
+    pub fn limit(&self) -> u32 {
+        self.limit
+    }
+
+    /// Returns the number of slots of the replica.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
     /// Marks the replica as probed; returns whether it was not probed before.
     pub fn begin_first_probe(&mut self) -> bool {
         !std::mem::replace(&mut self.has_been_probed, true)
@@ -171,7 +193,7 @@
             |class: Class| saturate(self.queue.iter().filter(|r| r.class == class).count());
         let orphaned = saturate(self.orphaned_runs as usize);
         Load {
-            slots: saturate(self.slots as usize),
+            slots: saturate(self.limit as usize),
             // Orphaned runs count as online, since neither can be revoked.
             online: count(Class::Online).saturating_add(orphaned),
             batch: count(Class::Batch),
@@ -367,7 +389,7 @@
         }
         let inherited = if now_ms < self.inherited_until_ms { self.inherited_runs } else { 0 };
         let runs_without_grant = inherited.max(self.orphaned_runs);
-        while runs_without_grant.saturating_add(self.grants.len() as u32) < self.slots {
+        while runs_without_grant.saturating_add(self.grants.len() as u32) < self.limit {
             let Some(next) = self.next_to_grant(now_ms) else { break };
             let queued = self.queue.swap_remove(next);
             actions
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -93,6 +93,7 @@
                 store: store_link.address,
                 grace_s: GRACE_S,
                 status_s: STATUS_RETENTION_S,
+                contracts: Vec::new(),
                 is_first_start: true,
             };
             let process = DaemonProcess::start(binary, settings, folder).map_err(|source| {
--- a/crates/wire/src/node.rs
+++ b/crates/wire/src/node.rs
@@ -97,6 +97,8 @@
     pub max_descriptors: u64,
     /// The time limits of the deployment.
     pub time_limits: TimeLimits,
+    /// Whether replicas may fail or slow down while they report good health.
+    pub replicas_may_degrade: bool,
     /// The platform's store.
     pub store: StoreSettings,
 }
