Keep requests from replicas that became slow, and spread equal choices

Cause: a replica that is several times slower than its service kept getting a request whenever a run ended, and daemons that knew the same loads all chose one replica that was far less occupied than the others.

Change: the owner takes the median duration of its replica's online runs (slots::speed) and publishes it with the heartbeats. A replica more than 2.5 times slower than usual costs more in the choice; among full replicas the expected wait decides; 8 random replicas with a free slot are compared. Only with the contract health.

Time to first event and gaps are not observed on their own yet.

--- a/crates/slots/src/balancer.rs
+++ b/crates/slots/src/balancer.rs
@@ -10,6 +10,7 @@
 use crate::message::Class;
 use crate::message::Load;
 use crate::outlier::HealthSummary;
+use crate::speed;
 
 /// The cost of a replica in another data centre, in units of a fully occupied replica; it decides
 /// between replicas of about equal load.
@@ -18,6 +19,15 @@
 const REVOKE_COST: f64 = 1.0;
 /// The cost of a replica that is suspected of not answering.
 const SUSPECT_COST: f64 = 100.0;
+/// The number of random replicas with a free slot that are compared. With 45 replicas and 60 daemons that
+/// learn at the same moment of an idle one, 11 choose it, not 60.
+const MAX_COMPARED: usize = 8;
+/// How many times longer than usual the runs of a sound replica may take. The speeds of sound replicas
+/// differ by a factor of up to 2.5; equal shares of occupied slots already give each requests in
+/// proportion to its speed.
+const USUAL_SLOWNESS: f64 = 2.5;
+/// The cost of a run that takes longer than that, for each usual run.
+const SLOW_COST: f64 = 0.5;
 /// The cost of a failed run, so that a replica that fails fast is not preferred for being empty.
 const FAILURE_COST: f64 = 0.5;
 /// The slots that an owner grants for a trial.
@@ -176,20 +186,25 @@
             return Some(trial);
         }
         let is_ejection_ignored = ejected * 100 > candidates.len() * MAX_EJECTED_PERCENT;
-        candidates
+        let usual_ms = self.usual_ms(candidates);
+        let mut costs: Vec<(f64, &ReplicaRecord)> = candidates
             .iter()
             .filter(|replica| is_ejection_ignored || is_usable(replica))
             .map(|replica| {
-                (self.cost(replica, class, own_data_centre) + RANDOM_COST * random(), *replica)
+                let cost = self.cost(replica, class, own_data_centre, usual_ms);
+                (cost + RANDOM_COST * random(), *replica)
             })
-            .min_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(_, replica)| replica)
+            .collect();
+        if self.replicas_may_degrade {
+            sample_free(&mut costs, random);
+        }
+        costs.into_iter().min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, replica)| replica)
     }
 
     /// Returns whether a request of the class would get a slot without waiting for another request
     /// to end: a free slot, or for an online request the revoked slot of a batch item.
     pub fn has_capacity(&self, replica: &ReplicaRecord, class: Class) -> bool {
-        self.cost(replica, class, &replica.data_centre) < WAIT_COST
+        self.cost(replica, class, &replica.data_centre, 0) < WAIT_COST
     }
 
     /// Chooses a replica whose owner allows a trial, with half the probability that an equal share of
@@ -228,7 +243,21 @@
         u32::from(stats.load.slots).min(replica.slots)
     }
 
-    fn cost(&self, replica: &ReplicaRecord, class: Class, own_data_centre: &DataCentre) -> f64 {
+    /// Returns the usual duration of runs at the replicas of a service, or 0 if it is not known.
+    fn usual_ms(&self, candidates: &[&ReplicaRecord]) -> u16 {
+        if !self.replicas_may_degrade {
+            return 0;
+        }
+        speed::usual_ms(candidates.iter().map(|replica| self.health(&replica.name).run_ms))
+    }
+
+    fn cost(
+        &self,
+        replica: &ReplicaRecord,
+        class: Class,
+        own_data_centre: &DataCentre,
+        usual_ms: u16,
+    ) -> f64 {
         let stats = self.replicas.get(&replica.name).copied().unwrap_or_default();
         let granted = self.granted_slots(replica, &stats);
         let slots = f64::from(granted.max(1));
@@ -248,6 +277,13 @@
             cost += REVOKE_COST;
         }
         if self.replicas_may_degrade {
+            let slowness = speed::slowness(stats.health.run_ms, usual_ms);
+            let waiting = f64::from(ahead) + 1.0 - slots;
+            if waiting > 0.0 {
+                // The expected wait, in usual runs, instead of the occupied share.
+                cost += slowness * waiting / slots - f64::from(ahead) / slots;
+            }
+            cost += SLOW_COST * (slowness - USUAL_SLOWNESS).max(0.0);
             cost += FAILURE_COST * stats.health.cautious_failure_share();
             if granted == 0 || (granted == TRIAL_SLOTS && replica.slots > TRIAL_SLOTS) {
                 cost += WITHHELD_COST;
@@ -266,3 +302,21 @@
         self.replicas.entry(replica.clone()).or_default()
     }
 }
+
+/// Keeps a few random replicas of those that have a free slot, if any, so that daemons that know the
+/// same loads choose different replicas even if one is far less occupied than all others.
+fn sample_free(costs: &mut Vec<(f64, &ReplicaRecord)>, mut random: impl FnMut() -> f64) {
+    let is_any_below = |limit: f64| costs.iter().any(|(cost, _)| *cost < limit);
+    // A free slot comes before that of a batch item, so that sampling revokes no item needlessly.
+    let Some(limit) = [REVOKE_COST, WAIT_COST].into_iter().find(|limit| is_any_below(*limit))
+    else {
+        return;
+    };
+    costs.retain(|(cost, _)| *cost < limit);
+    for kept in 0..costs.len().min(MAX_COMPARED) {
+        let left = costs.len() - kept;
+        let other = kept + ((random() * left as f64) as usize).min(left - 1);
+        costs.swap(kept, other);
+    }
+    costs.truncate(MAX_COMPARED);
+}
--- a/crates/slots/src/health.rs
+++ b/crates/slots/src/health.rs
@@ -14,6 +14,7 @@
 
 use crate::client::Inner;
 use crate::client::Slots;
+use crate::message::Ticket;
 use crate::message::ToOwner;
 use crate::outcomes::OutcomeReport;
 use crate::outcomes::request_hash;
@@ -93,6 +94,19 @@
         }
     }
 
+    /// Records the duration of a successful online run that ends now.
+    pub(crate) fn record_run_time(&self, now_ms: Millis, replica: &ReplicaName, ticket: Ticket) {
+        let mut inner = self.inner.borrow_mut();
+        let Inner { tables, detectors, balancer, .. } = &mut *inner;
+        if !balancer.replicas_may_degrade() {
+            return;
+        }
+        let run_ms = tables.get(replica).and_then(|table| table.online_run_ms(now_ms, ticket));
+        if let (Some(run_ms), Some(detector)) = (run_ms, detectors.get_mut(replica)) {
+            detector.record_run(now_ms, run_ms);
+        }
+    }
+
     /// Sets how many slots of each owned replica may be granted.
     pub(crate) fn update_limits(&self, now_ms: Millis) {
         if !self.replicas_may_degrade() {
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod owner;
 pub mod request;
 mod search;
+pub mod speed;
 pub mod table;
 
 pub use client::Slots;
--- a/crates/slots/src/outlier.rs
+++ b/crates/slots/src/outlier.rs
@@ -13,6 +13,7 @@
 use wire::ReplicaName;
 
 use crate::outcomes::OutcomeReport;
+use crate::speed::RunTimes;
 
 /// The most outcomes that a detector keeps.
 const MAX_OUTCOMES: usize = 64;
@@ -103,6 +104,8 @@
     pub outcomes: u8,
     /// The number of failures among them.
     pub failures: u8,
+    /// The median duration of its online runs in milliseconds, or 0 if it is not known.
+    pub run_ms: u16,
 }
 
 impl HealthSummary {
@@ -200,6 +203,8 @@
     trial_wait_ms: Millis,
     restored_at_ms: Millis,
     staged_at_ms: Millis,
+    run_times: RunTimes,
+    run_ms: u16,
 }
 
 impl Detector {
@@ -218,11 +223,25 @@
         }
     }
 
+    /// Records the duration of a completed online run.
+    pub fn record_run(&mut self, now_ms: Millis, run_ms: Millis) {
+        self.run_times.record(now_ms, run_ms);
+    }
+
+    /// Estimates the duration of runs; `running_ms` are the ages of the online runs that go on.
+    pub fn update_run_ms(&mut self, now_ms: Millis, running_ms: impl Iterator<Item = Millis>) {
+        self.run_ms = self.run_times.estimate_ms(now_ms, running_ms);
+    }
+
     /// Returns the recent outcomes.
     pub fn summary(&self) -> HealthSummary {
         let failures = self.outcomes.iter().filter(|outcome| outcome.failed_request.is_some());
         // MAX_OUTCOMES fits in a byte.
-        HealthSummary { outcomes: self.outcomes.len() as u8, failures: failures.count() as u8 }
+        HealthSummary {
+            outcomes: self.outcomes.len() as u8,
+            failures: failures.count() as u8,
+            run_ms: self.run_ms,
+        }
     }
 
     /// Forgets old outcomes; those that took all slots away are kept until trials succeed.
--- a/crates/slots/src/owner.rs
+++ b/crates/slots/src/owner.rs
@@ -83,7 +83,8 @@
             for (replica, table) in tables {
                 all.push((replica.clone(), table.tick(now_ms)));
                 balancer.record_load(now_ms, replica, table.load());
-                if let Some(detector) = detectors.get(replica) {
+                if let Some(detector) = detectors.get_mut(replica) {
+                    detector.update_run_ms(now_ms, table.online_runs_ms(now_ms));
                     balancer.record_health(replica, detector.summary());
                 }
             }
@@ -120,6 +121,11 @@
         if let Some(outcomes) = outcomes {
             // Before a released slot is granted again.
             self.apply_outcomes(now_ms, holder, &replica, &outcomes);
+            if let ToOwner::Release { ticket, .. } = &message
+                && outcomes.failures.is_empty()
+            {
+                self.record_run_time(now_ms, &replica, *ticket);
+            }
         }
         let (actions, needs_probe) = {
             let mut inner = self.inner.borrow_mut();
--- a/crates/slots/src/table.rs
+++ b/crates/slots/src/table.rs
@@ -169,6 +169,19 @@
         self.update_grants(now_ms)
     }
 
+    /// Returns how long an online run has had its slot.
+    pub fn online_run_ms(&self, now_ms: Millis, ticket: Ticket) -> Option<Millis> {
+        let is_run = |grant: &&Grant| grant.ticket == ticket && grant.class == Class::Online;
+        let grant = self.grants.iter().find(is_run)?;
+        Some(now_ms.saturating_sub(grant.granted_at_ms))
+    }
+
+    /// Returns how long each online run has had its slot.
+    pub fn online_runs_ms(&self, now_ms: Millis) -> impl Iterator<Item = Millis> + '_ {
+        let online = self.grants.iter().filter(|grant| grant.class == Class::Online);
+        online.map(move |grant| now_ms.saturating_sub(grant.granted_at_ms))
+    }
+
     /// Returns how many of the slots may be granted.
     pub fn limit(&self) -> u32 {
         self.limit
