Measure only whole runs, and send trials to plain replicas singly

Cause: grants that come from run lists begin in the middle of a run, so their durations are too short, which concerns all runs at plain replicas. A daemon could send several trials at once to a plain replica, whose owner grants nothing, and trials ignored its own ejections.

Change: only runs that began with their grant count in the duration. A daemon sends no trial to a replica where it has a run or that it ejected.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -384,16 +384,12 @@
         let settings = ReplicaSettings::with_defaults("engine-3", ENGINE_SERVICE, "a");
         fleet.deployment.add_replica(settings).expect("the replica starts");
         sleep(Duration::from_millis(700)).await;
-        send(&fleet, "sound", 30).await;
+        send(&fleet, STREAM, "sound", 30).await;
         let faulty = fleet.deployment.replica("engine-3").expect("the replica runs");
         faulty.fault.set(ReplicaFault::ServerError);
-        let finding_lost = send(&fleet, "finding", FINDING).await;
-        let later_lost = send(&fleet, "later", REQUESTS - FINDING).await;
-        let runs = |prefix: &str, count: usize| {
-            let log = fleet.deployment.log.borrow();
-            let runs = (0..count).flat_map(|number| log.runs_of(&format!("{prefix}-{number}")));
-            runs.filter(|run| run.replica == "engine-3").count()
-        };
+        let finding_lost = send(&fleet, STREAM, "finding", FINDING).await;
+        let later_lost = send(&fleet, STREAM, "later", REQUESTS - FINDING).await;
+        let runs = |prefix: &str, count: usize| runs_at(&fleet, "engine-3", prefix, count);
         let (finding, later) = (runs("finding", FINDING), runs("later", REQUESTS - FINDING));
         println!("runs {finding} then {later}, lost {finding_lost} then {later_lost}");
         assert!(finding <= FINDING / 4, "{finding} runs while it is found");
@@ -402,19 +398,48 @@
 
         faulty.fault.set(ReplicaFault::None);
         sleep(Duration::from_secs(5)).await;
-        send(&fleet, "sound-again", REQUESTS).await;
+        send(&fleet, STREAM, "sound-again", REQUESTS).await;
         assert!(runs("sound-again", REQUESTS) > MAX_LATER_RUNS, "it gets requests again");
     });
 }
 
-/// Sends streams of 5 events through all daemons, six at a time; returns how many were not answered.
-async fn send(fleet: &Fleet, prefix: &str, count: usize) -> usize {
+/// Two plain replicas, whose requests need no grants. Guards against holders that learn nothing from
+/// owners that grant nothing.
+#[test]
+fn a_plain_replica_that_answers_500_gets_few_requests() {
+    run_local("uneven-plain", |folder| async move {
+        let fleet = Fleet::start_with_contracts(folder, 3, 120, &["health"]).await;
+        send(&fleet, LOOKUP, "sound", 30).await;
+        let faulty = fleet.deployment.replica("plain-0").expect("the replica runs");
+        faulty.fault.set(ReplicaFault::ServerError);
+        send(&fleet, LOOKUP, "finding", FINDING).await;
+        send(&fleet, LOOKUP, "later", REQUESTS - FINDING).await;
+        let finding = runs_at(&fleet, "plain-0", "finding", FINDING);
+        let later = runs_at(&fleet, "plain-0", "later", REQUESTS - FINDING);
+        println!("plain: runs {finding} then {later}");
+        assert!(finding <= FINDING / 3, "{finding} runs while it is found");
+        assert!(later <= 2 * MAX_LATER_RUNS, "{later} runs after it is found");
+    });
+}
+
+fn runs_at(fleet: &Fleet, replica: &str, prefix: &str, count: usize) -> usize {
+    let log = fleet.deployment.log.borrow();
+    let runs = (0..count).flat_map(|number| log.runs_of(&format!("{prefix}-{number}")));
+    runs.filter(|run| run.replica == replica).count()
+}
+
+/// Sends requests through all daemons, six at a time; returns how many were not answered.
+async fn send(fleet: &Fleet, route: &str, prefix: &str, count: usize) -> usize {
     let mut lost = 0;
     let numbers: Vec<usize> = (0..count).collect();
     for batch in numbers.chunks(6) {
         let calls = batch.iter().map(|number| async move {
             let daemon = fleet.ingress(number % fleet.daemons.len());
-            let answer = Client.stream(daemon, STREAM, &format!("{prefix}-{number}"), 5).await;
+            let id = format!("{prefix}-{number}");
+            let answer = match route {
+                LOOKUP => Client.lookup(daemon, LOOKUP, &id).await,
+                _ => Client.stream(daemon, route, &id, 5).await,
+            };
             answer.is_ok_and(|answer| answer.status.is_success())
         });
         lost += join_all(calls).await.into_iter().filter(|is_answered| !is_answered).count();
--- a/crates/slots/src/balancer.rs
+++ b/crates/slots/src/balancer.rs
@@ -182,7 +182,7 @@
     ) -> Option<&'a ReplicaRecord> {
         let is_usable = |replica: &&&ReplicaRecord| !self.is_ejected(now_ms, &replica.name);
         let ejected = candidates.len() - candidates.iter().filter(is_usable).count();
-        if let Some(trial) = self.choose_trial(candidates, &mut random) {
+        if let Some(trial) = self.choose_trial(now_ms, candidates, &mut random) {
             return Some(trial);
         }
         let is_ejection_ignored = ejected * 100 > candidates.len() * MAX_EJECTED_PERCENT;
@@ -211,6 +211,7 @@
     /// the service's requests would give it: a trial goes to few of the daemons that know of it.
     fn choose_trial<'a>(
         &self,
+        now_ms: Millis,
         candidates: &[&'a ReplicaRecord],
         random: &mut impl FnMut() -> f64,
     ) -> Option<&'a ReplicaRecord> {
@@ -226,6 +227,8 @@
                 && stats.load.online == 0
                 && stats.load.batch == 0
                 && stats.requested_since_load == 0
+                && stats.own_runs == 0
+                && now_ms >= stats.ejected_until_ms
         };
         let due: Vec<&&ReplicaRecord> = candidates.iter().filter(is_due).collect();
         if due.is_empty() {
--- a/crates/slots/src/table.rs
+++ b/crates/slots/src/table.rs
@@ -47,10 +47,18 @@
     on_time_at_ms: Millis,
     order_at_ms: Millis,
     granted_at_ms: Millis,
+    /// Whether the run began with this grant; a run that its holder listed began earlier.
+    is_whole_run: bool,
     confirmed_at_ms: Millis,
     revoked_at_ms: Option<Millis>,
 }
 
+impl Grant {
+    fn is_whole_online_run(&self) -> bool {
+        self.is_whole_run && self.class == Class::Online
+    }
+}
+
 #[derive(Clone, Debug)]
 struct QueuedRequest {
     ticket: Ticket,
@@ -169,16 +177,16 @@
         self.update_grants(now_ms)
     }
 
-    /// Returns how long an online run has had its slot.
+    /// Returns how long an online run that began with its grant has had its slot.
     pub fn online_run_ms(&self, now_ms: Millis, ticket: Ticket) -> Option<Millis> {
-        let is_run = |grant: &&Grant| grant.ticket == ticket && grant.class == Class::Online;
+        let is_run = |grant: &&Grant| grant.ticket == ticket && grant.is_whole_online_run();
         let grant = self.grants.iter().find(is_run)?;
         Some(now_ms.saturating_sub(grant.granted_at_ms))
     }
 
-    /// Returns how long each online run has had its slot.
+    /// Returns how long each online run that began with its grant has had its slot.
     pub fn online_runs_ms(&self, now_ms: Millis) -> impl Iterator<Item = Millis> + '_ {
-        let online = self.grants.iter().filter(|grant| grant.class == Class::Online);
+        let online = self.grants.iter().filter(|grant| grant.is_whole_online_run());
         online.map(move |grant| now_ms.saturating_sub(grant.granted_at_ms))
     }
 
@@ -325,6 +333,7 @@
                 on_time_at_ms: now_ms.saturating_add(run.urgency.on_time_left_ms),
                 order_at_ms: now_ms.saturating_add(run.urgency.order_left_ms),
                 granted_at_ms: now_ms,
+                is_whole_run: false,
                 confirmed_at_ms: now_ms,
                 revoked_at_ms: None,
             });
@@ -414,6 +423,7 @@
                 on_time_at_ms: queued.on_time_at_ms,
                 order_at_ms: queued.order_at_ms,
                 granted_at_ms: now_ms,
+                is_whole_run: true,
                 confirmed_at_ms: now_ms,
                 revoked_at_ms: None,
             });
