Merge outlier detection and speeds of replicas

Conflicts: the organisation of a slot request and the outcomes of runs both follow messages to owners; Extension decodes the one that the message's type determines. Tests follow the changed signatures.

--- a/crates/daemon/tests/platform_fleet/mod.rs
+++ b/crates/daemon/tests/platform_fleet/mod.rs
@@ -86,6 +86,7 @@
                 store: deployment.store_address,
                 grace_s: 3,
                 status_s: 120,
+                contracts: Vec::new(),
                 is_first_start: true,
                 memory_mb: SMALLEST_MEMORY_MB,
                 max_fds: USUAL_MAX_FDS,
--- a/crates/jobs/tests/handover.rs
+++ b/crates/jobs/tests/handover.rs
@@ -16,6 +16,7 @@
 use catalog::ConfigurationInForce;
 use catalog::ReplicaSet;
 use gate::ApiKey;
+use gate::Caller;
 use gate::CrashGuard;
 use gate::IngressCodec;
 use gate::JobCall;
@@ -524,10 +525,11 @@
         last_event: None,
         max_output_tokens: None,
         prompt_parts: Vec::new(),
+        key: None,
     };
     let (parts, ()) = Request::new(()).into_parts();
     let body = Bytes::from(vec![b'x'; body_bytes]);
-    manager.clone().submit(Arc::new(batch_route()), meta, parts, body).await
+    manager.clone().submit(Arc::new(batch_route()), Caller::Unchecked, meta, parts, body).await
 }
 
 fn batch_route() -> Route {
@@ -546,5 +548,6 @@
         due_ms: None,
         retention_ms: None,
         max_waiting_tokens: None,
+        is_open: false,
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -216,6 +216,7 @@
         replicas.clone(),
     );
     let control = Rc::new(ControlClient::with_budget(budget.clone()));
+    slots.set_replicas_may_degrade(settings.replicas_may_degrade);
     let relay = PeerRelay { membership: membership.clone(), control: control.clone() };
     store.set_relay(Rc::new(relay));
     let pool = ConnectionPool::with_budget(
--- a/crates/slots/src/balancer.rs
+++ b/crates/slots/src/balancer.rs
@@ -9,6 +9,8 @@
 
 use crate::message::Class;
 use crate::message::Load;
+use crate::outlier::HealthSummary;
+use crate::speed;
 
 /// The cost of a replica in another data centre, in units of a fully occupied replica; it decides
 /// between replicas of about equal load.
@@ -17,6 +19,21 @@
 const REVOKE_COST: f64 = 1.0;
 /// The cost of a replica that is suspected of not answering.
 const SUSPECT_COST: f64 = 100.0;
+/// The number of random replicas with a free slot that are compared. With 45 replicas and 60 daemons that
+/// learn at the same moment of an idle one, 11 choose it, not 60.
+const MAX_COMPARED: usize = 8;
+/// How many times longer than usual the runs of a sound replica may take. The speeds of sound replicas
+/// differ by a factor of up to 2.5; equal shares of occupied slots already give each requests in
+/// proportion to its speed.
+const USUAL_SLOWNESS: f64 = 2.5;
+/// The cost of a run that takes longer than that, for each usual run.
+const SLOW_COST: f64 = 0.5;
+/// The cost of a failed run, so that a replica that fails fast is not preferred for being empty.
+const FAILURE_COST: f64 = 0.5;
+/// The slots that an owner grants for a trial.
+const TRIAL_SLOTS: u32 = 1;
+/// The cost of a replica whose owner grants no slots or a trial; higher than that of a queue.
+const WITHHELD_COST: f64 = 20.0;
 /// The cost of waiting for a slot.
 const WAIT_COST: f64 = 10.0;
 /// The maximum of the random part of the cost, which makes daemons that know the same loads choose
@@ -37,16 +54,41 @@
     requested_since_load: u16,
     own_runs: u16,
     failures: u32,
+    /// The request of the last answer of 500 or above, if no success followed.
+    server_error: Option<u32>,
+    health: HealthSummary,
     ejected_until_ms: Millis,
 }
 
 /// Tracks the load and failures of replicas and chooses among them.
 #[derive(Clone, Debug, Default)]
 pub struct Balancer {
+    /// Whether the reported slots are those that owners grant, and less than a replica has if it fails.
+    replicas_may_degrade: bool,
     replicas: HashMap<ReplicaName, ReplicaStats>,
 }
 
 impl Balancer {
+    /// Sets whether owners withhold slots of replicas that fail.
+    pub fn set_replicas_may_degrade(&mut self, replicas_may_degrade: bool) {
+        self.replicas_may_degrade = replicas_may_degrade;
+    }
+
+    /// Returns whether owners withhold slots of replicas that fail.
+    pub fn replicas_may_degrade(&self) -> bool {
+        self.replicas_may_degrade
+    }
+
+    /// Records the recent outcomes that the owner reported.
+    pub fn record_health(&mut self, replica: &ReplicaName, health: HealthSummary) {
+        self.stats_mut(replica).health = health;
+    }
+
+    /// Returns the recent outcomes that the owner reported.
+    pub fn health(&self, replica: &ReplicaName) -> HealthSummary {
+        self.replicas.get(replica).map(|stats| stats.health).unwrap_or_default()
+    }
+
     /// Records a load that the owner reported.
     pub fn record_load(&mut self, now_ms: Millis, replica: &ReplicaName, load: Load) {
         let stats = self.stats_mut(replica);
@@ -77,9 +119,26 @@
     pub fn record_success(&mut self, replica: &ReplicaName) {
         let stats = self.stats_mut(replica);
         stats.failures = 0;
+        stats.server_error = None;
         stats.ejected_until_ms = 0;
     }
 
+    /// Records an answer of 500 or above; returns for how long the replica is ejected.
+    ///
+    /// One such answer may be due to its request; two requests in a row without a success eject the
+    /// replica.
+    pub fn record_server_error(
+        &mut self,
+        now_ms: Millis,
+        replica: &ReplicaName,
+        request: u32,
+    ) -> Millis {
+        match self.stats_mut(replica).server_error.replace(request) {
+            Some(previous) if previous != request => self.record_failure(now_ms, replica),
+            _ => 0,
+        }
+    }
+
     /// Records a failure of a replica; returns for how long the replica is ejected, or 0 if it
     /// already was.
     pub fn record_failure(&mut self, now_ms: Millis, replica: &ReplicaName) -> Millis {
@@ -123,26 +182,88 @@
     ) -> Option<&'a ReplicaRecord> {
         let is_usable = |replica: &&&ReplicaRecord| !self.is_ejected(now_ms, &replica.name);
         let ejected = candidates.len() - candidates.iter().filter(is_usable).count();
+        if let Some(trial) = self.choose_trial(now_ms, candidates, &mut random) {
+            return Some(trial);
+        }
         let is_ejection_ignored = ejected * 100 > candidates.len() * MAX_EJECTED_PERCENT;
-        candidates
+        let usual_ms = self.usual_ms(candidates);
+        let mut costs: Vec<(f64, &ReplicaRecord)> = candidates
             .iter()
             .filter(|replica| is_ejection_ignored || is_usable(replica))
             .map(|replica| {
-                (self.cost(replica, class, own_data_centre) + RANDOM_COST * random(), *replica)
+                let cost = self.cost(replica, class, own_data_centre, usual_ms);
+                (cost + RANDOM_COST * random(), *replica)
             })
-            .min_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(_, replica)| replica)
+            .collect();
+        if self.replicas_may_degrade {
+            sample_free(&mut costs, random);
+        }
+        costs.into_iter().min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, replica)| replica)
     }
 
     /// Returns whether a request of the class would get a slot without waiting for another request
     /// to end: a free slot, or for an online request the revoked slot of a batch item.
     pub fn has_capacity(&self, replica: &ReplicaRecord, class: Class) -> bool {
-        self.cost(replica, class, &replica.data_centre) < WAIT_COST
+        self.cost(replica, class, &replica.data_centre, 0) < WAIT_COST
     }
 
-    fn cost(&self, replica: &ReplicaRecord, class: Class, own_data_centre: &DataCentre) -> f64 {
+    /// Chooses a replica whose owner allows a trial, with half the probability that an equal share of
+    /// the service's requests would give it: a trial goes to few of the daemons that know of it.
+    fn choose_trial<'a>(
+        &self,
+        now_ms: Millis,
+        candidates: &[&'a ReplicaRecord],
+        random: &mut impl FnMut() -> f64,
+    ) -> Option<&'a ReplicaRecord> {
+        if !self.replicas_may_degrade {
+            return None;
+        }
+        let is_due = |replica: &&&ReplicaRecord| {
+            let Some(stats) = self.replicas.get(&replica.name) else { return false };
+            stats.load_at_ms.is_some()
+                && u32::from(stats.load.slots) == TRIAL_SLOTS
+                && replica.slots > TRIAL_SLOTS
+                && !stats.load.is_suspect
+                && stats.load.online == 0
+                && stats.load.batch == 0
+                && stats.requested_since_load == 0
+                && stats.own_runs == 0
+                && now_ms >= stats.ejected_until_ms
+        };
+        let due: Vec<&&ReplicaRecord> = candidates.iter().filter(is_due).collect();
+        if due.is_empty() {
+            return None;
+        }
+        let index = (random() * 2.0 * candidates.len() as f64) as usize;
+        due.get(index).map(|replica| **replica)
+    }
+
+    /// Returns the slots that the owner of a replica grants, as far as known.
+    fn granted_slots(&self, replica: &ReplicaRecord, stats: &ReplicaStats) -> u32 {
+        if !self.replicas_may_degrade || stats.load_at_ms.is_none() {
+            return replica.slots;
+        }
+        u32::from(stats.load.slots).min(replica.slots)
+    }
+
+    /// Returns the usual duration of runs at the replicas of a service, or 0 if it is not known.
+    fn usual_ms(&self, candidates: &[&ReplicaRecord]) -> u16 {
+        if !self.replicas_may_degrade {
+            return 0;
+        }
+        speed::usual_ms(candidates.iter().map(|replica| self.health(&replica.name).run_ms))
+    }
+
+    fn cost(
+        &self,
+        replica: &ReplicaRecord,
+        class: Class,
+        own_data_centre: &DataCentre,
+        usual_ms: u16,
+    ) -> f64 {
         let stats = self.replicas.get(&replica.name).copied().unwrap_or_default();
-        let slots = f64::from(replica.slots.max(1));
+        let granted = self.granted_slots(replica, &stats);
+        let slots = f64::from(granted.max(1));
         let requested = stats.requested_since_load;
         let (online, total) = if stats.load_at_ms.is_some() {
             let load = stats.load;
@@ -158,6 +279,19 @@
         } else if f64::from(total) >= slots {
             cost += REVOKE_COST;
         }
+        if self.replicas_may_degrade {
+            let slowness = speed::slowness(stats.health.run_ms, usual_ms);
+            let waiting = f64::from(ahead) + 1.0 - slots;
+            if waiting > 0.0 {
+                // The expected wait, in usual runs, instead of the occupied share.
+                cost += slowness * waiting / slots - f64::from(ahead) / slots;
+            }
+            cost += SLOW_COST * (slowness - USUAL_SLOWNESS).max(0.0);
+            cost += FAILURE_COST * stats.health.cautious_failure_share();
+            if granted == 0 || (granted == TRIAL_SLOTS && replica.slots > TRIAL_SLOTS) {
+                cost += WITHHELD_COST;
+            }
+        }
         if stats.load.is_suspect {
             cost += SUSPECT_COST;
         }
@@ -171,3 +305,21 @@
         self.replicas.entry(replica.clone()).or_default()
     }
 }
+
+/// Keeps a few random replicas of those that have a free slot, if any, so that daemons that know the
+/// same loads choose different replicas even if one is far less occupied than all others.
+fn sample_free(costs: &mut Vec<(f64, &ReplicaRecord)>, mut random: impl FnMut() -> f64) {
+    let is_any_below = |limit: f64| costs.iter().any(|(cost, _)| *cost < limit);
+    // A free slot comes before that of a batch item, so that sampling revokes no item needlessly.
+    let Some(limit) = [REVOKE_COST, WAIT_COST].into_iter().find(|limit| is_any_below(*limit))
+    else {
+        return;
+    };
+    costs.retain(|(cost, _)| *cost < limit);
+    for kept in 0..costs.len().min(MAX_COMPARED) {
+        let left = costs.len() - kept;
+        let other = kept + ((random() * left as f64) as usize).min(left - 1);
+        costs.swap(kept, other);
+    }
+    costs.truncate(MAX_COMPARED);
+}
--- a/crates/slots/src/client.rs
+++ b/crates/slots/src/client.rs
@@ -20,8 +20,7 @@
 use peers::Topic;
 use peers::Transport;
 use peers::heartbeat::Datagram;
-use peers::transport::decode;
-use peers::transport::decode_extended;
+use peers::transport::decode_prefix;
 use rand::Rng;
 use wire::DaemonName;
 use wire::Millis;
@@ -31,6 +30,7 @@
 use wire::ServiceName;
 
 use crate::balancer::Balancer;
+use crate::extension::Extension;
 use crate::fair_share::Share;
 use crate::lease::HeldRun;
 use crate::lease::Revocation;
@@ -42,6 +42,9 @@
 use crate::message::ToHolder;
 use crate::message::ToOwner;
 use crate::message::Urgency;
+use crate::outcomes::PendingOutcomes;
+use crate::outlier::Detector;
+use crate::outlier::HealthSummary;
 use crate::request::NoSlot;
 use crate::request::SlotRequest;
 use crate::search::GrantState;
@@ -59,6 +62,8 @@
 pub(crate) struct Inner {
     pub(crate) tables: HashMap<ReplicaName, SlotTable>,
     pub(crate) balancer: Balancer,
+    pub(crate) detectors: HashMap<ReplicaName, Detector>,
+    pub(crate) outcomes: PendingOutcomes,
     pending: HashMap<Ticket, Rc<PendingGrant>>,
     held: HashMap<Ticket, HeldRun>,
     last_run_at_ms: HashMap<ReplicaName, Millis>,
@@ -216,13 +221,21 @@
 
     /// Records a success of a replica, which ends its ejection.
     pub fn record_success(&self, replica: &ReplicaName) {
-        self.inner.borrow_mut().balancer.record_success(replica);
+        let mut inner = self.inner.borrow_mut();
+        inner.balancer.record_success(replica);
+        if inner.balancer.replicas_may_degrade() {
+            inner.outcomes.record_success(replica);
+        }
     }
 
     /// Records a failure of a replica, which ejects it for a while.
     pub fn record_failure(&self, replica: &ReplicaName, cause: &str) {
         let now_ms = self.clock.now_ms();
         let ejection_ms = self.inner.borrow_mut().balancer.record_failure(now_ms, replica);
+        self.report_ejection(replica, cause, ejection_ms);
+    }
+
+    pub(crate) fn report_ejection(&self, replica: &ReplicaName, cause: &str, ejection_ms: Millis) {
         if ejection_ms > 0 {
             self.counters.count_tagged("replica_ejected", "cause", cause);
             info!("event=replica_ejected replica={replica} cause={cause} for_ms={ejection_ms}");
@@ -302,17 +315,30 @@
         let mut inner = self.inner.borrow_mut();
         inner.balancer.remove(replica);
         inner.tables.remove(replica);
+        inner.detectors.remove(replica);
+        inner.outcomes.take(replica);
         inner.last_run_at_ms.remove(replica);
     }
 
     /// Records the replica loads that a peer's heartbeat carries.
     pub fn apply_loads(&self, payload: &[u8]) {
         let now_ms = self.clock.now_ms();
-        let Some(reports) = decode::<Vec<LoadReport>>(Topic::Slots, payload) else { return };
+        let Some((reports, rest)) = decode_prefix::<Vec<LoadReport>>(Topic::Slots, payload) else {
+            return;
+        };
         let mut inner = self.inner.borrow_mut();
-        for report in reports {
+        for report in &reports {
             inner.balancer.record_load(now_ms, &report.replica, report.load);
         }
+        if rest.is_empty() || !inner.balancer.replicas_may_degrade() {
+            return;
+        }
+        let Some((summaries, _)) = decode_prefix::<Vec<HealthSummary>>(Topic::Slots, rest) else {
+            return;
+        };
+        for (report, summary) in reports.iter().zip(summaries) {
+            inner.balancer.record_health(&report.replica, summary);
+        }
     }
 
     /// Sends each owner the list of runs that this daemon has at the owner's replicas.
@@ -469,7 +495,8 @@
     ) -> SlotLease {
         let revocation = Rc::new(Revocation::default());
         let mut inner = self.inner.borrow_mut();
-        let load = inner.balancer.load(self.clock.now_ms(), &replica.name);
+        let acquired_at_ms = self.clock.now_ms();
+        let load = inner.balancer.load(acquired_at_ms, &replica.name);
         inner.balancer.record_start(&replica.name);
         inner.held.insert(
             ticket,
@@ -482,7 +509,15 @@
             },
         );
         drop(inner);
-        SlotLease { replica, is_granted, load, revocation, ticket, slots: self.clone() }
+        SlotLease {
+            replica,
+            is_granted,
+            load,
+            acquired_at_ms,
+            revocation,
+            ticket,
+            slots: self.clone(),
+        }
     }
 
     pub(crate) fn release(&self, replica: &ReplicaName, ticket: Ticket) {
@@ -522,35 +557,37 @@
         self.send_to_owner(&owner, message, None);
     }
 
-    /// Sends a message to an owner; the share follows the message, where older builds, which decode
-    /// the message alone, ignore it.
+    /// Sends a message to an owner; the share or outcomes follow the message, where older builds,
+    /// which decode the message alone, ignore them.
     fn send_to_owner(&self, owner: &DaemonName, message: ToOwner, share: Option<Share>) {
         let membership = self.membership.borrow();
         if membership.own().name == *owner {
             drop(membership);
-            self.handle_as_owner(owner, message, share);
+            let extension = Extension { outcomes: self.take_outcomes(&message), share };
+            self.handle_as_owner(owner, message, extension);
             return;
         }
         if let Some(peer) = membership.peer(owner) {
+            let (ip, topic) = (peer.identity.ip, Topic::Slots);
+            let outcomes = self.take_outcomes(&message);
             let envelope = Envelope::ToOwner(message);
-            match share {
-                Some(share) => {
-                    self.transport.send(peer.identity.ip, Topic::Slots, &(envelope, share));
-                }
-                None => self.transport.send(peer.identity.ip, Topic::Slots, &envelope),
+            match (share, outcomes) {
+                (Some(share), _) => self.transport.send(ip, topic, &(envelope, share)),
+                (None, Some(outcomes)) => self.transport.send(ip, topic, &(envelope, outcomes)),
+                (None, None) => self.transport.send(ip, topic, &envelope),
             }
         }
     }
 
     fn handle_datagram(&self, datagram: &Datagram, _from: IpAddr) {
-        match decode_extended::<Envelope, Share>(Topic::Slots, &datagram.payload) {
-            Some((Envelope::ToOwner(message), share)) => {
-                self.handle_as_owner(&datagram.from, message, share);
-            }
-            Some((Envelope::ToHolder(replica, message), _)) => {
-                self.handle_as_holder(&replica, message)
+        let decoded = decode_prefix::<Envelope>(Topic::Slots, &datagram.payload);
+        let Some((envelope, rest)) = decoded else { return };
+        match envelope {
+            Envelope::ToOwner(message) => {
+                let extension = Extension::decode(&message, rest);
+                self.handle_as_owner(&datagram.from, message, extension);
             }
-            None => {}
+            Envelope::ToHolder(replica, message) => self.handle_as_holder(&replica, message),
         }
     }
 
--- /dev/null
+++ b/crates/slots/src/extension.rs
@@ -0,0 +1,32 @@
+//! What follows a message to an owner, where builds from before it ignore it.
+
+use peers::Topic;
+use peers::transport::decode_extension;
+
+use crate::fair_share::Share;
+use crate::message::ToOwner;
+use crate::outcomes::OutcomeReport;
+
+/// The parts that follow a message; a message has one of them at most, which its type determines.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Extension {
+    /// The organisation and the priority of a request for a slot.
+    pub share: Option<Share>,
+    /// The outcomes that go with a release or a list of runs.
+    pub outcomes: Option<OutcomeReport>,
+}
+
+impl Extension {
+    /// Decodes the bytes that follow `message`.
+    pub fn decode(message: &ToOwner, rest: &[u8]) -> Self {
+        match message {
+            ToOwner::Ask { .. } => {
+                Self { share: decode_extension(Topic::Slots, rest), outcomes: None }
+            }
+            ToOwner::Release { .. } | ToOwner::Held { .. } => {
+                Self { share: None, outcomes: decode_extension(Topic::Slots, rest) }
+            }
+            ToOwner::Suspect { .. } => Self::default(),
+        }
+    }
+}
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -8,12 +8,17 @@
 
 pub mod balancer;
 pub mod client;
+pub mod extension;
 pub mod fair_share;
+mod health;
 pub mod lease;
 pub mod message;
+pub mod outcomes;
+pub mod outlier;
 pub mod owner;
 pub mod request;
 mod search;
+pub mod speed;
 pub mod table;
 
 pub use client::Slots;
--- a/crates/slots/src/table.rs
+++ b/crates/slots/src/table.rs
@@ -55,6 +55,8 @@
     order_at_ms: Millis,
     granted_at_ms: Millis,
     charge: Option<Charge>,
+    /// Whether the run began with this grant; a run that its holder listed began earlier.
+    is_whole_run: bool,
     confirmed_at_ms: Millis,
     revoked_at_ms: Option<Millis>,
 }
@@ -66,6 +68,12 @@
     expected_ms: Millis,
 }
 
+impl Grant {
+    fn is_whole_online_run(&self) -> bool {
+        self.is_whole_run && self.class == Class::Online
+    }
+}
+
 #[derive(Clone, Debug)]
 struct QueuedRequest {
     ticket: Ticket,
@@ -136,6 +144,8 @@
 #[derive(Clone, Debug)]
 pub struct SlotTable {
     slots: u32,
+    /// How many of the slots may be granted.
+    limit: u32,
     grants: Vec<Grant>,
     queue: Vec<QueuedRequest>,
     inherited_runs: u32,
@@ -164,6 +174,7 @@
     pub fn inherit(slots: u32, occupied: u32, until_ms: Millis) -> Self {
         Self {
             slots,
+            limit: slots,
             grants: Vec::new(),
             queue: Vec::new(),
             inherited_runs: occupied,
@@ -181,6 +192,38 @@
         }
     }
 
+    /// Sets how many of the slots may be granted; grants in excess of it go on.
+    pub fn set_limit(&mut self, now_ms: Millis, limit: u32) -> Vec<TableAction> {
+        let limit = limit.min(self.slots);
+        if std::mem::replace(&mut self.limit, limit) >= limit {
+            return Vec::new();
+        }
+        self.update_grants(now_ms)
+    }
+
+    /// Returns how long an online run that began with its grant has had its slot.
+    pub fn online_run_ms(&self, now_ms: Millis, ticket: Ticket) -> Option<Millis> {
+        let is_run = |grant: &&Grant| grant.ticket == ticket && grant.is_whole_online_run();
+        let grant = self.grants.iter().find(is_run)?;
+        Some(now_ms.saturating_sub(grant.granted_at_ms))
+    }
+
+    /// Returns how long each online run that began with its grant has had its slot.
+    pub fn online_runs_ms(&self, now_ms: Millis) -> impl Iterator<Item = Millis> + '_ {
+        let online = self.grants.iter().filter(|grant| grant.is_whole_online_run());
+        online.map(move |grant| now_ms.saturating_sub(grant.granted_at_ms))
+    }
+
+    /// Returns how many of the slots may be granted.
+    pub fn limit(&self) -> u32 {
+        self.limit
+    }
+
+    /// Returns the number of slots of the replica.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
     /// Marks the replica as probed; returns whether it was not probed before.
     pub fn begin_first_probe(&mut self) -> bool {
         !std::mem::replace(&mut self.has_been_probed, true)
@@ -195,7 +238,7 @@
             |class: Class| saturate(self.queue.iter().filter(|r| r.class == class).count());
         let orphaned = saturate(self.orphaned_runs as usize);
         Load {
-            slots: saturate(self.slots as usize),
+            slots: saturate(self.limit as usize),
             // Orphaned runs count as online, since neither can be revoked.
             online: count(Class::Online).saturating_add(orphaned),
             batch: count(Class::Batch),
@@ -320,6 +363,7 @@
                 order_at_ms: now_ms.saturating_add(run.urgency.order_left_ms),
                 granted_at_ms: now_ms,
                 charge: None,
+                is_whole_run: false,
                 confirmed_at_ms: now_ms,
                 revoked_at_ms: None,
             });
@@ -397,7 +441,7 @@
         }
         let inherited = if now_ms < self.inherited_until_ms { self.inherited_runs } else { 0 };
         let runs_without_grant = inherited.max(self.orphaned_runs);
-        while runs_without_grant.saturating_add(self.grants.len() as u32) < self.slots {
+        while runs_without_grant.saturating_add(self.grants.len() as u32) < self.limit {
             let Some(next) = self.next_to_grant(now_ms) else { break };
             let queued = self.queue.swap_remove(next);
             let charge = self.charge(&queued);
@@ -411,6 +455,7 @@
                 order_at_ms: queued.order_at_ms,
                 granted_at_ms: now_ms,
                 charge,
+                is_whole_run: true,
                 confirmed_at_ms: now_ms,
                 revoked_at_ms: None,
             });
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -95,6 +95,7 @@
                 store: store_link.address,
                 grace_s: GRACE_S,
                 status_s: STATUS_RETENTION_S,
+                contracts: Vec::new(),
                 is_first_start: true,
                 memory_mb: SMALLEST_MEMORY_MB,
                 max_fds: USUAL_MAX_FDS,
--- a/crates/wire/src/node.rs
+++ b/crates/wire/src/node.rs
@@ -110,6 +110,8 @@
     pub time_limits: TimeLimits,
     /// The bounds on the excess over the quotas of organisations.
     pub quota: QuotaBounds,
+    /// Whether replicas may fail or slow down while they report good health.
+    pub replicas_may_degrade: bool,
     /// The platform's store.
     pub store: StoreSettings,
 }
