--- a/crates/gate/src/caller.rs
+++ b/crates/gate/src/caller.rs
@@ -99,6 +99,14 @@
     ) -> Result<Caller, Refusal> {
         let in_force = self.in_force.borrow();
         let caller = match in_force.current() {
+            // A newer configuration may have organisations, whose keys replicas must not get.
+            Some(configuration)
+                if key.is_some()
+                    && !configuration.has_organisations()
+                    && in_force.is_outdated() =>
+            {
+                return Err(outdated_key());
+            }
             Some(configuration) => identify(configuration, route.is_open, key),
             None => Some(Caller::Unchecked),
         };
@@ -140,7 +148,7 @@
             // Organisations that were removed cannot be told from those that never were.
             Caller::Unchecked => Ok(()),
             current if current == *caller => Ok(()),
-            _ => Err(self.outdated_key()),
+            _ => Err(outdated_key()),
         }
     }
 
@@ -163,7 +171,7 @@
         let list = self.slots.list_state();
         let is_cut_off = list.store_age_ms.is_none_or(|age_ms| age_ms > MAX_CONTACT_GAP_MS);
         if self.in_force.borrow().is_outdated() || is_cut_off {
-            return self.outdated_key();
+            return outdated_key();
         }
         Refusal::not_run(Reason::Unauthenticated, "send a valid key")
     }
@@ -174,9 +182,9 @@
         let needs_key = in_force.current().is_some_and(|current| current.has_organisations());
         key.filter(|_| needs_key).map_or("-".to_owned(), ApiKey::to_string)
     }
+}
 
-    fn outdated_key(&self) -> Refusal {
-        let message = "the key may be one of a newer configuration, which is on its way";
-        Refusal::not_run(Reason::OutdatedBundle, message).with_retry_after(UNCONFIGURED_RETRY_MS)
-    }
+fn outdated_key() -> Refusal {
+    let message = "the key may be one of a newer configuration, which is on its way";
+    Refusal::not_run(Reason::OutdatedBundle, message).with_retry_after(UNCONFIGURED_RETRY_MS)
 }
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -528,7 +528,7 @@
         lease: &SlotLease,
         failure: SendFailure,
     ) {
-        let replica = &lease.replica.name;
+        let replica = &lease.replica;
         match failure {
             SendFailure::TurnedAway | SendFailure::ReplicaLeaving | SendFailure::NoMemory => {}
             SendFailure::ServerError => self.slots.record_server_error(replica, &request.id),
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -124,6 +124,12 @@
         loop {
             match self.read_events().await {
                 Err(failure) if self.attempt.policy().is_resumable => self.resume(failure).await?,
+                Err(failure) => {
+                    if let Some(lease) = &self.lease {
+                        self.gateway.record_failed_run(&self.request, lease, failure);
+                    }
+                    return Err(failure);
+                }
                 finished => return finished,
             }
         }
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -301,10 +301,14 @@
         match answer.head.status {
             StatusCode::UNPROCESSABLE_ENTITY => return (ItemRunEnd::Impossible, "answered_422"),
             StatusCode::INTERNAL_SERVER_ERROR => {
-                self.deps.slots.record_server_error(&lease.replica.name, &request.id);
+                self.deps.slots.record_server_error(&lease.replica, &request.id);
                 return (ItemRunEnd::Failed, "answered_500");
             }
             status if !status.is_success() => {
+                // Other errors are the item's fault, whichever replica runs it.
+                if status.is_server_error() {
+                    self.deps.slots.record_failed_run(&lease.replica, &request.id);
+                }
                 return self.record_replica_failure(&request.id, lease, SendFailure::ServerError);
             }
             _ if !answer.head.may_have_events() => {
@@ -410,7 +414,9 @@
             self.deps.slots.report_suspect(&replica.name);
         }
         if !matches!(failure, SendFailure::TurnedAway | SendFailure::NoMemory) {
-            self.deps.slots.record_failed_run(&replica.name, request);
+            if failure != SendFailure::ServerError {
+                self.deps.slots.record_failed_run(replica, request);
+            }
             self.deps.slots.record_failure(&replica.name, failure.as_str());
             self.deps.pool.close_idle(replica.address);
         }
--- a/crates/kernel/src/local_server.rs
+++ b/crates/kernel/src/local_server.rs
@@ -381,6 +381,8 @@
         let mut is_kept = false;
         let result = loop {
             tokio::select! {
+                // A request that has arrived is read before its connection may be replaced.
+                biased;
                 result = connection.as_mut() => break Some(result),
                 () = lifecycle.closing.cancelled(), if !is_closing => {
                     is_closing = true;
--- a/crates/slots/src/health.rs
+++ b/crates/slots/src/health.rs
@@ -36,15 +36,20 @@
     }
 
     /// Records a failed run for the owner of the replica.
-    pub fn record_failed_run(&self, replica: &ReplicaName, request: &RequestId) {
+    ///
+    /// Failures of an incarnation that leaves or is gone would count against its successor.
+    pub fn record_failed_run(&self, replica: &ReplicaRecord, request: &RequestId) {
+        if !self.is_usable(replica) {
+            return;
+        }
         let mut inner = self.inner.borrow_mut();
         if inner.balancer.replicas_may_degrade() {
-            inner.outcomes.record_failure(replica, request);
+            inner.outcomes.record_failure(&replica.name, request);
         }
     }
 
     /// Records an answer of 500 or above, for the owner and for the ejection by this daemon.
-    pub fn record_server_error(&self, replica: &ReplicaName, request: &RequestId) {
+    pub fn record_server_error(&self, replica: &ReplicaRecord, request: &RequestId) {
         if !self.replicas_may_degrade() {
             return;
         }
@@ -52,8 +57,8 @@
         let now_ms = self.clock.now_ms();
         let hash = request_hash(request);
         let ejection_ms =
-            self.inner.borrow_mut().balancer.record_server_error(now_ms, replica, hash);
-        self.report_ejection(replica, "server_error", ejection_ms);
+            self.inner.borrow_mut().balancer.record_server_error(now_ms, &replica.name, hash);
+        self.report_ejection(&replica.name, "server_error", ejection_ms);
     }
 
     /// Takes the outcomes that go with a message to the owner of a replica.
--- a/crates/slots/src/table.rs
+++ b/crates/slots/src/table.rs
@@ -493,7 +493,7 @@
     /// Revokes the slot of one batch item for each queued online request: first those of items that
     /// will be late anyway, then those with the highest sort key less the time already run, so that
     /// among equal items the shortest run is interrupted. A slot is revoked again only if no other
-    /// is left.
+    /// is left. No more are revoked than leave a slot that may be granted.
     fn revoke_for_online(&mut self, now_ms: Millis, actions: &mut Vec<TableAction>) {
         let needed = self.queue.iter().filter(|queued| queued.class == Class::Online).count();
         let is_awaited = |grant: &Grant| {
@@ -507,6 +507,7 @@
                 .is_none_or(|revoked_at_ms| now_ms >= revoked_at_ms + REVOKE_RESEND_MS)
         };
         let awaited = self.grants.iter().filter(|grant| is_awaited(grant)).count();
+        let needed = if self.limit < self.slots { self.grantable(needed) } else { needed };
         for _ in awaited..needed {
             let victim = self
                 .grants
@@ -527,6 +528,13 @@
         }
     }
 
+    /// Returns how many revoked slots, `needed` at most, could be granted with slots withheld; the
+    /// first ones revoked only bring the occupied slots down to the limit.
+    fn grantable(&self, needed: usize) -> usize {
+        let over_limit = self.grants.len().saturating_sub(self.limit as usize);
+        if self.limit == 0 { 0 } else { needed.min(self.limit as usize) + over_limit }
+    }
+
     /// Returns the sort key of a queued request; the lowest is served first.
     ///
     /// Requests without a share have the same priority and virtual start, so that these decide
--- a/crates/slots/tests/table.rs
+++ b/crates/slots/tests/table.rs
@@ -324,3 +324,17 @@
     assert_eq!(table.load().slots, u16::MAX);
     assert_eq!(table.load().online, u16::MAX);
 }
+
+// Guards against items that are interrupted for online requests that get no slot, since the owner
+// withholds it.
+#[test]
+fn no_item_is_revoked_for_a_slot_that_is_withheld() {
+    let mut table = SlotTable::new(4);
+    for ticket in 1..=4 {
+        table.request(0, grant_request(ticket, Class::Batch, 10_000));
+    }
+    table.set_limit(0, 0);
+    assert!(revokes(&table.request(1, grant_request(9, Class::Online, 100))).is_empty());
+    let revoked = revokes(&table.set_limit(2, 2));
+    assert_eq!(revoked.len(), 3, "one of two slots is freed, beside the two that are withheld");
+}
