Count submissions that are being written as waiting tokens

Causes, found by reading in review: submissions that came while the store was slow were all checked against the same sum, so that the limit of waiting tokens could be exceeded at one daemon; a forwarded end of a job without a definite answer was answered 503, though its home may have ended the job; a caller without an organisation got 202 for the id of another organisation's job elsewhere. Change: PendingSubmissions, 502 for such an end, and the owner is checked. Result: cargo test -p jobs passes.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod serve;
 pub mod status;
 pub mod status_writer;
+pub mod submissions;
 pub mod sweep;
 
 pub use codec::JobCodec;
--- a/crates/jobs/src/manager.rs
+++ b/crates/jobs/src/manager.rs
@@ -45,6 +45,8 @@
 use crate::record::Home;
 use crate::retention::UnheldJobs;
 use crate::run_time::RunTimeEstimate;
+use crate::submissions::PendingSubmissions;
+use crate::submissions::PendingTokens;
 
 /// The due time of a job whose route sets none.
 const DEFAULT_DUE_MS: Millis = 60_000;
@@ -177,6 +179,7 @@
     pub(crate) measured_ms: Cell<Millis>,
     remote_homes: RefCell<HashMap<JobId, Home>>,
     peer_waiting_tokens: RefCell<HashMap<DaemonName, Vec<WaitingTokens>>>,
+    pending_submissions: PendingSubmissions,
 }
 
 impl JobManager {
@@ -201,6 +204,7 @@
             measured_ms: Cell::new(0),
             remote_homes: RefCell::new(HashMap::new()),
             peer_waiting_tokens: RefCell::new(HashMap::new()),
+            pending_submissions: PendingSubmissions::default(),
         })
     }
 
@@ -219,7 +223,7 @@
     /// Jobs whose home is unconfirmed are left out: peers would forward calls to this daemon.
     pub fn encode_jobs(self: &Rc<Self>) -> Attachment {
         self.check_for_pause();
-        let mut waiting: HashMap<u64, u64> = HashMap::new();
+        let mut waiting = self.pending_submissions.all();
         let mut jobs = Vec::new();
         for (id, handle) in self.jobs.borrow().iter() {
             let job = handle.job.borrow();
@@ -303,12 +307,24 @@
             .filter(|job| {
                 self.route_of(job).is_some_and(|other| queue_hash(&other, organisation) == hash)
             })
-            .fold(0, |sum: u64, job| sum.saturating_add(job.waiting_tokens()));
+            .fold(self.pending_submissions.tokens(hash), |sum: u64, job| {
+                sum.saturating_add(job.waiting_tokens())
+            });
         let peers = self.peer_waiting_tokens.borrow();
         let others = peers.values().flatten().filter(|waiting| waiting.route == hash);
         others.fold(own, |sum, waiting| sum.saturating_add(waiting.tokens))
     }
 
+    /// Counts the tokens of a submission as waiting until the returned value is dropped.
+    pub(crate) fn add_pending_submission(
+        &self,
+        route: &Route,
+        organisation: Option<&OrgName>,
+        tokens: u64,
+    ) -> PendingTokens {
+        self.pending_submissions.add(queue_hash(route, organisation), tokens)
+    }
+
     /// Forgets the waiting tokens of a lost daemon; the homes that adopt its jobs report them anew.
     pub fn forget_waiting_tokens(&self, daemon: &DaemonName) {
         self.peer_waiting_tokens.borrow_mut().remove(daemon);
--- a/crates/jobs/src/serve.rs
+++ b/crates/jobs/src/serve.rs
@@ -47,6 +47,7 @@
 use crate::record::INPUT_KIND;
 use crate::record::JOB_KIND;
 use crate::record::JobRecord;
+use crate::submissions::PendingTokens;
 
 /// The maximum size of the results in one answer, in bytes.
 const MAX_RESULTS_BYTES: usize = 900 << 10;
@@ -156,6 +157,7 @@
             JobCall::Unknown => return (StatusCode::NOT_FOUND, Bytes::new()),
         };
         let mut denied_by = None;
+        let mut was_end_forwarded = false;
         for _ in 0..MAX_LOOKUPS {
             let home = match self.locate(&job) {
                 JobLocation::Local(handle) => {
@@ -187,7 +189,7 @@
                         self.forget_home(&job);
                         denied_by = home;
                     }
-                    None => {}
+                    None => was_end_forwarded |= matches!(call, JobCall::End { .. }),
                 }
             }
             match self.load(&job, READ_TIMEOUT).await {
@@ -219,7 +221,13 @@
                 }
             }
         }
-        (StatusCode::SERVICE_UNAVAILABLE, Bytes::new())
+        // 503 would promise that the job was not ended, which its home may have done.
+        let status = if was_end_forwarded {
+            StatusCode::BAD_GATEWAY
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        (status, Bytes::new())
     }
 
     /// Answers as the job's home; returns `None` if this daemon is not the home or cannot be sure.
@@ -412,7 +420,7 @@
             return Ok(());
         }
         let organisation = caller.organisation();
-        self.check_quota(id, route, organisation, &submission)?;
+        let pending_tokens = self.check_quota(id, route, organisation, &submission)?;
         let pauses_before = self.pauses();
         let submitted_ms = self.now_ms();
         let host = &*route.host;
@@ -460,7 +468,7 @@
             self.now_ms().saturating_sub(submitted_ms),
             self.waiting_tokens(route, organisation)
         );
-        drop(reserved);
+        drop((reserved, pending_tokens));
         let handle = self.add_job_since(job, pauses_before);
         if self.is_leaving() {
             self.spawn_handover(handle);
@@ -474,7 +482,7 @@
         let handle = match self.locate(id) {
             JobLocation::Unknown => return Ok(Novelty::New),
             JobLocation::Local(handle) => handle,
-            JobLocation::Remote(_) if caller.organisation().is_none() => {
+            JobLocation::Remote(_) if *caller == Caller::Unchecked => {
                 return Ok(Novelty::Repeated);
             }
             JobLocation::Remote(_) => match self.load(id, READ_TIMEOUT).await {
@@ -506,12 +514,13 @@
         route: &Route,
         organisation: Option<&OrgName>,
         submission: &Submission,
-    ) -> Result<(), Refusal> {
-        let Some(max_tokens) = route.max_waiting_tokens else { return Ok(()) };
-        let waiting = self.waiting_tokens(route, organisation);
+    ) -> Result<PendingTokens, Refusal> {
         let tokens = submission.tokens();
+        let pending = || self.add_pending_submission(route, organisation, tokens);
+        let Some(max_tokens) = route.max_waiting_tokens else { return Ok(pending()) };
+        let waiting = self.waiting_tokens(route, organisation);
         if waiting.saturating_add(tokens) <= max_tokens {
-            return Ok(());
+            return Ok(pending());
         }
         info!(
             "event=job_over_quota job={id} organisation=\"{}\" tokens={tokens} waiting={waiting} \
