--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -83,7 +83,7 @@
         let (reason, message) = match self {
             Self::TooLarge => (Reason::TooLarge, "the body is over the limit"),
             Self::Full => (Reason::NoMemory, "the memory for bodies is used up"),
-            Self::Evicted => (Reason::NoMemory, "the body gave way to one that makes progress"),
+            Self::Evicted => (Reason::NoMemory, "the body was evicted in favour of another one"),
             Self::Idle => (Reason::SlowBody, "no byte of the body came for too long"),
             Self::Trickle => (Reason::SlowBody, "the body came too slowly"),
             Self::Late => (Reason::Deadline, "the body was not complete in time"),
--- a/crates/gate/src/caller.rs
+++ b/crates/gate/src/caller.rs
@@ -137,7 +137,7 @@
     }
 
     /// Returns the refusal of a request that waited for a slot and whose caller is no longer the one
-    /// that was let in, since a newer configuration came into force meanwhile.
+    /// that was admitted, since a newer configuration came into force meanwhile.
     pub(crate) fn check_waiting_caller(
         &self,
         route: &Route,
--- a/crates/gate/src/gateway.rs
+++ b/crates/gate/src/gateway.rs
@@ -248,7 +248,7 @@
         self.forward(route, caller, meta, parts, body, report).await
     }
 
-    /// Answers a call about a job; a key that goes away while a read waits reads nothing.
+    /// Answers a call about a job; a key that is revoked while a read waits reads nothing.
     async fn serve_job_call(&self, call: JobCall, parts: &Parts) -> Response<LocalBody> {
         let key = self.codec.decode_key(&parts.headers);
         let caller = match self.authenticate_job_call(key.as_ref()) {
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -235,7 +235,7 @@
         self.deps.slots.acquire(&slot_request).await.ok()
     }
 
-    /// Returns the caller as whom the items of a job run; a key that goes away ends no job.
+    /// Returns the caller as whom the items of a job run; a revoked key ends no job.
     fn item_caller(&self, handle: &JobHandle) -> Caller {
         if let Some(organisation) = &handle.job.borrow().organisation {
             return Caller::Member(organisation.clone());
--- a/crates/jobs/src/serve.rs
+++ b/crates/jobs/src/serve.rs
@@ -434,7 +434,7 @@
                     .with_retry_after(RETRY_AFTER_MS));
             }
             Ok(Err(StoreError::RateLimited)) => {
-                let message = "the store takes no more calls now";
+                let message = "the store's call rate is exceeded";
                 return Err(Refusal::not_run(Reason::StoreUnavailable, message)
                     .with_retry_after(RETRY_AFTER_MS));
             }
@@ -594,7 +594,7 @@
                 Ok(Creation::Repeated)
             }
             Reply::Conflict(None) => Ok(Creation::Repeated),
-            _ => Err(StoreError::Unknown("the store's answer makes no sense".to_owned())),
+            _ => Err(StoreError::Unknown("the store's answer is of an unexpected kind".to_owned())),
         }
     }
 }
--- a/crates/kernel/src/connection_table.rs
+++ b/crates/kernel/src/connection_table.rs
@@ -35,7 +35,7 @@
 
 /// The open connections of a server.
 ///
-/// At the bound an idle connection is closed for a new one. The load it answers: clients that open
+/// At the bound an idle connection is closed for a new one. Designed for clients that open
 /// connections and send nothing, or heads that never end, beside clients that keep a few idle
 /// connections. The former are closed first, the oldest of them first.
 #[derive(Debug)]
--- a/crates/kernel/src/request_body.rs
+++ b/crates/kernel/src/request_body.rs
@@ -97,7 +97,7 @@
             let part = tokio::select! {
                 biased;
                 () = poll_fn(|context| self.reservation.poll_evicted(context)) => {
-                    return Err(no_memory("the body gave way to one that makes progress"));
+                    return Err(no_memory("the body was evicted in favour of another one"));
                 }
                 part = tokio::time::timeout(IDLE_TIMEOUT, parts.next()) => part,
             };
@@ -152,7 +152,7 @@
             Refusal::not_run(Reason::TooLarge, "the body does not fit into the memory for bodies")
         }
         BodyRefusal::Full => no_memory("the memory for bodies is used up"),
-        BodyRefusal::Evicted => no_memory("the body gave way to one that makes progress"),
+        BodyRefusal::Evicted => no_memory("the body was evicted in favour of another one"),
     }
 }
 
--- a/crates/node/src/connection_bounds.rs
+++ b/crates/node/src/connection_bounds.rs
@@ -4,7 +4,7 @@
 const RESERVED_DESCRIPTORS: u64 = 200;
 /// The parts into which the other descriptors are divided.
 const PARTS: u64 = 32;
-/// The parts for clients' requests. As many stay for the connections to replicas, of which each request
+/// The parts for clients' requests. As many are left for the connections to replicas, of which each request
 /// needs one.
 const INGRESS_PARTS: u64 = 12;
 /// The parts for control calls of other daemons.
--- a/crates/quota/src/allowance.rs
+++ b/crates/quota/src/allowance.rs
@@ -2,12 +2,12 @@
 
 use wire::Millis;
 
-/// The share of the overage that pays for the life of a credit, as a divisor.
+/// The share of the overage that covers the life of a credit, as a divisor.
 const CREDIT_LIFE_DIVISOR: f64 = 4.0;
 /// The bounds of the life of a credit: a round trip takes some milliseconds, and a longer life than
 /// the upper bound would leave credit where the demand was.
 const CREDIT_LIFE_MS: (f64, f64) = (40.0, 250.0);
-/// The part of the remaining allowance that the fixed shares take; the rest pays for the initial levels
+/// The part of the remaining allowance that the fixed shares take; the rest covers the initial levels
 /// of buckets and for votes that are delayed for longer than [`crate::election::VOTE_DELAY_MS`].
 const FIXED_PART: f64 = 0.5;
 
--- a/crates/quota/src/core.rs
+++ b/crates/quota/src/core.rs
@@ -27,7 +27,7 @@
 use crate::owner::Owner;
 use crate::owner::Sender;
 
-/// How long after its first start a daemon spends its fixed share, so that it knows the others.
+/// The time after the first start from which a daemon may spend its fixed share, so that it knows the others.
 const FIRST_FIXED_MS: Millis = 2_000;
 
 /// The time after which a client may try again if no owner answers: about that until there is one.
--- a/crates/quota/src/holder.rs
+++ b/crates/quota/src/holder.rs
@@ -280,7 +280,7 @@
         expired.map(|spare| (spare.source, spare.count)).collect()
     }
 
-    /// Returns whether nothing is worth keeping.
+    /// Returns whether the account can be dropped.
     pub fn is_idle(&self, now_ms: Millis, window_ms: Millis) -> bool {
         self.waiting.is_empty()
             && self.sharing.is_empty()
@@ -288,7 +288,7 @@
     }
 
     fn drop_old_asks(&mut self, now_ms: Millis, life_ms: Millis) {
-        // Answers that come later are unknown then, and their credit is lost to this window.
+        // The credit of an answer that comes later is not spent and expires at the owner.
         self.pending.retain(|ask| now_ms < ask.sent_ms.saturating_add(life_ms));
     }
 
--- a/crates/slots/src/balancer.rs
+++ b/crates/slots/src/balancer.rs
@@ -155,7 +155,7 @@
         ejection_ms
     }
 
-    /// Removes a replica that is gone or was restarted.
+    /// Removes a replica that is gone.
     pub fn remove(&mut self, replica: &ReplicaName) {
         self.replicas.remove(replica);
     }
--- a/crates/slots/src/outlier.rs
+++ b/crates/slots/src/outlier.rs
@@ -350,7 +350,7 @@
     fn reduce(&mut self, now_ms: Millis, service_rate: f64) -> f64 {
         let evidence = self.evidence(now_ms, service_rate);
         if self.stage == Stage::Out {
-            // Failures of runs that began before the trial was due say nothing new.
+            // Failures that arrive before the trial was due belong to runs before it.
             if now_ms >= self.trial_at_ms {
                 self.delay_trial(now_ms);
             }
--- a/crates/slots/src/speed.rs
+++ b/crates/slots/src/speed.rs
@@ -15,7 +15,7 @@
 const MIN_RUNS: usize = 5;
 /// The most runs for which one run that goes on counts; a single long answer outweighs no others.
 const MAX_WEIGHT: Millis = 4;
-/// How far from the service's usual duration an estimate is believed, as a factor.
+/// The bound on how far an estimate may differ from the service's usual duration, as a factor.
 const MAX_FACTOR: f64 = 10.0;
 
 /// The durations of the last runs at one replica.
