Take announcements in answers to earlier requests into account in the test of leaving replicas

Streams start in groups, one per free set of slots. If the replica begins to leave while a group reads its prompts, the heads of these answers announce it before any later request arrives, and then none arrives, as intended.

--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -45,15 +45,23 @@
     log.leaving_arrivals.iter().filter(|arrival| arrival.replica == replica).cloned().collect()
 }
 
-fn first_arrival_ms(fleet: &Fleet, replica: &str) -> u64 {
-    arrivals_at(fleet, replica).first().expect("a request reached the replica").at_ms
+/// Returns when a leaving replica got its first request or first announced that it leaves.
+///
+/// The announcement may come before any arrival, with the answer to a request that was running when the
+/// replica began to leave.
+fn leaving_since_ms(fleet: &Fleet, replica: &str) -> u64 {
+    let arrived_ms = arrivals_at(fleet, replica).first().map(|arrival| arrival.at_ms);
+    let log = fleet.deployment.log.borrow();
+    let announced_ms = log.first_announcements_ms.get(replica).copied();
+    let since_ms = arrived_ms.into_iter().chain(announced_ms).min();
+    since_ms.expect("the replica announced that it leaves")
 }
 
-/// Asserts that requests reached a leaving replica, but none later than the drain period after the
-/// first one.
+/// Asserts that a replica announced that it leaves, and that no request reached it later than the drain
+/// period after that.
 fn assert_drained(fleet: &Fleet, replica: &str) {
     let arrivals = arrivals_at(fleet, replica);
-    let drained_ms = first_arrival_ms(fleet, replica) + DRAIN_PERIOD.as_millis() as u64;
+    let drained_ms = leaving_since_ms(fleet, replica) + DRAIN_PERIOD.as_millis() as u64;
     let late: Vec<&LeavingArrival> =
         arrivals.iter().filter(|arrival| arrival.at_ms > drained_ms).collect();
     assert!(late.is_empty(), "{} late requests, the first is {:?}", late.len(), late[0]);
@@ -127,7 +135,7 @@
         let last_start_ms =
             job.iter().flat_map(|item| log.runs_of(&item.id)).map(|run| run.started_ms).max();
         drop(log);
-        let drained_ms = first_arrival_ms(&fleet, "engine-0") + DRAIN_PERIOD.as_millis() as u64;
+        let drained_ms = leaving_since_ms(&fleet, "engine-0") + DRAIN_PERIOD.as_millis() as u64;
         assert!(last_start_ms > Some(drained_ms), "all items had started within the drain period");
         assert_drained(&fleet, "engine-0");
     });
