--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -377,6 +377,33 @@
     });
 }
 
+/// Guards against a request that goes on waiting for a slot after its client has disconnected.
+#[test]
+fn request_of_a_disconnected_client_stops_waiting() {
+    run_local("left", |folder| async move {
+        let fleet = Fleet::start(folder, 1).await;
+        let daemon = fleet.ingress(0);
+        let busy: Vec<_> = (0..24)
+            .map(|number| {
+                let id = format!("busy{number}");
+                spawn_local(async move { Client.stream(daemon, STREAM, &id, 900).await })
+            })
+            .collect();
+        sleep(Duration::from_secs(1)).await;
+        let call = OutgoingRequest::stream(STREAM, "gone", 5);
+        let waiting = spawn_local(async move { Client.call(daemon, &call).await.is_ok() });
+        sleep(Duration::from_millis(200)).await;
+        waiting.abort();
+        // A separate thread writes the log.
+        sleep(Duration::from_millis(500)).await;
+        let log = std::fs::read_to_string(&fleet.daemons[0].log).expect("the log can be read");
+        let line = log.lines().find(|line| line.contains("event=request id=gone "));
+        let line = line.expect("the end of the request is logged");
+        assert!(line.contains("outcome=client_left") && line.contains("replica=- "), "{line}");
+        busy.iter().for_each(tokio::task::JoinHandle::abort);
+    });
+}
+
 fn replicas_may_degrade(settings: &mut DaemonSettings) {
     settings.contracts.push("health".to_owned());
 }
