Refuse requests at once that cannot be on time

Cause: an owner refused only after a request had timed out in its queue or was refused within the last second, so that slots that became free after an overload served waiting requests late. Change: slots::overload decides when a request is queued: the expected time until a slot follows from the ages of the runs, their mean duration and the queue. A refusal states a spread time to return, in an optional field after the complete message; the gate sends it as Retry-After, a third of the remaining time at most. As many are refused as can be served when they return; the others, those that were refused before and those that may have run are kept.

--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -14,6 +14,27 @@
 /// to a third of their time, and abandon an attempt that got no answer soon after that.
 const SLOT_WAIT_DIVISOR: Millis = 3;
 
+/// The shortest `Retry-After` of a refusal without a slot.
+pub const MIN_RETRY_AFTER_MS: Millis = 50;
+/// The `Retry-After` of a refusal without an expected time is the remaining time divided by this.
+const BLIND_RETRY_DIVISOR: Millis = 6;
+/// How much of its remaining time a client has lost at most when it gets a refusal, so that it still
+/// honours the longest `Retry-After`.
+const REFUSAL_DELAY_MS: Millis = 60;
+
+/// Returns the `Retry-After` of a refusal without a slot, `slot_in_ms` being when one is expected.
+///
+/// The owner has spread the times of the requests that it refused. Clients honour no wait of more than
+/// a third of their remaining time.
+pub fn retry_after_ms(remaining_ms: Millis, slot_in_ms: Option<Millis>) -> Millis {
+    let longest_ms = remaining_ms.saturating_sub(REFUSAL_DELAY_MS) / SLOT_WAIT_DIVISOR;
+    let wait_ms = match slot_in_ms {
+        Some(slot_in_ms) => slot_in_ms.min(longest_ms),
+        None => remaining_ms / BLIND_RETRY_DIVISOR,
+    };
+    wait_ms.max(MIN_RETRY_AFTER_MS)
+}
+
 /// The limits on retries of one attempt of a client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RetryPolicy {
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -36,9 +36,11 @@
 
 use crate::answer;
 use crate::attempt::Attempt;
+use crate::attempt::MIN_RETRY_AFTER_MS;
 use crate::attempt::NextAction;
 use crate::attempt::RetryPolicy;
 use crate::attempt::SendFailure;
+use crate::attempt::retry_after_ms;
 use crate::caller::Caller;
 use crate::codec::RequestMeta;
 use crate::exchange;
@@ -68,10 +70,6 @@
 const HEAD_SILENCE_TIMEOUT: Duration = Duration::from_millis(400);
 /// A replica may take this many times the route's objective before another replica is looked for.
 const HEAD_SILENCE_OBJECTIVES: Millis = 2;
-/// The `Retry-After` of a refusal is the remaining time of the request divided by this.
-const RETRY_AFTER_DIVISOR: Millis = 6;
-/// The shortest `Retry-After` of a refusal.
-const MIN_RETRY_AFTER_MS: Millis = 50;
 
 /// The least time that a run had before its request's deadline, for the deadline to count as a failure
 /// of the replica.
@@ -569,12 +567,12 @@
 
     fn give_up_without_slot(&self, attempt: &mut Attempt, no_slot: NoSlot) -> NextAction {
         let remaining_ms = attempt.policy().give_up_at_ms.saturating_sub(self.now_ms());
-        let retry_after_ms = (remaining_ms / RETRY_AFTER_DIVISOR).max(MIN_RETRY_AFTER_MS);
-        let reason = match no_slot {
-            NoSlot::NoReplica => Reason::NoBackend,
-            NoSlot::Full => Reason::Overload,
+        let (reason, slot_in_ms) = match no_slot {
+            NoSlot::NoReplica => (Reason::NoBackend, None),
+            NoSlot::Full => (Reason::Overload, None),
+            NoSlot::Late { slot_in_ms } => (Reason::Overload, Some(slot_in_ms)),
         };
-        attempt.give_up(reason, Some(retry_after_ms))
+        attempt.give_up(reason, Some(retry_after_ms(remaining_ms, slot_in_ms)))
     }
 
     /// Returns whether the replicas of a service are engines, whose slots have owners.
--- a/crates/gate/src/silent_run.rs
+++ b/crates/gate/src/silent_run.rs
@@ -168,7 +168,7 @@
                 return true;
             }
             Err(SendError::NoSlot(NoSlot::NoReplica)) => "no_replica",
-            Err(SendError::NoSlot(NoSlot::Full)) => "full",
+            Err(SendError::NoSlot(NoSlot::Full | NoSlot::Late { .. })) => "full",
             Err(SendError::Quarantined(_)) => "quarantined",
             Err(SendError::CallerRefused(_)) => "caller_refused",
             Err(SendError::Failed(failure)) => failure.as_str(),
--- a/crates/gate/tests/attempt.rs
+++ b/crates/gate/tests/attempt.rs
@@ -5,6 +5,7 @@
 use gate::attempt::RetryPolicy;
 use gate::attempt::SendFailure;
 use gate::attempt::SilenceAction;
+use gate::attempt::retry_after_ms;
 use wire::Ran;
 use wire::Reason;
 
@@ -170,3 +171,14 @@
         assert_eq!(attempt.next_on_silence(0), expected);
     }
 }
+
+/// Guards against a `Retry-After` of more than a third of the remaining time, which clients do not honour,
+/// and against a change for refusals without an expected time.
+#[test]
+fn retry_after_is_the_expected_time_within_a_third_of_the_remaining_time() {
+    assert_eq!(retry_after_ms(4_900, Some(1_300)), 1_300);
+    assert_eq!(retry_after_ms(4_900, Some(1_650)), 1_613, "a third of 4,840 ms");
+    assert_eq!(retry_after_ms(4_900, Some(0)), 50);
+    assert_eq!(retry_after_ms(30, Some(1_300)), 50);
+    assert_eq!(retry_after_ms(4_900, None), 816, "as before, a sixth");
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -217,6 +217,7 @@
     );
     let control = Rc::new(ControlClient::with_budget(budget.clone()));
     slots.set_replicas_may_degrade(settings.replicas_may_degrade);
+    slots.set_refuses_early(settings.refuses_early);
     let relay = PeerRelay { membership: membership.clone(), control: control.clone() };
     store.set_relay(Rc::new(relay));
     let pool = ConnectionPool::with_budget(
--- a/crates/slots/src/client.rs
+++ b/crates/slots/src/client.rs
@@ -30,6 +30,7 @@
 use wire::ServiceName;
 
 use crate::balancer::Balancer;
+use crate::extension::Expectation;
 use crate::extension::Extension;
 use crate::fair_share::Share;
 use crate::lease::HeldRun;
@@ -45,6 +46,7 @@
 use crate::outcomes::PendingOutcomes;
 use crate::outlier::Detector;
 use crate::outlier::HealthSummary;
+use crate::overload;
 use crate::request::NoSlot;
 use crate::request::SlotRequest;
 use crate::search::GrantState;
@@ -60,6 +62,8 @@
 
 #[derive(Default)]
 pub(crate) struct Inner {
+    /// Whether owned tables refuse requests that cannot be on time when they arrive.
+    pub(crate) refuses_early: bool,
     pub(crate) tables: HashMap<ReplicaName, SlotTable>,
     pub(crate) balancer: Balancer,
     pub(crate) detectors: HashMap<ReplicaName, Detector>,
@@ -189,7 +193,7 @@
                 return Ok(lease);
             }
             if search.is_refused() {
-                return Err(NoSlot::Full);
+                return Err(search.refusal(now_ms));
             }
             if search.has_only_leaving_replicas() {
                 return Err(NoSlot::NoReplica);
@@ -299,6 +303,11 @@
         self.inner.borrow().pending.values().for_each(|pending| pending.wake());
     }
 
+    /// Sets whether owners refuse online requests that cannot be on time when they arrive.
+    pub fn set_refuses_early(&self, refuses_early: bool) {
+        self.inner.borrow_mut().refuses_early = refuses_early;
+    }
+
     /// Sets the probe that queries the state of replicas.
     pub fn set_probe(&self, probe: Rc<dyn Probe>) {
         *self.probe.borrow_mut() = Some(probe);
@@ -541,12 +550,16 @@
         ticket: Ticket,
         now_ms: Millis,
     ) {
+        let mut give_up_left_ms = request.give_up_at_ms.saturating_sub(now_ms);
+        if request.waits_for_replica && self.inner.borrow().refuses_early {
+            give_up_left_ms = overload::wait_of_a_retry_ms(give_up_left_ms);
+        }
         let message = ToOwner::Ask {
             replica: replica.clone(),
             ticket,
             class: request.class,
             urgency: urgency(now_ms, request.on_time_at_ms, request.order_at_ms),
-            give_up_left_ms: request.give_up_at_ms.saturating_sub(now_ms),
+            give_up_left_ms,
         };
         self.send_to_owner(owner, message, request.share);
     }
@@ -587,7 +600,10 @@
                 let extension = Extension::decode(&message, rest);
                 self.handle_as_owner(&datagram.from, message, extension);
             }
-            Envelope::ToHolder(replica, message) => self.handle_as_holder(&replica, message),
+            Envelope::ToHolder(replica, message) => {
+                let expectation = Expectation::decode(&message, rest);
+                self.handle_as_holder(&replica, message, expectation);
+            }
         }
     }
 
@@ -596,26 +612,49 @@
         holder: &DaemonName,
         replica: &ReplicaName,
         message: ToHolder,
+    ) {
+        self.send_with_expectation(holder, replica, message, None);
+    }
+
+    /// Sends a message to a holder; the expectation follows the message, where older builds ignore it.
+    pub(crate) fn send_with_expectation(
+        &self,
+        holder: &DaemonName,
+        replica: &ReplicaName,
+        message: ToHolder,
+        expectation: Option<Expectation>,
     ) {
         let membership = self.membership.borrow();
         if membership.own().name == *holder {
             drop(membership);
-            self.handle_as_holder(replica, message);
+            self.handle_as_holder(replica, message, expectation);
             return;
         }
         if let Some(peer) = membership.peer(holder) {
+            let (ip, topic) = (peer.identity.ip, Topic::Slots);
             let envelope = Envelope::ToHolder(replica.clone(), message);
-            self.transport.send(peer.identity.ip, Topic::Slots, &envelope);
+            match expectation {
+                Some(expectation) => self.transport.send(ip, topic, &(envelope, expectation)),
+                None => self.transport.send(ip, topic, &envelope),
+            }
         }
     }
 
-    fn handle_as_holder(&self, replica: &ReplicaName, message: ToHolder) {
+    fn handle_as_holder(
+        &self,
+        replica: &ReplicaName,
+        message: ToHolder,
+        expectation: Option<Expectation>,
+    ) {
         let now_ms = self.clock.now_ms();
         let (ticket, state, load) = match message {
             ToHolder::Granted { ticket, load } => (ticket, GrantState::Granted, Some(load)),
             ToHolder::Queued { ticket, load } => (ticket, GrantState::Queued, Some(load)),
             ToHolder::NotOwner { ticket } => (ticket, GrantState::NotOwner, None),
-            ToHolder::Refused { ticket, load } => (ticket, GrantState::Refused, Some(load)),
+            ToHolder::Refused { ticket, load } => {
+                let slot_at_ms = expectation.map(|expectation| now_ms + expectation.slot_in_ms);
+                (ticket, GrantState::Refused { slot_at_ms }, Some(load))
+            }
             ToHolder::Revoked { ticket } => {
                 self.handle_revocation(replica, ticket);
                 return;
--- a/crates/slots/src/extension.rs
+++ b/crates/slots/src/extension.rs
@@ -1,9 +1,13 @@
-//! What follows a message to an owner, where builds from before it ignore it.
+//! What follows a message to an owner or a holder, where builds from before it ignore it.
 
 use peers::Topic;
 use peers::transport::decode_extension;
+use serde::Deserialize;
+use serde::Serialize;
+use wire::Millis;
 
 use crate::fair_share::Share;
+use crate::message::ToHolder;
 use crate::message::ToOwner;
 use crate::outcomes::OutcomeReport;
 
@@ -30,3 +34,18 @@
         }
     }
 }
+
+/// What follows an early refusal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Expectation {
+    /// How long until a slot is expected for the request.
+    pub slot_in_ms: Millis,
+}
+
+impl Expectation {
+    /// Decodes the bytes that follow `message`.
+    pub fn decode(message: &ToHolder, rest: &[u8]) -> Option<Self> {
+        let ToHolder::Refused { .. } = message else { return None };
+        decode_extension(Topic::Slots, rest)
+    }
+}
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod message;
 pub mod outcomes;
 pub mod outlier;
+pub mod overload;
 pub mod owner;
 pub mod request;
 mod search;
--- a/crates/slots/src/owner.rs
+++ b/crates/slots/src/owner.rs
@@ -18,6 +18,7 @@
 use crate::client::Inner;
 use crate::client::Probe;
 use crate::client::Slots;
+use crate::extension::Expectation;
 use crate::extension::Extension;
 use crate::message::LoadReport;
 use crate::message::ToHolder;
@@ -82,6 +83,9 @@
             let Inner { tables, balancer, detectors, .. } = &mut *inner;
             for (replica, table) in tables {
                 all.push((replica.clone(), table.tick(now_ms)));
+                if let Some(report) = table.take_refusal_report(now_ms) {
+                    info!("event=slots_refused_early replica={replica} {report}");
+                }
                 balancer.record_load(now_ms, replica, table.load());
                 if let Some(detector) = detectors.get_mut(replica) {
                     detector.update_run_ms(now_ms, table.online_runs_ms(now_ms));
@@ -256,6 +260,12 @@
                     self.counters.count("slots_refused");
                     self.send_to_holder(&holder, replica, ToHolder::Refused { ticket, load });
                 }
+                TableAction::RefuseEarly { holder, ticket, slot_in_ms } => {
+                    self.counters.count("slots_refused_early");
+                    let message = ToHolder::Refused { ticket, load };
+                    let expectation = Some(Expectation { slot_in_ms });
+                    self.send_with_expectation(&holder, replica, message, expectation);
+                }
                 TableAction::Revoke { holder, ticket } => {
                     self.counters.count("slots_revoked");
                     self.send_to_holder(&holder, replica, ToHolder::Revoked { ticket });
@@ -296,7 +306,8 @@
             .balancer
             .load(now_ms, replica)
             .map_or(0, |(load, _)| u32::from(load.online) + u32::from(load.batch));
-        let table = SlotTable::inherit(record.slots, occupied, until_ms);
+        let mut table = SlotTable::inherit(record.slots, occupied, until_ms);
+        table.set_refuses_early(inner.refuses_early);
         inner.tables.insert(replica.clone(), table);
         drop(inner);
         info!("event=replica_owned replica={replica} occupied={occupied}");
--- a/crates/slots/src/request.rs
+++ b/crates/slots/src/request.rs
@@ -36,4 +36,9 @@
     NoReplica,
     /// No slot became free in time, or the owners refused to queue the request.
     Full,
+    /// The owners refused to queue the request, since it would be late.
+    Late {
+        /// How long until a slot is expected for it.
+        slot_in_ms: Millis,
+    },
 }
--- a/crates/slots/src/search.rs
+++ b/crates/slots/src/search.rs
@@ -48,7 +48,10 @@
     /// The daemon that was asked does not own the replica.
     NotOwner,
     /// The owner did not queue the request, since too many requests are ahead of it.
-    Refused,
+    Refused {
+        /// When the owner expects a slot for the request, if it said so.
+        slot_at_ms: Option<Millis>,
+    },
 }
 
 /// The state that messages of the owner update, found by the ticket of the request.
@@ -101,6 +104,8 @@
     changed: Rc<Notify>,
     requests: Vec<OwnerRequest>,
     refused: Vec<ReplicaName>,
+    /// The earliest time at which an owner that refused the request expects a slot for it.
+    slot_at_ms: Option<Millis>,
     has_found_replica: bool,
     replicas_asked: u32,
 }
@@ -121,6 +126,7 @@
             changed,
             requests,
             refused,
+            slot_at_ms: None,
             has_found_replica: false,
             replicas_asked: 0,
         }
@@ -139,6 +145,14 @@
         has_asked_all || self.refused.len() >= self.max_queues()
     }
 
+    /// Returns why a request is refused that the owners did not queue.
+    pub(crate) fn refusal(&self, now_ms: Millis) -> NoSlot {
+        match self.slot_at_ms {
+            Some(at_ms) => NoSlot::Late { slot_in_ms: at_ms.saturating_sub(now_ms) },
+            None => NoSlot::Full,
+        }
+    }
+
     /// Returns whether the request is to be refused because all replicas of its service leave.
     pub(crate) fn has_only_leaving_replicas(&self) -> bool {
         self.requests.is_empty()
@@ -258,13 +272,14 @@
     }
 
     fn drop_unusable(&mut self) {
-        let (slots, refused) = (self.slots, &mut self.refused);
+        let (slots, refused, earliest_ms) = (self.slots, &mut self.refused, &mut self.slot_at_ms);
         self.requests.retain(|request| {
             let state = request.pending.state.get();
-            if state == GrantState::Refused {
+            if let GrantState::Refused { slot_at_ms } = state {
                 refused.push(request.replica.name.clone());
+                *earliest_ms = [*earliest_ms, slot_at_ms].into_iter().flatten().min();
             }
-            !matches!(state, GrantState::NotOwner | GrantState::Refused)
+            !matches!(state, GrantState::NotOwner | GrantState::Refused { .. })
                 && slots.is_usable(&request.replica)
         });
     }
--- a/crates/slots/src/table.rs
+++ b/crates/slots/src/table.rs
@@ -10,6 +10,10 @@
 use crate::message::Run;
 use crate::message::Ticket;
 use crate::message::Urgency;
+use crate::overload::Candidate;
+use crate::overload::EarlyRefusals;
+use crate::overload::Outlook;
+use crate::overload::RefusalReport;
 
 /// How long the release of a revoked slot is awaited before another slot is revoked in its place; a
 /// round trip to the holder takes a few milliseconds.
@@ -30,10 +34,12 @@
 const ORPHANED_RUN_TTL_MS: Millis = 6_000;
 /// The number of queues that a request waits in at the same time; half of a queue is therefore
 /// served by other replicas.
-const QUEUES_PER_REQUEST: Millis = 2;
+pub(crate) const QUEUES_PER_REQUEST: Millis = 2;
 /// How long before its time limit a withdrawn request already counts as timed out, to allow for the
 /// delay of messages.
 const TIMEOUT_MARGIN_MS: Millis = 30;
+/// The part of the usual duration after which an overdue run is expected to end.
+const OVERDUE_RUN_DIVISOR: Millis = 8;
 /// How long a replica counts as overloaded after a request timed out in its queue or was refused.
 const OVERLOAD_MS: Millis = 1_000;
 /// The number of runs over which the duration of an online run is averaged.
@@ -131,6 +137,15 @@
         /// The ticket of the request.
         ticket: Ticket,
     },
+    /// The request is not queued: it cannot be on time, and a slot is expected for it later.
+    RefuseEarly {
+        /// The holder.
+        holder: DaemonName,
+        /// The ticket of the request.
+        ticket: Ticket,
+        /// How long until a slot is expected for it.
+        slot_in_ms: Millis,
+    },
     /// The holder must release the slot.
     Revoke {
         /// The holder.
@@ -161,6 +176,8 @@
     has_been_probed: bool,
     has_reported: bool,
     fair_shares: FairShares,
+    /// The requests that were refused early, if the table does so.
+    early_refusals: Option<EarlyRefusals>,
 }
 
 impl SlotTable {
@@ -189,6 +206,7 @@
             has_been_probed: false,
             has_reported: false,
             fair_shares: FairShares::default(),
+            early_refusals: None,
         }
     }
 
@@ -201,6 +219,18 @@
         self.update_grants(now_ms)
     }
 
+    /// Sets whether requests that cannot be on time are refused when they arrive.
+    pub fn set_refuses_early(&mut self, refuses_early: bool) {
+        if self.early_refusals.is_some() != refuses_early {
+            self.early_refusals = refuses_early.then(EarlyRefusals::default);
+        }
+    }
+
+    /// Returns the decisions about early refusals since the last report, at most once in a while.
+    pub fn take_refusal_report(&mut self, now_ms: Millis) -> Option<RefusalReport> {
+        self.early_refusals.as_mut()?.take_report(now_ms)
+    }
+
     /// Returns how long an online run that began with its grant has had its slot.
     pub fn online_run_ms(&self, now_ms: Millis, ticket: Ticket) -> Option<Millis> {
         let is_run = |grant: &&Grant| grant.ticket == ticket && grant.is_whole_online_run();
@@ -257,6 +287,11 @@
         if let Some(queued) = self.queue.iter_mut().find(|queued| queued.ticket == ticket) {
             queued.last_requested_at_ms = now_ms;
         } else {
+            if let Some(refusals) = &mut self.early_refusals
+                && class == Class::Online
+            {
+                refusals.record_wait(now_ms, give_up_left_ms);
+            }
             self.queue.push(QueuedRequest {
                 ticket,
                 holder: holder.clone(),
@@ -272,7 +307,10 @@
         let Some(index) = self.queue.iter().position(|queued| queued.ticket == ticket) else {
             return actions;
         };
-        if self.should_refuse(now_ms, index) {
+        if let Some(slot_in_ms) = self.refuse_early(now_ms, index) {
+            self.queue.swap_remove(index);
+            actions.push(TableAction::RefuseEarly { holder, ticket, slot_in_ms });
+        } else if self.should_refuse(now_ms, index) {
             self.queue.swap_remove(index);
             self.overloaded_at_ms = Some(now_ms);
             actions.push(TableAction::Refuse { holder, ticket });
@@ -284,21 +322,61 @@
 
     /// Returns whether an online request should be refused: the replica is overloaded and the
     /// request would be late after those ahead of it. An early refusal lets the client retry
-    /// sooner.
+    /// sooner. Tables that refuse early keep the others, which are served late rather than lost.
     fn should_refuse(&self, now_ms: Millis, index: usize) -> bool {
         let request = &self.queue[index];
         let is_overloaded = self.overloaded_at_ms.is_some_and(|at_ms| now_ms < at_ms + OVERLOAD_MS);
-        if request.class != Class::Online || !is_overloaded {
+        if request.class != Class::Online || !is_overloaded || self.early_refusals.is_some() {
             return false;
         }
-        let key = self.service_order(request, now_ms);
-        let ahead =
-            self.queue.iter().filter(|other| self.service_order(other, now_ms) < key).count();
+        let ahead = self.ahead(now_ms, request);
         let wait_ms = ahead as Millis * self.mean_online_run_ms
             / (Millis::from(self.slots.max(1)) * QUEUES_PER_REQUEST);
         now_ms + wait_ms > request.on_time_at_ms
     }
 
+    /// Returns how long until a slot is expected for an online request that is to be refused early.
+    fn refuse_early(&mut self, now_ms: Millis, index: usize) -> Option<Millis> {
+        let request = &self.queue[index];
+        let can_refuse = request.class == Class::Online && !self.is_suspect && self.limit > 0;
+        if !can_refuse || self.early_refusals.is_none() {
+            return None;
+        }
+        let candidate = Candidate {
+            on_time_left_ms: request.on_time_at_ms.saturating_sub(now_ms),
+            give_up_left_ms: request.give_up_at_ms.saturating_sub(now_ms),
+        };
+        let outlook = self.outlook(now_ms, request);
+        self.early_refusals.as_mut()?.decide(now_ms, &outlook, candidate)
+    }
+
+    /// Returns when slots are expected to be free, and how many requests get one before `request`.
+    ///
+    /// A run that has lasted for longer than usual is expected to end soon. Runs without a grant have
+    /// an unknown age.
+    fn outlook(&self, now_ms: Millis, request: &QueuedRequest) -> Outlook {
+        let usual_ms = self.mean_online_run_ms;
+        let limit = self.limit as usize;
+        let free_in_ms = |grant: &Grant| match grant.class {
+            Class::Batch => REVOKE_TIMEOUT_MS,
+            Class::Online => (grant.granted_at_ms + usual_ms)
+                .saturating_sub(now_ms)
+                .max(usual_ms / OVERDUE_RUN_DIVISOR),
+        };
+        let mut free_in_ms: Vec<Millis> = self.grants.iter().map(free_in_ms).collect();
+        free_in_ms.sort_unstable();
+        // The first of the runs in excess of the limit free no slot that may be granted.
+        free_in_ms.drain(..free_in_ms.len().saturating_sub(limit));
+        free_in_ms.resize(limit, usual_ms);
+        Outlook { free_in_ms, ahead: self.ahead(now_ms, request), usual_ms }
+    }
+
+    /// Returns the number of requests that are served before `request`.
+    fn ahead(&self, now_ms: Millis, request: &QueuedRequest) -> usize {
+        let key = self.service_order(request, now_ms);
+        self.queue.iter().filter(|other| self.service_order(other, now_ms) < key).count()
+    }
+
     /// Releases a slot, or a place in the queue.
     pub fn release(&mut self, now_ms: Millis, ticket: Ticket) -> Vec<TableAction> {
         self.record_end(now_ms, ticket);
--- a/crates/slots/tests/fleet/mod.rs
+++ b/crates/slots/tests/fleet/mod.rs
@@ -1,7 +1,10 @@
 //! A seeded model of a fleet: daemons that choose replicas, and owners that grant their slots.
 //!
 //! It runs the tables, balancers and detectors of the product. Messages take `MESSAGE_MS`, loads and
-//! summaries travel with heartbeats, and a request waits in at most two queues.
+//! summaries travel with heartbeats, and a request waits in at most two queues. With callers that return
+//! (`callers`), refusals reach them, and queued requests are sent again.
+
+pub mod callers;
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -11,6 +14,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use slots::Share;
 use slots::balancer::Balancer;
 use slots::message::Class;
 use slots::message::Ticket;
@@ -29,11 +33,23 @@
 use wire::DataCentre;
 use wire::ReplicaRecord;
 
+use crate::fleet::callers::Caller;
+use crate::fleet::callers::FIRST_EVENT_MS;
+use crate::fleet::callers::Load;
+use crate::fleet::callers::OBJECTIVE_MS;
+use crate::fleet::callers::Outcomes;
+use crate::fleet::callers::REMAINING_DIVISOR;
+
 const MESSAGE_MS: u64 = 2;
 /// The period of 91 daemons: 77 with clients and 14 with storage.
 const HEARTBEAT_MS: u64 = 546;
 const TICK_MS: u64 = 20;
 const GIVE_UP_MS: u64 = 1_500;
+/// How often a queued request is sent again, and the replicas that it asks at most, as in the product.
+const RESEND_MS: u64 = 150;
+const MAX_ASKED: usize = 16;
+const MAX_QUEUES: usize = 2;
+const ORGANISATIONS: u64 = 88;
 pub const SLOTS: u32 = 8;
 
 /// One run of a request at a replica.
@@ -57,6 +73,9 @@
     Ask { request: u64, replica: usize },
     Granted { request: u64, replica: usize },
     Queued { request: u64, replica: usize },
+    Refused { request: u64, replica: usize, slot_in_ms: Option<u64> },
+    Resend { request: u64 },
+    Return { caller: Caller },
     End { request: u64 },
     Release { request: u64, replica: usize, outcome: Option<bool> },
     GiveUp { request: u64 },
@@ -69,12 +88,26 @@
     daemon: usize,
     is_poisonous: bool,
     asked: Vec<usize>,
+    refused: Vec<usize>,
+    slot_in_ms: Option<u64>,
+    caller: Caller,
     running: Option<usize>,
     started_ms: u64,
     succeeds: bool,
     is_over: bool,
 }
 
+impl Request {
+    fn is_waiting(&self) -> bool {
+        self.running.is_none() && !self.is_over
+    }
+
+    /// Returns the number of queues in which the request waits.
+    fn queues(&self) -> usize {
+        self.asked.len() - self.refused.len()
+    }
+}
+
 struct Replica {
     record: ReplicaRecord,
     table: SlotTable,
@@ -98,6 +131,8 @@
     behaviour: Behaviour,
     is_enabled: bool,
     rng: StdRng,
+    /// Draws the callers, so that they are the same with each rule.
+    arrivals: StdRng,
     now_ms: u64,
     next_request: u64,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
@@ -105,6 +140,9 @@
     daemons: Vec<Balancer>,
     replicas: Vec<Replica>,
     requests: HashMap<u64, Request>,
+    load: Option<Load>,
+    /// What counted callers got.
+    pub outcomes: Outcomes,
     /// Failed runs by replica.
     pub lost: Vec<u64>,
     /// Runs by replica.
@@ -138,6 +176,7 @@
             behaviour,
             is_enabled,
             rng,
+            arrivals: StdRng::seed_from_u64(seed),
             now_ms: 0,
             next_request: 0,
             events: BinaryHeap::new(),
@@ -145,6 +184,8 @@
             daemons: vec![balancer; size.daemons],
             replicas,
             requests: HashMap::new(),
+            load: None,
+            outcomes: Outcomes::default(),
             lost: vec![0; size.replicas],
             runs: vec![0; size.replicas],
             busy_ms: vec![0; size.replicas],
@@ -162,6 +203,14 @@
         fleet
     }
 
+    /// Makes the callers return after refusals.
+    pub fn set_load(&mut self, load: Load) {
+        self.load = Some(load);
+        for replica in &mut self.replicas {
+            replica.table.set_refuses_early(load.refuses_early);
+        }
+    }
+
     /// Runs the fleet until a time.
     pub fn run_until(&mut self, until_ms: u64) {
         while let Some(Reverse((at_ms, _, _))) = self.events.peek() {
@@ -199,6 +248,11 @@
             Event::Ask { request, replica } => self.ask(request, replica),
             Event::Granted { request, replica } => self.start_run(request, replica),
             Event::Queued { request, replica } => self.queued(request, replica),
+            Event::Refused { request, replica, slot_in_ms } => {
+                self.refused(request, replica, slot_in_ms);
+            }
+            Event::Resend { request } => self.resend(request),
+            Event::Return { caller } => self.begin(caller),
             Event::End { request } => self.end(request),
             Event::Release { request, replica, outcome } => {
                 self.release(request, replica, outcome);
@@ -210,9 +264,11 @@
     }
 
     fn arrive(&mut self) {
-        let pause_ms = -1_000.0 / self.size.requests_per_s * (1.0 - self.rng.r#gen::<f64>()).ln();
-        // Fractions of a millisecond are drawn as whole ones with that probability.
-        let pause_ms = pause_ms as u64 + u64::from(self.rng.r#gen::<f64>() < pause_ms.fract());
+        if let Some(load) = self.load {
+            self.arrive_as_caller(load);
+            return;
+        }
+        let pause_ms = pause_ms(&mut self.rng, self.size.requests_per_s);
         self.schedule(pause_ms, Event::Arrive);
         self.next_request += 1;
         let id = self.next_request;
@@ -226,6 +282,118 @@
         self.ask_next(id);
     }
 
+    /// Begins the first attempt of a caller; half of them return once and half twice. The sizes of
+    /// organisations fall with their rank.
+    fn arrive_as_caller(&mut self, load: Load) {
+        let requests_per_s = self.size.requests_per_s * (load.demand)(self.now_ms);
+        let pause_ms = pause_ms(&mut self.arrivals, requests_per_s);
+        self.schedule(pause_ms, Event::Arrive);
+        let rank = (ORGANISATIONS as f64).powf(self.arrivals.r#gen::<f64>()) as u64;
+        let max_retries = self.arrivals.r#gen_range(1..=2);
+        self.begin(Caller {
+            since_ms: self.now_ms,
+            attempt_at_ms: self.now_ms,
+            max_retries,
+            organisation: load.has_organisations.then_some(rank),
+            ..Caller::default()
+        });
+    }
+
+    /// Begins an attempt of a caller.
+    fn begin(&mut self, caller: Caller) {
+        self.next_request += 1;
+        let id = self.next_request;
+        let daemon = self.rng.r#gen_range(0..self.size.daemons);
+        self.requests.insert(id, Request { daemon, caller, ..Request::default() });
+        let give_up_ms = caller.remaining_ms(self.now_ms) / REMAINING_DIVISOR;
+        self.schedule(give_up_ms, Event::GiveUp { request: id });
+        self.schedule(RESEND_MS, Event::Resend { request: id });
+        self.ask_next(id);
+    }
+
+    /// Sends a queued request again to the owners that have it, and asks another one with capacity.
+    fn resend(&mut self, id: u64) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if request.running.is_some() || request.is_over {
+            return;
+        }
+        let queues = request.asked.iter().filter(|other| !request.refused.contains(other));
+        for replica in queues.copied().collect::<Vec<_>>() {
+            if self.is_in_service(replica) {
+                self.schedule(MESSAGE_MS, Event::Ask { request: id, replica });
+                continue;
+            }
+            self.schedule(MESSAGE_MS, Event::Release { request: id, replica, outcome: None });
+            if let Some(request) = self.requests.get_mut(&id) {
+                request.asked.retain(|asked| *asked != replica);
+            }
+        }
+        self.ask_another(id);
+        self.schedule(RESEND_MS, Event::Resend { request: id });
+    }
+
+    /// Asks another owner after a refusal, as `Search` does, or ends the attempt.
+    fn refused(&mut self, id: u64, replica: usize, slot_in_ms: Option<u64>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let daemon = request.daemon;
+        if request.refused.contains(&replica) {
+            return;
+        }
+        request.refused.push(replica);
+        let earliest = [request.slot_in_ms, slot_in_ms].into_iter().flatten().min();
+        request.slot_in_ms = earliest;
+        self.record_load(daemon, replica);
+        if !self.requests[&id].is_waiting() || self.ask_another(id) {
+            return;
+        }
+        let request = &self.requests[&id];
+        if request.queues() == 0 {
+            self.end_attempt(id);
+        }
+    }
+
+    /// Asks another owner if a queue is left for the request, or one with capacity is known.
+    fn ask_another(&mut self, id: u64) -> bool {
+        let request = &self.requests[&id];
+        let asked = request.asked.len();
+        let can_queue = request.queues() < MAX_QUEUES && request.refused.len() < MAX_QUEUES;
+        let daemon = request.daemon;
+        let has_better = self.replicas.iter().enumerate().any(|(index, other)| {
+            !request.asked.contains(&index)
+                && self.is_in_service(index)
+                && self.daemons[daemon].has_capacity(&other.record, Class::Online)
+        });
+        if asked >= MAX_ASKED || !(can_queue || has_better) {
+            return false;
+        }
+        self.ask_next(id);
+        self.requests[&id].asked.len() > asked
+    }
+
+    fn is_in_service(&self, replica: usize) -> bool {
+        self.load.is_none_or(|load| (load.is_in_service)(replica, self.now_ms))
+    }
+
+    /// Refuses an attempt; its caller returns or is lost.
+    fn end_attempt(&mut self, id: u64) {
+        let Some(request) = self.requests.remove(&id) else { return };
+        for replica in request.asked {
+            self.schedule(MESSAGE_MS, Event::Release { request: id, replica, outcome: None });
+        }
+        let caller = request.caller;
+        let is_counted = self.is_counted(&caller);
+        self.outcomes.refusals += u64::from(is_counted);
+        match caller.after_refusal(self.now_ms, request.slot_in_ms) {
+            Some((caller, wait_ms)) => self.schedule(wait_ms, Event::Return { caller }),
+            None => self.outcomes.never += u64::from(is_counted),
+        }
+    }
+
+    fn is_counted(&self, caller: &Caller) -> bool {
+        self.load
+            .is_some_and(|load| (load.counted_ms.0..load.counted_ms.1).contains(&caller.since_ms))
+    }
+
     fn ask_next(&mut self, id: u64) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let candidates: Vec<&ReplicaRecord> = self
@@ -233,6 +401,9 @@
             .iter()
             .enumerate()
             .filter(|(index, _)| !request.asked.contains(index))
+            .filter(|(index, _)| {
+                self.load.is_none_or(|load| (load.is_in_service)(*index, self.now_ms))
+            })
             .map(|(_, replica)| &replica.record)
             .collect();
         let own = data_centre(request.daemon);
@@ -250,15 +421,27 @@
     fn ask(&mut self, id: u64, replica: usize) {
         let Some(request) = self.requests.get(&id) else { return };
         let holder = holder(request.daemon);
-        let left_ms = 250;
+        let caller = request.caller;
+        let (left_ms, give_up_left_ms) = if self.load.is_some() {
+            if !request.is_waiting() {
+                return;
+            }
+            let on_time_at_ms = caller.attempt_at_ms + OBJECTIVE_MS - FIRST_EVENT_MS;
+            let wait_ms = caller.remaining_ms(caller.attempt_at_ms) / REMAINING_DIVISOR;
+            let give_up_at_ms = caller.attempt_at_ms + wait_ms;
+            (on_time_at_ms.saturating_sub(self.now_ms), give_up_at_ms.saturating_sub(self.now_ms))
+        } else {
+            (250, GIVE_UP_MS)
+        };
         let urgency = Urgency { on_time_left_ms: left_ms, order_left_ms: left_ms };
+        let share = caller.organisation.map(|organisation| Share { organisation, priority: 0 });
         let grant = GrantRequest {
             ticket: Ticket(id),
             holder,
             class: Class::Online,
             urgency,
-            give_up_left_ms: GIVE_UP_MS,
-            share: None,
+            give_up_left_ms,
+            share,
         };
         let actions = self.replicas[replica].table.request(self.now_ms, grant);
         self.apply(replica, actions);
@@ -268,6 +451,12 @@
         for action in actions {
             let event = match action {
                 TableAction::Grant { ticket, .. } => Event::Granted { request: ticket.0, replica },
+                TableAction::Refuse { ticket, .. } if self.load.is_some() => {
+                    Event::Refused { request: ticket.0, replica, slot_in_ms: None }
+                }
+                TableAction::RefuseEarly { ticket, slot_in_ms, .. } => {
+                    Event::Refused { request: ticket.0, replica, slot_in_ms: Some(slot_in_ms) }
+                }
                 TableAction::Queue { ticket, .. } | TableAction::Refuse { ticket, .. } => {
                     Event::Queued { request: ticket.0, replica }
                 }
@@ -317,8 +506,14 @@
     fn queued(&mut self, id: u64, replica: usize) {
         let Some(request) = self.requests.get(&id) else { return };
         let (daemon, asked) = (request.daemon, request.asked.len());
-        let is_waiting = request.running.is_none() && !request.is_over;
+        let is_waiting = request.is_waiting();
         self.record_load(daemon, replica);
+        if self.load.is_some() {
+            if is_waiting {
+                self.ask_another(id);
+            }
+            return;
+        }
         let has_better = self.replicas.iter().enumerate().any(|(index, other)| {
             !self.requests[&id].asked.contains(&index)
                 && self.daemons[daemon].has_capacity(&other.record, Class::Online)
@@ -334,6 +529,9 @@
         self.runs[replica] += 1;
         self.lost[replica] += u64::from(!request.succeeds);
         self.busy_ms[replica] += self.now_ms - request.started_ms;
+        if self.is_counted(&request.caller) {
+            self.outcomes.record_end(&request.caller, request.started_ms, self.now_ms);
+        }
         let outcome = Some(request.succeeds);
         self.daemons[request.daemon].record_end(&self.replicas[replica].record.name);
         // The owner needs the holder's name, so the request is kept until its release arrives.
@@ -429,7 +627,11 @@
             let Replica { table, detector, .. } = &mut self.replicas[index];
             detector.expire(self.now_ms);
             detector.update_run_ms(self.now_ms, table.online_runs_ms(self.now_ms));
-            let actions = self.replicas[index].table.tick(self.now_ms);
+            let mut actions = self.replicas[index].table.tick(self.now_ms);
+            if self.load.is_some() {
+                let limit = if self.is_in_service(index) { SLOTS } else { 0 };
+                actions.extend(self.replicas[index].table.set_limit(self.now_ms, limit));
+            }
             self.apply(index, actions);
         }
         let is_reduced = |replica: &Replica| {
@@ -455,6 +657,10 @@
         if request.running.is_some() || request.is_over {
             return;
         }
+        if self.load.is_some() {
+            self.end_attempt(id);
+            return;
+        }
         self.refused += 1;
         let asked = request.asked.clone();
         self.requests.remove(&id);
@@ -464,6 +670,13 @@
     }
 }
 
+/// Draws the time until the next request; fractions of a millisecond are drawn as whole ones with that
+/// probability.
+fn pause_ms(rng: &mut StdRng, requests_per_s: f64) -> u64 {
+    let pause_ms = -1_000.0 / requests_per_s * (1.0 - rng.r#gen::<f64>()).ln();
+    pause_ms as u64 + u64::from(rng.r#gen::<f64>() < pause_ms.fract())
+}
+
 /// Returns the record of a replica; every third is in the same data centre.
 pub fn record(index: usize) -> ReplicaRecord {
     ReplicaRecord {
--- a/crates/wire/src/node.rs
+++ b/crates/wire/src/node.rs
@@ -112,6 +112,8 @@
     pub quota: QuotaBounds,
     /// Whether replicas may fail or slow down while they report good health.
     pub replicas_may_degrade: bool,
+    /// Whether requests that cannot be on time are refused when they arrive.
+    pub refuses_early: bool,
     /// The platform's store.
     pub store: StoreSettings,
 }
