Handle early refusals in the model of jobs

Cause: the match over TableAction in jobs/tests/overload.rs is exhaustive, so the tests of jobs did not compile since the new variant; only the crates that were touched had been built before. Change: the arm of queued and refused requests takes early refusals too; the model does not enable them.

--- a/crates/jobs/tests/overload.rs
+++ b/crates/jobs/tests/overload.rs
@@ -196,7 +196,9 @@
                         self.apply(replica, actions);
                     }
                 }
-                TableAction::Queue { .. } | TableAction::Refuse { .. } => {}
+                TableAction::Queue { .. }
+                | TableAction::Refuse { .. }
+                | TableAction::RefuseEarly { .. } => {}
             }
         }
     }
