Serve items of organisations by their shares of the free slots

Cause: items had no shares. An organisation that submits many jobs filled the places of homes that wait for a slot and the queues of owners, and the items of all others ran late by due time. Change: asks for items carry the organisation like those of online requests (older owners ignore it; without organisations the bytes are the same). An owner serves items by due time while their organisations are within two runs of each other, and otherwise the one that is behind (module item_shares). A home divides its 12 waiting places among the organisations that have items (selection::next_item, module slot_places). Items have no priority. Within capacity all are on time.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod runner;
 pub mod selection;
 pub mod serve;
+pub mod slot_places;
 pub mod status;
 pub mod status_writer;
 pub mod submissions;
--- a/crates/jobs/src/manager.rs
+++ b/crates/jobs/src/manager.rs
@@ -45,6 +45,7 @@
 use crate::record::Home;
 use crate::retention::UnheldJobs;
 use crate::run_time::RunTimeEstimate;
+use crate::slot_places::SlotPlaces;
 use crate::submissions::PendingSubmissions;
 use crate::submissions::PendingTokens;
 
@@ -168,7 +169,7 @@
     pub(crate) own_home: Home,
     pub(crate) jobs: RefCell<BTreeMap<JobId, Rc<JobHandle>>>,
     pub(crate) wake: Notify,
-    pub(crate) waiting_for_slot: Cell<usize>,
+    pub(crate) waiting_for_slot: RefCell<SlotPlaces>,
     pub(crate) is_leaving: Cell<bool>,
     pub(crate) run_time: Cell<RunTimeEstimate>,
     pub(crate) sweeps_due_ms: RefCell<Vec<Millis>>,
@@ -194,7 +195,7 @@
             own_home,
             jobs: RefCell::new(BTreeMap::new()),
             wake: Notify::new(),
-            waiting_for_slot: Cell::new(0),
+            waiting_for_slot: RefCell::default(),
             is_leaving: Cell::new(false),
             run_time: Cell::new(RunTimeEstimate::default()),
             sweeps_due_ms: RefCell::new(Vec::new()),
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -17,6 +17,7 @@
 use quarantine::PromptPart;
 use quarantine::Suspect;
 use slots::Class;
+use slots::Share;
 use slots::SlotLease;
 use slots::SlotRequest;
 use tokio::task::spawn_local;
@@ -42,6 +43,8 @@
 /// The most items that wait for a slot at the same time. Each asks one slot owner; as soon as one
 /// has its slot, the next item follows.
 const MAX_WAITING_FOR_SLOT: usize = 12;
+/// The priority of all items: their order follows from due times and shares alone.
+const ITEM_PRIORITY: u32 = 0;
 /// How long an item waits for a slot before the most urgent of all waiting items is chosen anew.
 const SLOT_WAIT_MS: Millis = 2_000;
 /// How often the jobs are checked when nothing wakes the runner.
@@ -96,15 +99,19 @@
 
     fn start_items(self: &Rc<Self>, handles: &[Rc<JobHandle>], now_ms: Millis) {
         self.check_for_pause();
-        while self.waiting_for_slot.get() < MAX_WAITING_FOR_SLOT {
+        loop {
             let run_time = self.run_time.get();
             let confirmed = handles.iter().filter(|handle| !handle.is_unconfirmed.get());
             let candidates = confirmed.filter_map(|handle| {
                 let job = handle.job.borrow();
                 let limits = self.limits_of(&job)?;
-                Some((job.next_urgency(now_ms, &limits, &run_time)?, handle))
+                let urgency = job.next_urgency(now_ms, &limits, &run_time)?;
+                Some((urgency, job.organisation.clone(), handle))
             });
-            let next = selection::most_urgent(now_ms, candidates);
+            let candidates = candidates.collect();
+            let places = self.waiting_for_slot.borrow();
+            let next = selection::next_item(now_ms, MAX_WAITING_FOR_SLOT, &places, candidates);
+            drop(places);
             let Some((urgency, handle)) = next else { return };
             let Some(run) = handle.job.borrow_mut().start_next(now_ms) else { return };
             let host = handle.job.borrow().host.clone();
@@ -124,7 +131,8 @@
                 }
             };
             let trial = claimed_ms.map(|claimed_ms| ClaimedTrial { claimed_ms, id, parts });
-            self.waiting_for_slot.set(self.waiting_for_slot.get() + 1);
+            let organisation = handle.job.borrow().organisation.clone();
+            self.waiting_for_slot.borrow_mut().take(&organisation);
             spawn_local(self.clone().run_item(handle.clone(), run, urgency, trial));
         }
     }
@@ -178,7 +186,8 @@
             lease = self.acquire_slot(&handle, &run, urgency) => lease,
             () = handle.stop.cancelled() => None,
         };
-        self.waiting_for_slot.set(self.waiting_for_slot.get().saturating_sub(1));
+        let organisation = handle.job.borrow().organisation.clone();
+        self.waiting_for_slot.borrow_mut().free(&organisation);
         self.wake.notify_one();
         // This daemon may have been paused while the item waited for its slot.
         self.check_for_pause();
@@ -230,11 +239,18 @@
             give_up_at_ms: self.now_ms() + SLOT_WAIT_MS,
             waits_for_replica: true,
             excluded: &[],
-            share: None,
+            share: self.item_share(handle),
         };
         self.deps.slots.acquire(&slot_request).await.ok()
     }
 
+    /// Returns the share that a job's items count towards, or `None` where there are no organisations.
+    /// Owners of builds before it ignore the shares of items.
+    fn item_share(&self, handle: &JobHandle) -> Option<Share> {
+        let organisation = handle.job.borrow().organisation.clone()?;
+        Some(Share::new(Some(&organisation), ITEM_PRIORITY))
+    }
+
     /// Returns the caller as whom the items of a job run; a revoked key ends no job.
     fn item_caller(&self, handle: &JobHandle) -> Caller {
         if let Some(organisation) = &handle.job.borrow().organisation {
--- a/crates/jobs/tests/overload.rs
+++ b/crates/jobs/tests/overload.rs
@@ -11,10 +11,12 @@
 use jobs::progress::Progress;
 use jobs::run_time::RunTimeEstimate;
 use jobs::selection;
+use jobs::slot_places::SlotPlaces;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use slots::Class;
+use slots::Share;
 use slots::Ticket;
 use slots::message::Urgency;
 use slots::table::GrantRequest;
@@ -23,6 +25,7 @@
 use wire::DaemonName;
 use wire::JobId;
 use wire::Millis;
+use wire::OrgName;
 
 const STEP_MS: Millis = 5;
 const REPLICAS: usize = 10;
@@ -71,6 +74,13 @@
     free_slot_ms: Millis,
 }
 
+/// What the clients of one organisation got.
+#[derive(Clone, Copy, Debug, Default)]
+struct Got {
+    items: usize,
+    on_time: usize,
+}
+
 struct Play {
     now_ms: Millis,
     random: StdRng,
@@ -81,6 +91,13 @@
     run_times: Vec<RunTimeEstimate>,
     limits: JobLimits,
     outcome: Outcome,
+    /// The loads of organisations, as shares of the slots that online requests leave; none without
+    /// organisations.
+    loads: Vec<f64>,
+    /// The organisations of the jobs.
+    submitters: Vec<usize>,
+    got: Vec<Got>,
+    is_fair: bool,
 }
 
 impl Play {
@@ -95,11 +112,40 @@
             run_times: vec![RunTimeEstimate::default(); HOMES],
             limits: JobLimits { due_ms: DUE_MS, retention_ms: 60_000, max_attempts: 3 },
             outcome: Outcome::default(),
+            loads: Vec::new(),
+            submitters: Vec::new(),
+            got: Vec::new(),
+            is_fair: false,
         }
     }
 
+    /// Plays jobs of organisations with these loads, and returns what each got, and the items that fit
+    /// into the slots that online requests left.
+    fn run_organisations(mut self, loads: &[f64], is_fair: bool) -> (Vec<Got>, f64) {
+        self.loads = loads.to_vec();
+        self.got = vec![Got::default(); loads.len()];
+        self.is_fair = is_fair;
+        self.play(loads.iter().sum());
+        (self.got, self.outcome.free_slot_ms as f64 / (MEAN_EVENTS * EVENT_MS))
+    }
+
+    fn organisation_of(&self, job: usize) -> Option<OrgName> {
+        let organisation = self.submitters.get(job).filter(|_| self.is_fair)?;
+        Some(OrgName::from(organisation.to_string()))
+    }
+
+    fn share_of(&self, job: usize) -> Option<Share> {
+        let organisation = *self.submitters.get(job).filter(|_| self.is_fair)? as u64 + 1;
+        Some(Share { organisation, priority: 0 })
+    }
+
     /// Plays jobs that ask for `overload` times the slots, until their last item is due.
     fn run(mut self, overload: f64) -> Outcome {
+        self.play(overload);
+        self.outcome
+    }
+
+    fn play(&mut self, overload: f64) {
         let item_ms = MEAN_EVENTS * EVENT_MS;
         let free_slots = REPLICAS as f64 * f64::from(SLOTS) - ONLINE_SLOTS;
         let jobs_per_ms = overload * free_slots / item_ms / ITEMS_PER_JOB as f64;
@@ -125,7 +171,6 @@
                 (REPLICAS as Millis * Millis::from(SLOTS) - running as Millis) * STEP_MS;
             self.now_ms += STEP_MS;
         }
-        self.outcome
     }
 
     fn submit_job(&mut self) {
@@ -143,6 +188,17 @@
             .map(|_| (MEAN_EVENTS * self.random.gen_range(0.55..1.45)) as u32)
             .collect();
         self.jobs.push((self.random.gen_range(0..HOMES), job, events));
+        if self.loads.is_empty() {
+            return;
+        }
+        let mut point = self.random.gen_range(0.0..self.loads.iter().sum::<f64>());
+        let is_submitter = |load: &f64| {
+            point -= load;
+            point < 0.0
+        };
+        let submitter = self.loads.iter().position(is_submitter).unwrap_or_default();
+        self.submitters.push(submitter);
+        self.got[submitter].items += ITEMS_PER_JOB;
     }
 
     fn begin_online(&mut self) {
@@ -151,19 +207,19 @@
         self.online.push(OnlineRun { ticket, replica, ends_at_ms: None });
         let on_time_left_ms = 240;
         let urgency = Urgency { on_time_left_ms, order_left_ms: on_time_left_ms };
-        self.request(replica, ticket, Class::Online, urgency, 1_600);
+        self.request(replica, ticket, (Class::Online, None), urgency, 1_600);
     }
 
     fn request(
         &mut self,
         replica: usize,
         ticket: Ticket,
-        class: Class,
+        (class, share): (Class, Option<Share>),
         urgency: Urgency,
         give_up_left_ms: Millis,
     ) {
         let holder = DaemonName::from("home");
-        let request = GrantRequest { ticket, holder, class, urgency, give_up_left_ms, share: None };
+        let request = GrantRequest { ticket, holder, class, urgency, give_up_left_ms, share };
         let actions = self.tables[replica].request(self.now_ms, request);
         self.apply(replica, actions);
     }
@@ -234,6 +290,9 @@
                 &mut self.outcome.late
             };
             *count += 1;
+            if let Some(submitter) = self.submitters.get(run.job) {
+                self.got[*submitter].on_time += usize::from(self.now_ms <= due_ms);
+            }
         }
     }
 
@@ -262,16 +321,21 @@
 
     fn start_items(&mut self) {
         for home in 0..HOMES {
-            let is_waiting = |run: &&Active| run.home == home && run.granted_at_ms.is_none();
-            while self.active.iter().filter(is_waiting).count() < MAX_WAITING {
+            loop {
+                let waiting = self.active.iter().filter(|run| run.home == home);
+                let mut places = SlotPlaces::default();
+                for run in waiting.filter(|run| run.granted_at_ms.is_none()) {
+                    places.take(&self.organisation_of(run.job));
+                }
                 let run_time = self.run_times[home];
                 let own = self.jobs.iter().enumerate().filter(|(_, (owner, _, _))| *owner == home);
                 let candidates = own.filter_map(|(number, (_, job, _))| {
-                    Some((job.next_urgency(self.now_ms, &self.limits, &run_time)?, number))
+                    let urgency = job.next_urgency(self.now_ms, &self.limits, &run_time)?;
+                    Some((urgency, self.organisation_of(number), number))
                 });
-                let Some((urgency, job)) = selection::most_urgent(self.now_ms, candidates) else {
-                    break;
-                };
+                let candidates: Vec<_> = candidates.collect();
+                let next = selection::next_item(self.now_ms, MAX_WAITING, &places, candidates);
+                let Some((urgency, job)) = next else { break };
                 let Some(run) = self.jobs[job].1.start_next(self.now_ms) else { break };
                 let replica = self.least_loaded(Class::Batch);
                 let ticket = Ticket(self.random.r#gen());
@@ -289,7 +353,8 @@
                     on_time_left_ms: urgency.on_time_at_ms.saturating_sub(self.now_ms),
                     order_left_ms: urgency.order_at_ms.saturating_sub(self.now_ms),
                 };
-                self.request(replica, ticket, Class::Batch, urgency, SLOT_WAIT_MS);
+                let share = self.share_of(job);
+                self.request(replica, ticket, (Class::Batch, share), urgency, SLOT_WAIT_MS);
             }
         }
     }
@@ -320,3 +385,56 @@
         assert!(of_completed >= 0.999, "{of_completed:.3} on time at a load of {load}");
     }
 }
+
+/// What ten organisations within their shares got, and one that submits many jobs.
+#[derive(Debug)]
+struct Shares {
+    /// The share of the ten's items that were on time.
+    ten: f64,
+    /// The same of the one of the ten that got the least.
+    worst: f64,
+    /// The items of the other one that were on time, as a share of those that fit beside the ten.
+    other: f64,
+}
+
+/// Plays ten organisations whose jobs take 0.6 of the free slots, so that each stays within its
+/// eleventh, and another one whose jobs take `load` of them.
+fn shares_beside(load: f64, is_fair: bool) -> Shares {
+    let loads = [vec![0.06; 10], vec![load]].concat();
+    let (mut items, mut on_time, mut worst) = (0, 0, 1.0_f64);
+    let (mut other, mut other_best) = (0.0, 0.0);
+    for seed in 1..=6 {
+        let (got, capacity) = Play::new(seed).run_organisations(&loads, is_fair);
+        let ten = got[..10].iter().filter(|got| got.items > 0);
+        let seed_items = ten.clone().map(|got| got.items).sum::<usize>();
+        items += seed_items;
+        on_time += ten.clone().map(|got| got.on_time).sum::<usize>();
+        worst = ten.map(|got| got.on_time as f64 / got.items as f64).fold(worst, f64::min);
+        other += got[10].on_time as f64;
+        other_best += (capacity - seed_items as f64).min(got[10].items as f64);
+    }
+    Shares { ten: on_time as f64 / items as f64, worst, other: other / other_best }
+}
+
+/// Guards against an organisation that submits many jobs and makes the items of all others late.
+/// The best result by arithmetic is that all items of the ten are on time, and that the one gets all
+/// slots that they leave, though an interrupted run costs it some.
+#[test]
+fn organisations_within_their_share_are_on_time_beside_many_jobs_of_one() {
+    let before = shares_beside(3.0, false);
+    let after = shares_beside(3.0, true);
+    println!("many jobs of one: before {before:?}, after {after:?}");
+    assert!(before.ten < 0.7, "the load needs no shares: {before:?}");
+    assert!(after.ten >= 0.95 && after.worst >= 0.75, "{after:?}");
+    assert!(after.other >= 0.7, "{after:?}");
+}
+
+/// Guards against shares that make items late where the slots suffice for all. The best result is
+/// that all are on time, as without shares.
+#[test]
+fn organisations_within_capacity_are_on_time() {
+    let before = shares_beside(0.3, false);
+    let after = shares_beside(0.3, true);
+    println!("within capacity: before {before:?}, after {after:?}");
+    assert!(after.ten >= 0.999 && after.other >= 0.999, "{after:?}");
+}
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod extension;
 pub mod fair_share;
 mod health;
+mod item_shares;
 pub mod lease;
 pub mod message;
 pub mod outcomes;
--- a/crates/slots/src/table.rs
+++ b/crates/slots/src/table.rs
@@ -5,6 +5,7 @@
 
 use crate::fair_share::FairShares;
 use crate::fair_share::Share;
+use crate::item_shares::ItemShares;
 use crate::message::Class;
 use crate::message::Load;
 use crate::message::Run;
@@ -86,6 +87,12 @@
     share: Option<Share>,
 }
 
+impl QueuedRequest {
+    fn organisation(&self) -> u64 {
+        self.share.map_or(NO_ORGANISATION, |share| share.organisation)
+    }
+}
+
 /// A holder's request for a slot of the replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GrantRequest {
@@ -99,7 +106,7 @@
     pub urgency: Urgency,
     /// How long the request may stay queued.
     pub give_up_left_ms: Millis,
-    /// The organisation of an online request, if its holder sent one.
+    /// The organisation of the request, if its holder sent one.
     pub share: Option<Share>,
 }
 
@@ -161,6 +168,7 @@
     has_been_probed: bool,
     has_reported: bool,
     fair_shares: FairShares,
+    item_shares: ItemShares,
 }
 
 impl SlotTable {
@@ -189,6 +197,7 @@
             has_been_probed: false,
             has_reported: false,
             fair_shares: FairShares::default(),
+            item_shares: ItemShares::default(),
         }
     }
 
@@ -257,6 +266,9 @@
         if let Some(queued) = self.queue.iter_mut().find(|queued| queued.ticket == ticket) {
             queued.last_requested_at_ms = now_ms;
         } else {
+            if class == Class::Batch {
+                self.item_shares.record_waiting(share.map(|share| share.organisation));
+            }
             self.queue.push(QueuedRequest {
                 ticket,
                 holder: holder.clone(),
@@ -265,7 +277,7 @@
                 order_at_ms: now_ms.saturating_add(urgency.order_left_ms),
                 give_up_at_ms: now_ms.saturating_add(give_up_left_ms),
                 last_requested_at_ms: now_ms,
-                share: share.filter(|_| class == Class::Online),
+                share,
             });
         }
         let mut actions = self.update_grants(now_ms);
@@ -291,9 +303,10 @@
         if request.class != Class::Online || !is_overloaded {
             return false;
         }
-        let key = self.service_order(request, now_ms);
-        let ahead =
-            self.queue.iter().filter(|other| self.service_order(other, now_ms) < key).count();
+        // Items come after all online requests, whatever their shares.
+        let key = self.service_order(request, now_ms, Millis::MAX);
+        let order = |other| self.service_order(other, now_ms, Millis::MAX);
+        let ahead = self.queue.iter().filter(|other| order(other) < key).count();
         let wait_ms = ahead as Millis * self.mean_online_run_ms
             / (Millis::from(self.slots.max(1)) * QUEUES_PER_REQUEST);
         now_ms + wait_ms > request.on_time_at_ms
@@ -310,6 +323,7 @@
     /// Updates the mean duration of online runs, and marks the replica as overloaded if the
     /// released request timed out in the queue.
     fn record_end(&mut self, now_ms: Millis, ticket: Ticket) {
+        self.item_shares.settle(now_ms, ticket);
         let mut grants = self.grants.iter().filter(|grant| grant.class == Class::Online);
         if let Some(grant) = grants.find(|grant| grant.ticket == ticket) {
             let run_ms = now_ms.saturating_sub(grant.granted_at_ms);
@@ -421,6 +435,8 @@
     /// Expires grants, orphaned runs and queued requests, and grants free slots.
     pub fn tick(&mut self, now_ms: Millis) -> Vec<TableAction> {
         self.grants.retain(|grant| now_ms < grant.confirmed_at_ms + UNCONFIRMED_GRANT_TTL_MS);
+        let grants = &self.grants;
+        self.item_shares.retain(|ticket| grants.iter().any(|grant| grant.ticket == ticket));
         if now_ms >= self.orphaned_until_ms {
             self.orphaned_runs = 0;
         }
@@ -444,7 +460,7 @@
         while runs_without_grant.saturating_add(self.grants.len() as u32) < self.limit {
             let Some(next) = self.next_to_grant(now_ms) else { break };
             let queued = self.queue.swap_remove(next);
-            let charge = self.charge(&queued);
+            let charge = self.charge(now_ms, &queued);
             actions
                 .push(TableAction::Grant { holder: queued.holder.clone(), ticket: queued.ticket });
             self.grants.push(Grant {
@@ -467,12 +483,17 @@
     /// Charges an organisation for a grant with the mean slot time, until the grant is released.
     ///
     /// Requests without a share are charged only once others have one.
-    fn charge(&mut self, queued: &QueuedRequest) -> Option<Charge> {
+    fn charge(&mut self, now_ms: Millis, queued: &QueuedRequest) -> Option<Charge> {
+        if queued.class == Class::Batch {
+            let waiting = waiting_items(&self.queue);
+            self.item_shares.charge(now_ms, queued.ticket, queued.organisation(), waiting);
+            return None;
+        }
         let has_shares = queued.share.is_some() || self.fair_shares.remembered() > 0;
-        if queued.class != Class::Online || !has_shares {
+        if !has_shares {
             return None;
         }
-        let organisation = queued.share.map_or(NO_ORGANISATION, |share| share.organisation);
+        let organisation = queued.organisation();
         let expected_ms = self.mean_online_run_ms.max(MIN_CHARGE_MS);
         self.fair_shares.charge(organisation, expected_ms);
         Some(Charge { organisation, expected_ms })
@@ -480,14 +501,15 @@
 
     /// Returns the index of the request that is granted next: online before batch, and in each
     /// class by priority, then those that can still be on time before those that are late, then by
-    /// the fair shares of the organisations, then by the sort key.
+    /// the fair shares of the organisations, then by the sort key. Items have no priority.
     fn next_to_grant(&self, now_ms: Millis) -> Option<usize> {
         let is_allowed = |queued: &QueuedRequest| {
             queued.class == Class::Online || now_ms >= self.batch_blocked_until_ms
         };
+        let ahead_from_ms = self.item_shares.ahead_from_ms(waiting_items(&self.queue));
         (0..self.queue.len())
             .filter(|index| is_allowed(&self.queue[*index]))
-            .min_by_key(|index| self.service_order(&self.queue[*index], now_ms))
+            .min_by_key(|index| self.service_order(&self.queue[*index], now_ms, ahead_from_ms))
     }
 
     /// Revokes the slot of one batch item for each queued online request: first those of items that
@@ -539,12 +561,27 @@
     ///
     /// Requests without a share have the same priority and virtual start, so that these decide
     /// nothing among them; beside requests with shares, they share one queue.
-    fn service_order(&self, queued: &QueuedRequest, now_ms: Millis) -> ServiceOrder {
+    fn service_order(
+        &self,
+        queued: &QueuedRequest,
+        now_ms: Millis,
+        ahead_from_ms: Millis,
+    ) -> ServiceOrder {
         let is_late = queued.on_time_at_ms < now_ms;
         let at_ms = if is_late { queued.give_up_at_ms } else { queued.order_at_ms };
+        let organisation = queued.organisation();
+        if queued.class == Class::Batch {
+            let is_ahead = self.item_shares.is_ahead(organisation, ahead_from_ms);
+            return (queued.class, 0, is_late, Millis::from(is_ahead), at_ms, queued.ticket);
+        }
         let priority = queued.share.map_or(0, |share| share.priority);
-        let organisation = queued.share.map_or(NO_ORGANISATION, |share| share.organisation);
         let start_ms = self.fair_shares.start_ms(organisation);
         (queued.class, priority, is_late, start_ms, at_ms, queued.ticket)
     }
 }
+
+/// Returns the organisations of the items that wait.
+fn waiting_items(queue: &[QueuedRequest]) -> impl Iterator<Item = u64> + '_ {
+    let items = queue.iter().filter(|queued| queued.class == Class::Batch);
+    items.map(QueuedRequest::organisation)
+}
