--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -13,6 +13,7 @@
 mod health;
 mod item_shares;
 pub mod lease;
+pub mod least_share;
 pub mod message;
 pub mod outcomes;
 pub mod outlier;
--- a/crates/slots/src/table.rs
+++ b/crates/slots/src/table.rs
@@ -6,6 +6,7 @@
 use crate::fair_share::FairShares;
 use crate::fair_share::Share;
 use crate::item_shares::ItemShares;
+use crate::least_share::LeastShares;
 use crate::message::Class;
 use crate::message::Load;
 use crate::message::Run;
@@ -169,6 +170,7 @@
     has_reported: bool,
     fair_shares: FairShares,
     item_shares: ItemShares,
+    least_shares: LeastShares,
 }
 
 impl SlotTable {
@@ -198,6 +200,7 @@
             has_reported: false,
             fair_shares: FairShares::default(),
             item_shares: ItemShares::default(),
+            least_shares: LeastShares::default(),
         }
     }
 
@@ -268,6 +271,9 @@
         } else {
             if class == Class::Batch {
                 self.item_shares.record_waiting(share.map(|share| share.organisation));
+            } else if let Some(share) = share {
+                let expected_ms = self.mean_online_run_ms.max(MIN_CHARGE_MS);
+                self.least_shares.record_waiting(share.organisation, expected_ms);
             }
             self.queue.push(QueuedRequest {
                 ticket,
@@ -303,6 +309,9 @@
         if request.class != Class::Online || !is_overloaded {
             return false;
         }
+        if self.is_first_behind_priority(request, index) {
+            return false;
+        }
         // Items come after all online requests, whatever their shares.
         let key = self.service_order(request, now_ms, Millis::MAX);
         let order = |other| self.service_order(other, now_ms, Millis::MAX);
@@ -312,6 +321,25 @@
         now_ms + wait_ms > request.on_time_at_ms
     }
 
+    /// Returns whether a request is the only one of its organisation and others of higher priority are
+    /// ahead of it. It waits for the least share of its organisation, which would get none otherwise.
+    fn is_first_behind_priority(&self, request: &QueuedRequest, index: usize) -> bool {
+        let Some(share) = request.share else { return false };
+        let others = self
+            .queue
+            .iter()
+            .enumerate()
+            .filter(|(other, queued)| *other != index && queued.class == Class::Online);
+        let mut is_behind = false;
+        for (_, other) in others {
+            if other.organisation() == share.organisation {
+                return false;
+            }
+            is_behind |= other.share.map_or(0, |other| other.priority) < share.priority;
+        }
+        is_behind
+    }
+
     /// Releases a slot, or a place in the queue.
     pub fn release(&mut self, now_ms: Millis, ticket: Ticket) -> Vec<TableAction> {
         self.record_end(now_ms, ticket);
@@ -329,6 +357,7 @@
             let run_ms = now_ms.saturating_sub(grant.granted_at_ms);
             if let Some(Charge { organisation, expected_ms }) = grant.charge {
                 self.fair_shares.settle(organisation, expected_ms, run_ms);
+                self.least_shares.settle(organisation, expected_ms, run_ms);
             }
             self.mean_online_run_ms = match self.mean_online_run_ms {
                 0 => run_ms,
@@ -496,20 +525,27 @@
         let organisation = queued.organisation();
         let expected_ms = self.mean_online_run_ms.max(MIN_CHARGE_MS);
         self.fair_shares.charge(organisation, expected_ms);
+        let waiting = waiting_requests(&self.queue).collect();
+        self.least_shares.charge(organisation, expected_ms, &waiting);
         Some(Charge { organisation, expected_ms })
     }
 
     /// Returns the index of the request that is granted next: online before batch, and in each
-    /// class by priority, then those that can still be on time before those that are late, then by
+    /// class those of organisations that are due their least share, then by priority, then those that can still be on time before those that are late, then by
     /// the fair shares of the organisations, then by the sort key. Items have no priority.
     fn next_to_grant(&self, now_ms: Millis) -> Option<usize> {
         let is_allowed = |queued: &QueuedRequest| {
             queued.class == Class::Online || now_ms >= self.batch_blocked_until_ms
         };
         let ahead_from_ms = self.item_shares.ahead_from_ms(waiting_items(&self.queue));
-        (0..self.queue.len())
-            .filter(|index| is_allowed(&self.queue[*index]))
-            .min_by_key(|index| self.service_order(&self.queue[*index], now_ms, ahead_from_ms))
+        (0..self.queue.len()).filter(|index| is_allowed(&self.queue[*index])).min_by_key(|index| {
+            let queued = &self.queue[*index];
+            let is_due =
+                queued.class == Class::Online && self.least_shares.is_due(queued.organisation());
+            let (class, priority, late, start_ms, at_ms, ticket) =
+                self.service_order(queued, now_ms, ahead_from_ms);
+            (class, !is_due, priority, late, start_ms, at_ms, ticket)
+        })
     }
 
     /// Revokes the slot of one batch item for each queued online request: first those of items that
@@ -580,6 +616,12 @@
     }
 }
 
+/// Returns the organisations of the online requests that wait.
+fn waiting_requests(queue: &[QueuedRequest]) -> impl Iterator<Item = u64> + '_ {
+    let requests = queue.iter().filter(|queued| queued.class == Class::Online);
+    requests.map(QueuedRequest::organisation)
+}
+
 /// Returns the organisations of the items that wait.
 fn waiting_items(queue: &[QueuedRequest]) -> impl Iterator<Item = u64> + '_ {
     let items = queue.iter().filter(|queued| queued.class == Class::Batch);
