--- a/crates/slots/src/table.rs
+++ b/crates/slots/src/table.rs
@@ -5,6 +5,8 @@
 
 use crate::fair_share::FairShares;
 use crate::fair_share::Share;
+use crate::item_shares::ItemShares;
+use crate::least_share::LeastShares;
 use crate::message::Class;
 use crate::message::Load;
 use crate::message::Run;
@@ -92,6 +94,12 @@
     share: Option<Share>,
 }
 
+impl QueuedRequest {
+    fn organisation(&self) -> u64 {
+        self.share.map_or(NO_ORGANISATION, |share| share.organisation)
+    }
+}
+
 /// A holder's request for a slot of the replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GrantRequest {
@@ -105,7 +113,7 @@
     pub urgency: Urgency,
     /// How long the request may stay queued.
     pub give_up_left_ms: Millis,
-    /// The organisation of an online request, if its holder sent one.
+    /// The organisation of the request, if its holder sent one.
     pub share: Option<Share>,
 }
 
@@ -178,6 +186,8 @@
     fair_shares: FairShares,
     /// The requests that were refused early, if the table does so.
     early_refusals: Option<EarlyRefusals>,
+    item_shares: ItemShares,
+    least_shares: LeastShares,
 }
 
 impl SlotTable {
@@ -207,6 +217,8 @@
             has_reported: false,
             fair_shares: FairShares::default(),
             early_refusals: None,
+            item_shares: ItemShares::default(),
+            least_shares: LeastShares::default(),
         }
     }
 
@@ -292,6 +304,12 @@
             {
                 refusals.record_wait(now_ms, give_up_left_ms);
             }
+            if class == Class::Batch {
+                self.item_shares.record_waiting(share.map(|share| share.organisation));
+            } else if let Some(share) = share {
+                let expected_ms = self.mean_online_run_ms.max(MIN_CHARGE_MS);
+                self.least_shares.record_waiting(share.organisation, expected_ms);
+            }
             self.queue.push(QueuedRequest {
                 ticket,
                 holder: holder.clone(),
@@ -300,7 +318,7 @@
                 order_at_ms: now_ms.saturating_add(urgency.order_left_ms),
                 give_up_at_ms: now_ms.saturating_add(give_up_left_ms),
                 last_requested_at_ms: now_ms,
-                share: share.filter(|_| class == Class::Online),
+                share,
             });
         }
         let mut actions = self.update_grants(now_ms);
@@ -329,6 +347,9 @@
         if request.class != Class::Online || !is_overloaded || self.early_refusals.is_some() {
             return false;
         }
+        if self.is_first_behind_priority(index) {
+            return false;
+        }
         let ahead = self.ahead(now_ms, request);
         let wait_ms = ahead as Millis * self.mean_online_run_ms
             / (Millis::from(self.slots.max(1)) * QUEUES_PER_REQUEST);
@@ -339,7 +360,7 @@
     fn refuse_early(&mut self, now_ms: Millis, index: usize) -> Option<Millis> {
         let request = &self.queue[index];
         let can_refuse = request.class == Class::Online && !self.is_suspect && self.limit > 0;
-        if !can_refuse || self.early_refusals.is_none() {
+        if !can_refuse || self.early_refusals.is_none() || self.is_first_behind_priority(index) {
             return None;
         }
         let candidate = Candidate {
@@ -373,8 +394,29 @@
 
     /// Returns the number of requests that are served before `request`.
     fn ahead(&self, now_ms: Millis, request: &QueuedRequest) -> usize {
-        let key = self.service_order(request, now_ms);
-        self.queue.iter().filter(|other| self.service_order(other, now_ms) < key).count()
+        // Items come after all online requests, whatever their shares.
+        let key = self.service_order(request, now_ms, Millis::MAX);
+        let order = |other| self.service_order(other, now_ms, Millis::MAX);
+        self.queue.iter().filter(|other| order(other) < key).count()
+    }
+
+    /// Returns whether a request is the only one of its organisation and others of higher priority are
+    /// ahead of it. It waits for the least share of its organisation, which would get none otherwise.
+    fn is_first_behind_priority(&self, index: usize) -> bool {
+        let Some(share) = self.queue[index].share else { return false };
+        let others = self
+            .queue
+            .iter()
+            .enumerate()
+            .filter(|(other, queued)| *other != index && queued.class == Class::Online);
+        let mut is_behind = false;
+        for (_, other) in others {
+            if other.organisation() == share.organisation {
+                return false;
+            }
+            is_behind |= other.share.map_or(0, |other| other.priority) < share.priority;
+        }
+        is_behind
     }
 
     /// Releases a slot, or a place in the queue.
@@ -388,11 +430,13 @@
     /// Updates the mean duration of online runs, and marks the replica as overloaded if the
     /// released request timed out in the queue.
     fn record_end(&mut self, now_ms: Millis, ticket: Ticket) {
+        self.item_shares.settle(now_ms, ticket);
         let mut grants = self.grants.iter().filter(|grant| grant.class == Class::Online);
         if let Some(grant) = grants.find(|grant| grant.ticket == ticket) {
             let run_ms = now_ms.saturating_sub(grant.granted_at_ms);
             if let Some(Charge { organisation, expected_ms }) = grant.charge {
                 self.fair_shares.settle(organisation, expected_ms, run_ms);
+                self.least_shares.settle(organisation, expected_ms, run_ms);
             }
             self.mean_online_run_ms = match self.mean_online_run_ms {
                 0 => run_ms,
@@ -499,6 +543,8 @@
     /// Expires grants, orphaned runs and queued requests, and grants free slots.
     pub fn tick(&mut self, now_ms: Millis) -> Vec<TableAction> {
         self.grants.retain(|grant| now_ms < grant.confirmed_at_ms + UNCONFIRMED_GRANT_TTL_MS);
+        let grants = &self.grants;
+        self.item_shares.retain(|ticket| grants.iter().any(|grant| grant.ticket == ticket));
         if now_ms >= self.orphaned_until_ms {
             self.orphaned_runs = 0;
         }
@@ -522,7 +568,7 @@
         while runs_without_grant.saturating_add(self.grants.len() as u32) < self.limit {
             let Some(next) = self.next_to_grant(now_ms) else { break };
             let queued = self.queue.swap_remove(next);
-            let charge = self.charge(&queued);
+            let charge = self.charge(now_ms, &queued);
             actions
                 .push(TableAction::Grant { holder: queued.holder.clone(), ticket: queued.ticket });
             self.grants.push(Grant {
@@ -545,27 +591,41 @@
     /// Charges an organisation for a grant with the mean slot time, until the grant is released.
     ///
     /// Requests without a share are charged only once others have one.
-    fn charge(&mut self, queued: &QueuedRequest) -> Option<Charge> {
+    fn charge(&mut self, now_ms: Millis, queued: &QueuedRequest) -> Option<Charge> {
+        if queued.class == Class::Batch {
+            let waiting = waiting_items(&self.queue);
+            self.item_shares.charge(now_ms, queued.ticket, queued.organisation(), waiting);
+            return None;
+        }
         let has_shares = queued.share.is_some() || self.fair_shares.remembered() > 0;
-        if queued.class != Class::Online || !has_shares {
+        if !has_shares {
             return None;
         }
-        let organisation = queued.share.map_or(NO_ORGANISATION, |share| share.organisation);
+        let organisation = queued.organisation();
         let expected_ms = self.mean_online_run_ms.max(MIN_CHARGE_MS);
         self.fair_shares.charge(organisation, expected_ms);
+        let waiting = waiting_requests(&self.queue).collect();
+        self.least_shares.charge(organisation, expected_ms, &waiting);
         Some(Charge { organisation, expected_ms })
     }
 
     /// Returns the index of the request that is granted next: online before batch, and in each
-    /// class by priority, then those that can still be on time before those that are late, then by
-    /// the fair shares of the organisations, then by the sort key.
+    /// class those of organisations that are due their least share, then by priority, then those that can
+    /// still be on time before those that are late, then by the fair shares of the organisations, then by
+    /// the sort key. Items have no priority.
     fn next_to_grant(&self, now_ms: Millis) -> Option<usize> {
         let is_allowed = |queued: &QueuedRequest| {
             queued.class == Class::Online || now_ms >= self.batch_blocked_until_ms
         };
-        (0..self.queue.len())
-            .filter(|index| is_allowed(&self.queue[*index]))
-            .min_by_key(|index| self.service_order(&self.queue[*index], now_ms))
+        let ahead_from_ms = self.item_shares.ahead_from_ms(waiting_items(&self.queue));
+        (0..self.queue.len()).filter(|index| is_allowed(&self.queue[*index])).min_by_key(|index| {
+            let queued = &self.queue[*index];
+            let is_due =
+                queued.class == Class::Online && self.least_shares.is_due(queued.organisation());
+            let (class, priority, late, start_ms, at_ms, ticket) =
+                self.service_order(queued, now_ms, ahead_from_ms);
+            (class, !is_due, priority, late, start_ms, at_ms, ticket)
+        })
     }
 
     /// Revokes the slot of one batch item for each queued online request: first those of items that
@@ -617,12 +677,33 @@
     ///
     /// Requests without a share have the same priority and virtual start, so that these decide
     /// nothing among them; beside requests with shares, they share one queue.
-    fn service_order(&self, queued: &QueuedRequest, now_ms: Millis) -> ServiceOrder {
+    fn service_order(
+        &self,
+        queued: &QueuedRequest,
+        now_ms: Millis,
+        ahead_from_ms: Millis,
+    ) -> ServiceOrder {
         let is_late = queued.on_time_at_ms < now_ms;
         let at_ms = if is_late { queued.give_up_at_ms } else { queued.order_at_ms };
+        let organisation = queued.organisation();
+        if queued.class == Class::Batch {
+            let is_ahead = self.item_shares.is_ahead(organisation, ahead_from_ms);
+            return (queued.class, 0, is_late, Millis::from(is_ahead), at_ms, queued.ticket);
+        }
         let priority = queued.share.map_or(0, |share| share.priority);
-        let organisation = queued.share.map_or(NO_ORGANISATION, |share| share.organisation);
         let start_ms = self.fair_shares.start_ms(organisation);
         (queued.class, priority, is_late, start_ms, at_ms, queued.ticket)
     }
 }
+
+/// Returns the organisations of the online requests that wait.
+fn waiting_requests(queue: &[QueuedRequest]) -> impl Iterator<Item = u64> + '_ {
+    let requests = queue.iter().filter(|queued| queued.class == Class::Online);
+    requests.map(QueuedRequest::organisation)
+}
+
+/// Returns the organisations of the items that wait.
+fn waiting_items(queue: &[QueuedRequest]) -> impl Iterator<Item = u64> + '_ {
+    let items = queue.iter().filter(|queued| queued.class == Class::Batch);
+    items.map(QueuedRequest::organisation)
+}
