Cast no early vote past a daemon that is starting

Cause: with real start times the candidates still change when daemons vote early. Change: an early vote is cast only for the daemon that will also be preferred once the daemons that are starting are ready (Membership::starting_daemons). The simulation reports when daemons vote, when groups have owners and what decides, and plays one daemon that stays away.

--- a/crates/peers/src/membership.rs
+++ b/crates/peers/src/membership.rs
@@ -348,6 +348,16 @@
         own.into_iter().chain(others.map(|peer| &peer.identity)).collect()
     }
 
+    /// Returns the daemons that are not known to be lost and do not accept work yet, this one included.
+    pub fn starting_daemons(&self) -> Vec<&Identity> {
+        let own = (self.own_readiness == Readiness::Starting).then_some(&self.own);
+        let others = self.peers.values().filter(|peer| {
+            peer.readiness == Readiness::Starting
+                && matches!(peer.state, PeerState::Alive | PeerState::Unheard)
+        });
+        own.into_iter().chain(others.map(|peer| &peer.identity)).collect()
+    }
+
     /// Returns whether this daemon has received heartbeats before and none of its peers is alive
     /// now.
     pub fn is_isolated(&self) -> bool {
--- a/crates/peers/tests/membership.rs
+++ b/crates/peers/tests/membership.rs
@@ -358,3 +358,24 @@
         "this daemon sends all its heartbeats"
     );
 }
+
+/// Guards against daemons that are about to be ready being passed over, or lost ones waited for.
+#[test]
+fn starting_daemons_are_those_that_may_become_ready() {
+    let mut membership = Membership::new(identity(1, 1), Vec::new());
+    membership.tick(0);
+    membership.handle_heartbeat(0, &heartbeat(2, 1));
+    let starting = Heartbeat { readiness: Readiness::Starting, ..heartbeat(3, 1) };
+    membership.handle_heartbeat(0, &starting);
+    let leaving = Heartbeat { readiness: Readiness::Leaving, ..heartbeat(4, 1) };
+    membership.handle_heartbeat(0, &leaving);
+    membership.add_members(0, vec![identity(5, 1)]);
+    let numbers = |membership: &Membership| {
+        let starting = membership.starting_daemons().into_iter();
+        starting.map(|identity| identity.name.to_string()).collect::<Vec<_>>()
+    };
+    assert_eq!(numbers(&membership), ["daemon-1", "daemon-3", "daemon-5"]);
+    membership.set_own_readiness(Readiness::Ready);
+    run_ticks(&mut membership, 50, 10_000);
+    assert!(numbers(&membership).is_empty(), "{:?}", numbers(&membership));
+}
--- a/crates/quota/src/core.rs
+++ b/crates/quota/src/core.rs
@@ -44,6 +44,8 @@
         reachable: Vec<DaemonName>,
         /// Those of them that may own groups.
         candidates: Vec<DaemonName>,
+        /// The daemons that will be candidates, but are not ready yet.
+        starting: Vec<DaemonName>,
         /// Whether this daemon has read a list of all daemons.
         is_complete: bool,
     },
@@ -176,8 +178,11 @@
         self.election.check_for_pause(now_ms);
         self.update_terms(now_ms, &mut actions);
         match event {
-            Event::Members { known, reachable, candidates, is_complete } => {
+            Event::Members { known, reachable, candidates, starting, is_complete } => {
                 self.election.set_members(now_ms, &known, reachable, &candidates, is_complete);
+                if !starting.is_empty() {
+                    self.election.set_expected(&candidates, &starting);
+                }
                 let (election, own) = (&self.election, &self.own);
                 self.owner.retain_senders(|name| name == own || election.is_known(name));
                 self.update_terms(now_ms, &mut actions);
--- a/crates/quota/src/election.rs
+++ b/crates/quota/src/election.rs
@@ -51,6 +51,8 @@
 #[derive(Clone, Debug, Default)]
 struct Group {
     preferred: Option<DaemonName>,
+    /// The daemon that will be preferred once those that are starting are ready.
+    expected: Option<DaemonName>,
     /// The daemon that got this daemon's last vote, and when it expires.
     voted: Option<(DaemonName, Millis)>,
     votes: HashMap<DaemonName, Vote>,
@@ -181,6 +183,16 @@
             group.preferred = rendezvous::owner(&format!("quota-{number}"), candidates).cloned();
         }
         self.reachable = reachable;
+        self.set_expected(candidates, &[]);
+    }
+
+    /// Sets the daemons that will be candidates, but are not ready yet. A vote for another one would
+    /// bind this daemon when they are.
+    pub fn set_expected(&mut self, candidates: &[DaemonName], starting: &[DaemonName]) {
+        let expected: Vec<DaemonName> = candidates.iter().chain(starting).cloned().collect();
+        for (group, number) in self.groups.iter_mut().zip(0_u8..) {
+            group.expected = rendezvous::owner(&format!("quota-{number}"), &expected).cloned();
+        }
     }
 
     /// Records a pause of this daemon; called with every event.
@@ -342,7 +354,8 @@
             let is_bound = group.voted.as_ref().is_some_and(|(owner, until_ms)| {
                 owner != preferred && now_ms < until_ms + VOTE_DELAY_MS
             });
-            if !is_bound {
+            let is_premature = is_early && group.expected.as_ref() != Some(preferred);
+            if !is_bound && !is_premature {
                 group.voted = Some((preferred.clone(), now_ms + valid_ms));
                 *votes.entry(preferred.clone()).or_default() |= 1 << number;
             }
--- a/crates/quota/src/service.rs
+++ b/crates/quota/src/service.rs
@@ -295,10 +295,12 @@
         };
         let large: Vec<DaemonName> = ready.iter().filter(is_large).map(name).collect();
         let candidates = if large.is_empty() { reachable.clone() } else { large };
+        let starting = membership.starting_daemons();
+        let starting = starting.iter().filter(is_large).map(name).collect();
         drop(membership);
         let now_ms = self.clock.now_ms();
         let is_complete = self.fleet_known_from_ms.get().is_some_and(|from_ms| now_ms >= from_ms);
-        self.step(Event::Members { known, reachable, candidates, is_complete });
+        self.step(Event::Members { known, reachable, candidates, starting, is_complete });
     }
 
     fn handle(&self, datagram: &Datagram) {
--- a/crates/quota/tests/fleet_start/mod.rs
+++ b/crates/quota/tests/fleet_start/mod.rs
@@ -46,6 +46,7 @@
     pub known: Vec<DaemonName>,
     pub reachable: Vec<DaemonName>,
     pub candidates: Vec<DaemonName>,
+    pub starting: Vec<DaemonName>,
     pub is_complete: bool,
 }
 
@@ -126,10 +127,13 @@
         let reachable: Vec<DaemonName> = ready.iter().map(name).collect();
         let large = ready.iter().filter(|identity| identity.cpu_millis * 2 >= most_millis);
         let large: Vec<DaemonName> = large.map(name).collect();
+        let starting = membership.starting_daemons();
+        let starting = starting.iter().filter(|identity| identity.cpu_millis * 2 >= most_millis);
         Members {
             known: membership.peers().map(|peer| peer.identity.name.clone()).collect(),
             candidates: if large.is_empty() { reachable.clone() } else { large },
             reachable,
+            starting: starting.map(name).collect(),
             is_complete: self.complete_from_ms.is_some_and(|from_ms| now_ms >= from_ms),
         }
     }
--- a/crates/quota/tests/simulation.rs
+++ b/crates/quota/tests/simulation.rs
@@ -18,6 +18,7 @@
 use quota::QuotaCore;
 use quota::QuotaSettings;
 use quota::holder::Decision;
+use quota::holder::Source;
 use quota::message::hash_of;
 use rand::Rng;
 use rand::SeedableRng;
@@ -201,6 +202,12 @@
     terms_lost: u64,
     terms_begun: u64,
     terms_handed_over: u64,
+    /// The first votes of daemons since their last start.
+    first_votes_ms: HashMap<usize, u64>,
+    /// The times at which terms began, with their groups.
+    terms_ms: Vec<(u64, u8)>,
+    /// The times of decisions by what decided.
+    decisions: Vec<(u64, &'static str)>,
 }
 
 impl Simulation {
@@ -245,6 +252,9 @@
             terms_lost: 0,
             terms_begun: 0,
             terms_handed_over: 0,
+            first_votes_ms: HashMap::new(),
+            terms_ms: Vec::new(),
+            decisions: Vec::new(),
             plan,
         };
         simulation.play();
@@ -340,7 +350,10 @@
                 }
                 self.push(next.unwrap_or(now_ms + MEMBERS_MS), Kind::Members(daemon));
             }
-            Kind::Start(daemon) => self.daemons[daemon] = self.start(daemon, false),
+            Kind::Start(daemon) => {
+                self.daemons[daemon] = self.start(daemon, false);
+                self.first_votes_ms.remove(&daemon);
+            }
             Kind::Limits => {
                 let limits = self.limits();
                 for daemon in 0..self.plan.daemons {
@@ -450,8 +463,9 @@
         let now_ms = self.now_ms;
         if self.plan.discovery.is_some() {
             let members = self.daemons[daemon].discovery.members(now_ms);
-            let Members { known, reachable, candidates, is_complete } = members;
-            self.step(daemon, Event::Members { known, reachable, candidates, is_complete });
+            let Members { known, reachable, candidates, starting, is_complete } = members;
+            let members = Event::Members { known, reachable, candidates, starting, is_complete };
+            self.step(daemon, members);
             return;
         }
         for other in 0..self.plan.daemons {
@@ -477,6 +491,10 @@
         let reachable: Vec<DaemonName> =
             candidates.map(|other| self.names[other].clone()).collect();
         let candidates = reachable.clone();
+        let is_starting = |other: usize| now_ms < self.daemons[other].started_ms + READY_MS;
+        let starting =
+            (0..self.plan.daemons).filter(|other| is_heard(*other) && is_starting(*other));
+        let starting = starting.map(|other| self.names[other].clone()).collect();
         // A restarted daemon knows those that it has heard from until it has read the list of all.
         let started_ms = self.daemons[daemon].started_ms;
         let is_complete = started_ms == 0 || now_ms >= started_ms + LIST_MS;
@@ -484,7 +502,8 @@
         let is_known = |other: &usize| is_complete || heard_ms[*other].is_some();
         let known = (0..self.plan.daemons).filter(is_known);
         let known = known.map(|other| self.names[other].clone()).collect();
-        self.step(daemon, Event::Members { known, reachable, candidates, is_complete });
+        let members = Event::Members { known, reachable, candidates, starting, is_complete };
+        self.step(daemon, members);
     }
 
     fn request(&mut self, org: usize) {
@@ -523,7 +542,10 @@
             match action {
                 Action::Send(to, message) => self.send(daemon, &to, message),
                 Action::Decide(ticket, decision) => self.decide(daemon, ticket, decision),
-                Action::Owns { is_owner, cause, .. } => {
+                Action::Owns { group, is_owner, cause } => {
+                    if is_owner {
+                        self.terms_ms.push((self.now_ms, group));
+                    }
                     self.terms_lost += u64::from(!is_owner && cause == "votes");
                     self.terms_begun += u64::from(is_owner);
                     self.terms_handed_over += u64::from(cause == "handed_over");
@@ -534,6 +556,12 @@
 
     fn decide(&mut self, daemon: usize, ticket: u64, decision: Decision) {
         let org = self.tickets.remove(&ticket).expect("a ticket is decided once");
+        let decided_by = match &decision {
+            Decision::Admitted(Source::Owner { .. }) => "owner",
+            Decision::Admitted(Source::Fixed { .. } | Source::Shared) => "fixed shares",
+            Decision::Refused { .. } => "refused",
+        };
+        self.decisions.push((self.now_ms, decided_by));
         match decision {
             Decision::Admitted(source)
                 if self.plan.unserved > 0.0 && self.random.gen_bool(self.plan.unserved) =>
@@ -551,6 +579,9 @@
 
     fn send(&mut self, from: usize, to: &DaemonName, message: Message) {
         let to = self.index[to];
+        if matches!(message, Message::Vote { .. }) {
+            self.first_votes_ms.entry(from).or_insert(self.now_ms);
+        }
         self.sent_messages += 1;
         let bytes = postcard::to_allocvec(&message).expect("a message is encoded").len();
         self.sent_bytes += (bytes + ENVELOPE_BYTES) as u64;
@@ -674,6 +705,32 @@
         best / ideal
     }
 
+    /// Describes the time after all daemons were killed: when the middle daemon and the last one voted
+    /// first, when groups had owners, and what decided.
+    fn describe_start(&self, killed_ms: u64, until_ms: u64) -> String {
+        let mut voted: Vec<u64> = self.first_votes_ms.values().copied().collect();
+        voted.sort_unstable();
+        let owned = (0..8).filter_map(|group| {
+            let terms = self.terms_ms.iter().filter(|(at, of)| *of == group && *at > killed_ms);
+            terms.map(|(at, _)| at - killed_ms).min()
+        });
+        let mut owned: Vec<u64> = owned.collect();
+        owned.sort_unstable();
+        let count = |by: &str| {
+            let times = self.decisions.iter().filter(|(_, decided)| *decided == by);
+            times.filter(|(at, _)| (killed_ms..until_ms).contains(at)).count()
+        };
+        let after = |at: Option<&u64>| at.map(|at| at - killed_ms);
+        format!(
+            "voted {:?} to {:?} ms, owners {owned:?} ms, by owners {}, by fixed shares {}, refused {}",
+            after(voted.get(voted.len() / 2)),
+            after(voted.last()),
+            count("owner"),
+            count("fixed shares"),
+            count("refused")
+        )
+    }
+
     fn bytes_per_daemon_s(&self) -> f64 {
         self.sent_bytes as f64 / self.plan.daemons as f64 / (self.plan.until_ms as f64 / 1_000.0)
     }
@@ -981,11 +1038,14 @@
 /// wait until votes have expired that no daemon holds any more.
 #[test]
 fn fleet_with_real_start_times_serves_soon_after_all_were_killed() {
-    for (daemons, seed, at_least) in [(77, 0, 0.66), (77, 1, 0.6), (300, 0, 0.55)] {
+    let plays = [(77, 0, 0, 0.66), (77, 1, 0, 0.6), (300, 0, 0, 0.55), (77, 0, 8_000, 0.55)];
+    for (daemons, seed, late_ms, at_least) in plays {
         let mut plan = Plan { daemons, busy_daemons: daemons, until_ms: 16_000, ..Plan::new(seed) };
         plan.discovery = Some(StartTimes { ready_ms: 100..900, listed_ms: 400..1_500 });
         let mut random = StdRng::seed_from_u64(seed);
         plan.restarts = (0..daemons).map(|d| (d, 10_000, random.gen_range(300..1_000))).collect();
+        // The last daemon stays away, so that the others wait until its votes would have expired.
+        plan.restarts[daemons - 1].2 += late_ms;
         let run = Simulation::run(plan);
         let used = run.check_limit();
         print!("{daemons} daemons killed, seed {seed}: used {used:.3}, each 500 ms");
@@ -994,6 +1054,7 @@
         }
         let share = run.total_share(None, 10_000, 15_000);
         println!(", 5 s {share:.3}, best {:.3}", run.best_share_after_kill(10_000, 15_000));
+        println!("{daemons} daemons killed, seed {seed}: {}", run.describe_start(10_000, 15_000));
         assert!(share > at_least, "{daemons} daemons, seed {seed}: {share}");
     }
 }
--- a/crates/quota/tests/withdrawal.rs
+++ b/crates/quota/tests/withdrawal.rs
@@ -129,3 +129,27 @@
     assert!(changes.iter().all(|change| matches!(change, Change::Confirmed(_))), "{changes:?}");
     assert_eq!(changes.len(), 8);
 }
+
+/// Guards against early votes that bind a daemon when the owner of the group becomes ready.
+#[test]
+fn no_early_vote_passes_over_a_daemon_that_is_starting() {
+    let mut election = restarted("a");
+    let starting: Vec<DaemonName> = (0..20).map(|n| DaemonName::from(format!("s{n}"))).collect();
+    election.set_expected(&names(), &starting);
+    election.tick(ARRIVED_MS);
+    for voter in ["b", "c"] {
+        election.record_withdrawn(&DaemonName::from(voter));
+    }
+    let groups = |messages: &[(DaemonName, Message)]| {
+        messages.iter().fold(0_u8, |set, (_, message)| match message {
+            Message::Vote { groups, .. } => set | groups,
+            _ => set,
+        })
+    };
+    let early = groups(&election.tick(ARRIVED_MS + 50));
+    let mut later = 0;
+    for now_ms in (SETTLED_MS..SETTLED_MS + 1_000).step_by(50) {
+        later |= groups(&election.tick(now_ms));
+    }
+    assert!(early.count_ones() < later.count_ones(), "{early:b} before {later:b}");
+}
