Add floods of small and of stalled bodies, known to be red

Cause: The connection bounds follow from the descriptors alone, and a stalled body keeps its connection until the idle time. No test floods all connections of a host of 88 MB.

Change: flood_of_small_bodies_on_the_smallest_host opens 1,400 connections with heads of 14,000 bytes and bodies of 7,000 that stop short, on a host of 88 MB with 4,100 descriptors. flood_of_stalled_bodies_on_all_connections opens 400 on a host of 120 MB with 600 descriptors.

--- a/crates/daemon/tests/floods/mod.rs
+++ b/crates/daemon/tests/floods/mod.rs
@@ -30,8 +30,8 @@
 pub const BODY_BYTES: usize = 4 << 20;
 /// The memory of the host, in MB.
 const MEMORY_MB: u64 = 120;
-/// The bound of the daemon's peak resident memory: 60% of the host's, in KiB.
-const MAX_PEAK_KIB: u64 = MEMORY_MB * 1024 * 6 / 10;
+/// The bound of the daemon's peak resident memory, in percent of the host's memory.
+const MAX_PEAK_PERCENT: u64 = 60;
 /// The number of descriptors that the daemon may open.
 const MAX_FDS: u64 = 600;
 /// The time in which a flood sends what the daemon takes, after which it only stays open.
@@ -61,9 +61,14 @@
 
 /// Starts a fleet of one daemon on a small host.
 pub async fn start_small_host(folder: PathBuf) -> Fleet {
+    start_host(folder, MEMORY_MB, MAX_FDS).await
+}
+
+/// Starts a fleet of one daemon on a host with this memory and this number of descriptors.
+pub async fn start_host(folder: PathBuf, memory_mb: u64, max_fds: u64) -> Fleet {
     Fleet::start_with_settings(folder, 1, |settings| {
-        settings.memory_mb = MEMORY_MB;
-        settings.max_fds = MAX_FDS;
+        settings.memory_mb = memory_mb;
+        settings.max_fds = max_fds;
     })
     .await
 }
@@ -145,6 +150,8 @@
 /// flood's connections are open, and stays within its memory and its descriptors.
 pub async fn check_bounds(fleet: &mut Fleet, flood: Flood) {
     let pid = fleet.daemons[0].id();
+    let max_fds = fleet.daemons[0].settings.max_fds;
+    let max_peak_kib = fleet.daemons[0].settings.memory_mb * 1024 * MAX_PEAK_PERCENT / 100;
     let peak_fds = Rc::new(Cell::new(0));
     let watched_fds = peak_fds.clone();
     let watching = spawn_local(async move {
@@ -169,11 +176,11 @@
     assert!(is_running, "the process ended");
     assert!(is_answered, "an ordinary request is not answered");
     assert!(
-        peak_kib > 0 && peak_kib < MAX_PEAK_KIB,
-        "the peak is {peak_kib} KiB, over {MAX_PEAK_KIB} KiB"
+        peak_kib > 0 && peak_kib < max_peak_kib,
+        "the peak is {peak_kib} KiB, over {max_peak_kib} KiB"
     );
     let fds = peak_fds.get();
-    assert!(fds < MAX_FDS, "{fds} descriptors were open, of {MAX_FDS}");
+    assert!(fds < max_fds, "{fds} descriptors were open, of {max_fds}");
     drop(flood);
 }
 
--- a/crates/daemon/tests/platform_floods.rs
+++ b/crates/daemon/tests/platform_floods.rs
@@ -23,6 +23,8 @@
 use platform_stub::deployment::LOOKUP;
 use platform_stub::deployment::STREAM;
 use platform_stub::replica::ReplicaSettings;
+use platform_stub::settings::SMALLEST_MEMORY_MB;
+use platform_stub::settings::USUAL_MAX_FDS;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -35,6 +37,7 @@
 use crate::floods::chunked;
 use crate::floods::request_head;
 use crate::floods::run_alone;
+use crate::floods::start_host;
 use crate::floods::start_small_host;
 use crate::floods::unfinished_chunked;
 use crate::platform_fleet::Fleet;
@@ -49,6 +52,11 @@
 /// The size of the body of a peer's call, in bytes.
 const PEER_CALL_BYTES: usize = 16 << 20;
 
+/// The size of a body that stops short on each of many connections, in bytes.
+const SMALL_BODY_BYTES: usize = 7_000;
+/// The size of a header that a client sends before a body that stops short, in bytes.
+const FILLER_BYTES: usize = 14_000;
+
 /// Floods a daemon and checks its bounds.
 fn check_flood(name: &str, open: impl FnOnce(&Fleet, &mut Flood)) {
     check_flood_after(name, async |_| (), open);
@@ -81,6 +89,18 @@
     });
 }
 
+/// Opens submissions of jobs, whose route has no shorter limit than the idle time.
+fn open_small_bodies(to: SocketAddr, count: usize, bytes: usize, headers: &str, flood: &mut Flood) {
+    let tail = Bytes::from(vec![b'x'; bytes - 1]);
+    let headers = format!("{headers}content-length: {bytes}\r\n\r\n");
+    flood.open(count, |number| Sending {
+        to,
+        head: request_head(JOBS, &format!("small-{number}"), &headers),
+        tail: tail.clone(),
+        is_trickling: false,
+    });
+}
+
 fn open_chunked_bodies(to: SocketAddr, count: usize, tail: &Bytes, flood: &mut Flood) {
     flood.open(count, |number| Sending {
         to,
@@ -185,6 +205,28 @@
     });
 }
 
+// Guards against connections whose own buffers take the memory of the host, though their bodies fit into
+// the budget and their number into the descriptors.
+#[test]
+fn flood_of_small_bodies_on_the_smallest_host() {
+    let _alone = run_alone();
+    run_local("flood-small", |folder| async move {
+        let mut fleet = start_host(folder, SMALLEST_MEMORY_MB, USUAL_MAX_FDS).await;
+        let mut flood = Flood::default();
+        let filler = format!("x-filler: {}\r\n", "a".repeat(FILLER_BYTES));
+        open_small_bodies(fleet.ingress(0), 1_400, SMALL_BODY_BYTES, &filler, &mut flood);
+        check_bounds(&mut fleet, flood).await;
+    });
+}
+
+// Guards against stalled bodies that fit into the budget and keep all connections from other clients.
+#[test]
+fn flood_of_stalled_bodies_on_all_connections() {
+    check_flood("flood-stalled", |fleet, flood| {
+        open_small_bodies(fleet.ingress(0), 400, 1_000, "", flood);
+    });
+}
+
 // Guards against holding the events of streams that their clients do not read.
 #[test]
 fn flood_of_unread_streams() {
