Bound connections by the memory and evict stalled bodies at the bound

Cause: Connections were bounded by descriptors alone. 1,400 connections with heads of 14,000 bytes and bodies of 7,000 that stop short took 79 MB on a host of 88 MB; stalled bodies held all connections until the idle time.

Change: A quarter of the memory bounds clients' connections at 108 KiB each, an eighth those of the other servers at 48 KiB each; the smaller of this and the share of the descriptors counts. Connections over a quarter of the bound get a receive buffer of 8 KiB. A request body that brings no byte for header_ms is marked as stalled in the connection table (a pause of the process does not count); at the bound, if no connection is idle, the one that stalled first is closed and its request gets 408, before it was read completely and thus before it ran.

--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -16,7 +16,10 @@
 use http::request::Parts;
 use http_body_util::BodyExt;
 use hyper::body::Body;
+use hyper::body::Frame;
 use kernel::BootClock;
+use kernel::body_watch::BodyWatch;
+use kernel::body_watch::ConnectionEvicted;
 use kernel::pause_tolerant;
 use log::debug;
 use wire::Millis;
@@ -54,6 +57,8 @@
     Full,
     /// It gave way to another body.
     Evicted,
+    /// No byte came, and its connection was closed for a new one.
+    Stalled,
     /// No byte came for the idle time.
     Idle,
     /// It came more slowly than the least rate.
@@ -71,6 +76,7 @@
             Self::TooLarge => "too_large",
             Self::Full => "full",
             Self::Evicted => "evicted",
+            Self::Stalled => "stalled",
             Self::Idle => "idle",
             Self::Trickle => "trickle",
             Self::Late => "late",
@@ -84,6 +90,7 @@
             Self::TooLarge => (Reason::TooLarge, "the body is over the limit"),
             Self::Full => (Reason::NoMemory, "the memory for bodies is used up"),
             Self::Evicted => (Reason::NoMemory, "the body was evicted in favour of another one"),
+            Self::Stalled => (Reason::SlowBody, "the stalled body gave way to a new connection"),
             Self::Idle => (Reason::SlowBody, "no byte of the body came for too long"),
             Self::Trickle => (Reason::SlowBody, "the body came too slowly"),
             Self::Late => (Reason::Deadline, "the body was not complete in time"),
@@ -103,6 +110,12 @@
     }
 }
 
+impl From<ConnectionEvicted> for BodyFailure {
+    fn from(_: ConnectionEvicted) -> Self {
+        Self::Stalled
+    }
+}
+
 impl From<BodyRefusal> for BodyFailure {
     fn from(refusal: BodyRefusal) -> Self {
         match refusal {
@@ -129,6 +142,11 @@
     parts.extensions.get::<SocketAddr>().map(SocketAddr::ip)
 }
 
+/// Returns the watch of the request's body, which the server adds to each request.
+pub fn body_watch(parts: &Parts) -> Option<BodyWatch> {
+    parts.extensions.get().cloned()
+}
+
 /// Returns the length of the body that the head announces, if any.
 pub fn announced_bytes(parts: &Parts) -> Option<usize> {
     let value = parts.headers.get(header::CONTENT_LENGTH)?;
@@ -142,6 +160,8 @@
     announced_bytes: Option<usize>,
     started_ms: Millis,
     reservation: BodyReservation,
+    /// Tells the server when the body stalls; `None` if nothing closes its connection for that.
+    watch: Option<BodyWatch>,
     buffer: Vec<u8>,
     received_bytes: usize,
 }
@@ -162,11 +182,17 @@
             announced_bytes,
             started_ms,
             reservation: budget.begin_body(client, started_ms),
+            watch: None,
             buffer: Vec::new(),
             received_bytes: 0,
         }
     }
 
+    /// Lets the server close the body's connection for a new one while no byte comes.
+    pub fn with_watch(self, watch: Option<BodyWatch>) -> Self {
+        Self { watch, ..self }
+    }
+
     /// Reads the complete body; it holds its part of the budget until its last copy is dropped.
     ///
     /// The parts that the HTTP library hands out share its read buffer, so they are copied together as
@@ -209,13 +235,14 @@
         }
         loop {
             let (limit_ms, failure) = self.next_limit();
-            let frame = pause_tolerant::timeout(Duration::from_millis(limit_ms), body.frame());
+            let frame = next_frame(self.watch.as_ref(), &mut body);
+            let frame = pause_tolerant::timeout(Duration::from_millis(limit_ms), frame);
             let frame = tokio::select! {
                 biased;
                 () = poll_fn(|context| self.reservation.poll_evicted(context)) => {
                     return Err(BodyFailure::Evicted);
                 }
-                frame = frame => frame.map_err(|_| failure)?,
+                frame = frame => frame.map_err(|_| failure)??,
             };
             let part = match frame {
                 None => return Ok(()),
@@ -271,3 +298,14 @@
         limits.into_iter().min_by_key(|(limit_ms, _)| *limit_ms).unwrap_or(limits[0])
     }
 }
+
+/// Waits for the next frame of a body, or until its connection is closed for a new one.
+async fn next_frame<B: Body + Unpin>(
+    watch: Option<&BodyWatch>,
+    body: &mut B,
+) -> Result<Option<Result<Frame<B::Data>, B::Error>>, ConnectionEvicted> {
+    match watch {
+        Some(watch) => watch.wait_for_bytes(body.frame()).await,
+        None => Ok(body.frame().await),
+    }
+}
--- a/crates/gate/src/gateway.rs
+++ b/crates/gate/src/gateway.rs
@@ -226,7 +226,8 @@
         };
         let client = body::client_address(&parts);
         let announced_bytes = body::announced_bytes(&parts);
-        let reader = BodyReader::new(&self.budget, self.clock, client, announced_bytes, limits);
+        let reader = BodyReader::new(&self.budget, self.clock, client, announced_bytes, limits)
+            .with_watch(body::body_watch(&parts));
         let body = match reader.read(body).await {
             Ok(body) => body,
             Err(unread) => return self.refuse_body(&unread, &meta, &parts),
--- a/crates/gate/tests/bodies.rs
+++ b/crates/gate/tests/bodies.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::OnceLock;
 use std::time::Duration;
 
@@ -21,7 +22,14 @@
 use http_body_util::StreamBody;
 use hyper::body::Frame;
 use kernel::BootClock;
+use kernel::body_watch::BodyWatch;
+use kernel::connection_table::Admission;
+use kernel::connection_table::ConnectionId;
+use kernel::connection_table::ConnectionTable;
+use tokio_util::sync::CancellationToken;
 use wire::Millis;
+use wire::Ran;
+use wire::Reason;
 
 const MIB: usize = 1 << 20;
 const LIMITS: BodyLimits =
@@ -118,6 +126,62 @@
     assert_eq!(budget.total_used_bytes(), 0);
 }
 
+/// Guards against a stalled body that keeps its connection at the bound, and against a refusal that is
+/// untrue because the body still counts as read.
+#[tokio::test]
+async fn stalled_body_gives_way_to_a_new_connection() {
+    let (table, id) = full_table();
+    let evicted = CancellationToken::new();
+    let stall_limit = Duration::from_millis(20);
+    let watch = BodyWatch::new(table.clone(), id, stall_limit, evicted.clone());
+    let budget = Budget::unlimited();
+    let reading = reader(&budget, None, LIMITS).with_watch(Some(watch)).read(stalled(10));
+    let admitting = async {
+        assert_eq!(table.lock().expect("the table").admit(), Admission::Refuse);
+        loop {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            let admission = table.lock().expect("the table").admit();
+            if let Admission::Evict { evicted: chosen, .. } = admission {
+                assert_eq!(chosen, id);
+                evicted.cancel();
+                return;
+            }
+        }
+    };
+    let (read, ()) = tokio::join!(reading, admitting);
+    let unread = read.expect_err("it gives way");
+    assert_eq!(unread.failure, BodyFailure::Stalled);
+    let refusal = unread.failure.refusal();
+    assert_eq!((refusal.reason, refusal.reason.http_status()), (Reason::SlowBody, 408));
+    assert_eq!(refusal.ran, Ran::No);
+    assert_eq!(budget.total_used_bytes(), 0);
+}
+
+/// Guards against cutting a body that was slow once, and against a complete one that counts as stalled.
+#[tokio::test]
+async fn body_that_continues_after_a_stall_is_read() {
+    let (table, id) = full_table();
+    let stall_limit = Duration::from_millis(20);
+    let watch = BodyWatch::new(table.clone(), id, stall_limit, CancellationToken::new());
+    let parts = stream::unfold(0, |sent| async move {
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        let part = Ok::<_, Infallible>(Frame::data(Bytes::from_static(b"x")));
+        (sent < 3).then_some((part, sent + 1))
+    });
+    let body = StreamBody::new(Box::pin(parts));
+    let read = reader(&Budget::unlimited(), None, LIMITS).with_watch(Some(watch)).read(body).await;
+    assert_eq!(read.expect("it is read").len(), 3);
+    assert_eq!(table.lock().expect("the table").admit(), Admission::Refuse);
+}
+
+/// Returns the table of a server whose only connection is busy, and its id.
+fn full_table() -> (Arc<Mutex<ConnectionTable>>, ConnectionId) {
+    let mut table = ConnectionTable::new(1);
+    let Admission::Open(id) = table.admit() else { panic!("the table is full") };
+    table.set_busy(id);
+    (Arc::new(Mutex::new(table)), id)
+}
+
 /// Guards against a body that ends early and counts as complete.
 #[tokio::test]
 async fn broken_bodies_are_refused() {
--- a/crates/kernel/src/idle_timer.rs
+++ b/crates/kernel/src/idle_timer.rs
@@ -2,10 +2,11 @@
 //! client to read.
 
 use std::cell::Cell;
-use std::cell::RefCell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -17,6 +18,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::body_watch;
 use crate::connection_table::ConnectionId;
 use crate::connection_table::ConnectionTable;
 use crate::pause_tolerant;
@@ -70,7 +72,7 @@
 struct IdleState {
     limits: Box<dyn Fn() -> TimeLimits>,
     /// The server's table, which knows whether this connection is idle.
-    table: Rc<RefCell<ConnectionTable>>,
+    table: Arc<Mutex<ConnectionTable>>,
     id: ConnectionId,
     requests: Cell<usize>,
     /// Whether bytes wait because the client has not read those before.
@@ -91,7 +93,7 @@
 impl IdleTimer {
     /// Creates the timer of a connection that was just opened; `limits` returns the limits in force.
     pub fn new(
-        table: Rc<RefCell<ConnectionTable>>,
+        table: Arc<Mutex<ConnectionTable>>,
         id: ConnectionId,
         limits: impl Fn() -> TimeLimits + 'static,
     ) -> Self {
@@ -155,7 +157,7 @@
     }
 
     fn update_table(&self) {
-        let mut table = self.table.borrow_mut();
+        let mut table = body_watch::lock(&self.table);
         if self.is_busy() { table.set_busy(self.id) } else { table.set_idle(self.id) }
     }
 
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -1,5 +1,6 @@
 //! What all processes share: settings, plug-ins, life cycle, clocks, counters, logs and HTTP.
 
+pub mod body_watch;
 pub mod clock;
 pub mod connection_table;
 pub mod counters;
@@ -13,6 +14,7 @@
 pub mod logs;
 pub mod pause_tolerant;
 pub mod plugin;
+mod receive_buffer;
 pub mod request_body;
 pub mod services;
 pub mod settings;
--- a/crates/kernel/src/local_server.rs
+++ b/crates/kernel/src/local_server.rs
@@ -12,6 +12,8 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -42,6 +44,8 @@
 
 use crate::Counters;
 use crate::KernelError;
+use crate::body_watch;
+use crate::body_watch::BodyWatch;
 use crate::connection_table::Admission;
 use crate::connection_table::ConnectionId;
 use crate::connection_table::ConnectionTable;
@@ -49,6 +53,7 @@
 use crate::idle_timer::Expiry;
 use crate::idle_timer::IdleTimer;
 use crate::idle_timer::TimeLimits;
+use crate::receive_buffer;
 
 /// The length of the queue of connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
@@ -156,8 +161,8 @@
 pub struct ConnectionBound {
     /// The name of the server in logs and counters.
     pub server: &'static str,
-    /// The maximum number of open connections; at the bound idle ones are closed for new ones, and
-    /// new ones are refused if none is idle.
+    /// The maximum number of open connections; at the bound idle ones are closed for new ones, then
+    /// those whose request body has stalled, and new ones are refused if there is neither.
     pub max_connections: usize,
     /// The counters of the daemon.
     pub counters: Counters,
@@ -174,7 +179,7 @@
     /// Cancelled when all connections are closed at once.
     pub stopped: CancellationToken,
     bound: Option<ConnectionBound>,
-    table: Rc<RefCell<ConnectionTable>>,
+    table: Arc<Mutex<ConnectionTable>>,
     /// Cancelled when the connection is closed for a new one.
     replaced: RefCell<HashMap<ConnectionId, CancellationToken>>,
     over_bound: RefCell<OverBound>,
@@ -185,6 +190,7 @@
 struct OverBound {
     logged_at: Option<Instant>,
     closed_idle: u64,
+    closed_stalled: u64,
     refused: u64,
 }
 
@@ -207,7 +213,7 @@
             closing: CancellationToken::new(),
             stopped: CancellationToken::new(),
             bound,
-            table: Rc::new(RefCell::new(ConnectionTable::new(max_connections))),
+            table: Arc::new(Mutex::new(ConnectionTable::new(max_connections))),
             replaced: RefCell::default(),
             over_bound: RefCell::default(),
         }
@@ -215,16 +221,24 @@
 
     /// Returns the number of open connections.
     pub fn connections(&self) -> usize {
-        self.table.borrow().len()
+        body_watch::lock(&self.table).len()
     }
 
     fn is_at_bound(&self) -> bool {
         self.bound.as_ref().is_some_and(|bound| self.connections() >= bound.max_connections)
     }
 
+    /// Returns whether so many connections are open that a new one gets a small receive buffer.
+    fn limits_receive_buffers(&self) -> bool {
+        let bound = self.bound.as_ref();
+        bound.is_some_and(|bound| {
+            receive_buffer::is_limited(self.connections(), bound.max_connections)
+        })
+    }
+
     /// Decides about a new connection; returns its id, or `None` if it is refused.
     fn admit(&self) -> Option<ConnectionId> {
-        let admission = self.table.borrow_mut().admit();
+        let admission = body_watch::lock(&self.table).admit();
         let (opened, outcome) = match admission {
             Admission::Open(opened) => (Some(opened), None),
             Admission::Replace { opened, closed } => {
@@ -233,30 +247,38 @@
                 }
                 (Some(opened), Some("idle_at_bound"))
             }
+            Admission::Evict { opened, evicted } => {
+                if let Some(evicted) = self.replaced.borrow().get(&evicted) {
+                    evicted.cancel();
+                }
+                (Some(opened), Some("stalled_at_bound"))
+            }
             Admission::Refuse => (None, Some("refused")),
         };
         if let Some(outcome) = outcome {
-            self.record_over_bound(outcome, opened.is_some());
+            self.record_over_bound(admission, outcome);
         }
         opened
     }
 
-    fn record_over_bound(&self, outcome: &str, is_opened: bool) {
+    fn record_over_bound(&self, admission: Admission, outcome: &str) {
         self.count_closed(outcome);
         let mut over_bound = self.over_bound.borrow_mut();
-        if is_opened {
-            over_bound.closed_idle += 1;
-        } else {
-            over_bound.refused += 1;
+        match admission {
+            Admission::Open(_) => {}
+            Admission::Replace { .. } => over_bound.closed_idle += 1,
+            Admission::Evict { .. } => over_bound.closed_stalled += 1,
+            Admission::Refuse => over_bound.refused += 1,
         }
         if over_bound.logged_at.is_some_and(|at| at.elapsed() < BOUND_LOG_INTERVAL) {
             return;
         }
         warn!(
-            "event=connections_at_bound server={} open={} closed_idle={} refused={}",
+            "event=connections_at_bound server={} open={} closed_idle={} closed_stalled={} refused={}",
             self.server(),
             self.connections(),
             over_bound.closed_idle,
+            over_bound.closed_stalled,
             over_bound.refused
         );
         *over_bound = OverBound { logged_at: Some(Instant::now()), ..OverBound::default() };
@@ -280,7 +302,7 @@
     }
 
     fn record_end(&self, id: ConnectionId) {
-        self.table.borrow_mut().remove(id);
+        body_watch::lock(&self.table).remove(id);
         self.replaced.borrow_mut().remove(&id);
     }
 }
@@ -352,6 +374,11 @@
         if let Err(error) = stream.set_nodelay(true) {
             debug!("event=socket_option_refused peer={peer} error=\"{error}\"");
         }
+        if lifecycle.limits_receive_buffers()
+            && let Err(error) = receive_buffer::limit(&stream)
+        {
+            debug!("event=socket_option_refused peer={peer} error=\"{error}\"");
+        }
         let limits = lifecycle.limits.get();
         let idle_timer = IdleTimer::new(lifecycle.table.clone(), self.id, {
             let lifecycle = lifecycle.clone();
@@ -363,6 +390,12 @@
         let service = service_fn(|mut request: Request<Incoming>| {
             let busy = idle_timer.begin_request();
             request.extensions_mut().insert(peer);
+            request.extensions_mut().insert(BodyWatch::new(
+                lifecycle.table.clone(),
+                self.id,
+                lifecycle.limits.get().head,
+                replaced.clone(),
+            ));
             let answer = handler.clone().handle(request);
             let lifecycle = lifecycle.clone();
             async move {
--- a/crates/kernel/tests/connection_table.rs
+++ b/crates/kernel/tests/connection_table.rs
@@ -8,7 +8,9 @@
 
 fn open(table: &mut ConnectionTable) -> ConnectionId {
     match table.admit() {
-        Admission::Open(opened) | Admission::Replace { opened, .. } => opened,
+        Admission::Open(opened)
+        | Admission::Replace { opened, .. }
+        | Admission::Evict { opened, .. } => opened,
         Admission::Refuse => panic!("the connection is refused"),
     }
 }
@@ -23,7 +25,7 @@
 fn replaced(admission: Admission) -> Option<ConnectionId> {
     match admission {
         Admission::Replace { closed, .. } => Some(closed),
-        Admission::Open(_) | Admission::Refuse => None,
+        Admission::Open(_) | Admission::Evict { .. } | Admission::Refuse => None,
     }
 }
 
@@ -89,3 +91,57 @@
         assert!(matches!(table.admit(), Admission::Open(_)));
     }
 }
+
+// Guards against stalled bodies on all connections, which would keep every other client out.
+#[test]
+fn connection_whose_body_stalled_first_is_closed_if_none_is_idle() {
+    let mut table = ConnectionTable::new(MAX_CONNECTIONS);
+    let busy: Vec<ConnectionId> = (0..MAX_CONNECTIONS).map(|_| open(&mut table)).collect();
+    for id in &busy {
+        table.set_busy(*id);
+    }
+    table.set_stalled(busy[5]);
+    table.set_stalled(busy[2]);
+    let evicted = |admission| match admission {
+        Admission::Evict { evicted, .. } => Some(evicted),
+        _ => None,
+    };
+    assert_eq!(evicted(table.admit()), Some(busy[5]));
+    assert_eq!(table.len(), MAX_CONNECTIONS);
+    // The new connection is idle, so it is closed before the second stalled one.
+    assert!(replaced(table.admit()).is_some_and(|closed| !busy.contains(&closed)));
+}
+
+// Guards against cutting a body that brings bytes again, or a request whose body is complete.
+#[test]
+fn connection_whose_body_continues_is_not_closed() {
+    let mut table = ConnectionTable::new(MAX_CONNECTIONS);
+    let busy: Vec<ConnectionId> = (0..MAX_CONNECTIONS).map(|_| open(&mut table)).collect();
+    for id in &busy {
+        table.set_busy(*id);
+        table.set_stalled(*id);
+        table.clear_stalled(*id);
+    }
+    assert_eq!(table.admit(), Admission::Refuse);
+    // A connection that has become idle is no stalled one.
+    table.set_stalled(busy[0]);
+    table.set_idle(busy[0]);
+    assert_eq!(replaced(table.admit()), Some(busy[0]));
+}
+
+// Guards against evicting connections while there is room, and against a stalled one that has ended.
+#[test]
+fn stalled_connections_under_the_bound_stay_open() {
+    let mut table = ConnectionTable::new(2);
+    let first = open(&mut table);
+    table.set_busy(first);
+    table.set_stalled(first);
+    let second = match table.admit() {
+        Admission::Open(second) => second,
+        other => panic!("{other:?}"),
+    };
+    table.set_busy(second);
+    table.remove(first);
+    assert!(matches!(table.admit(), Admission::Open(_)));
+    assert!(matches!(table.admit(), Admission::Replace { .. }));
+}
--- a/crates/kernel/tests/local_server.rs
+++ b/crates/kernel/tests/local_server.rs
@@ -17,6 +17,7 @@
 use kernel::local_server::ServerLifecycle;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
@@ -43,13 +44,22 @@
 
 /// Starts a server with the idle limit `IDLE`, the limit `HEAD` of a head and a bound of connections.
 fn start_server(max_connections: usize, counters: &Counters) -> SocketAddr {
+    start_server_of(Rc::new(LargeAnswer), max_connections, counters)
+}
+
+/// Starts a server of a handler with the same limits.
+fn start_server_of<H: LocalHandler>(
+    handler: Rc<H>,
+    max_connections: usize,
+    counters: &Counters,
+) -> SocketAddr {
     let listener = local_server::listen(([127, 0, 0, 1], 0).into()).expect("it listens");
     let address = listener.local_addr().expect("it has an address");
     let limits = ConnectionLimits { header_bytes: 8192, idle: IDLE, head: HEAD };
     let counters = counters.clone();
     let bound = ConnectionBound { server: "test", max_connections, counters };
     let lifecycle = Rc::new(ServerLifecycle::bounded(limits, bound));
-    spawn_local(local_server::serve(listener, Rc::new(LargeAnswer), lifecycle));
+    spawn_local(local_server::serve(listener, handler, lifecycle));
     address
 }
 
@@ -145,3 +155,52 @@
         assert!(counters.render_page().contains("idle_at_bound"), "the reason is not counted");
     });
 }
+
+/// Reads no body and gives no answer.
+struct Unreading;
+
+impl LocalHandler for Unreading {
+    fn handle(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+    ) -> LocalBoxFuture<'static, Response<LocalBody>> {
+        Box::pin(async {
+            let _unread = request;
+            std::future::pending().await
+        })
+    }
+}
+
+/// Returns how many bytes a client can send to a server that does not read them.
+async fn unread_bytes(mut stream: TcpStream) -> usize {
+    let head = b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 90000000\r\n\r\n";
+    stream.write_all(head).await.expect("it is written");
+    let mut sent_bytes = 0;
+    let part = vec![b'x'; 1 << 10];
+    while let Ok(sent) = timeout(Duration::from_millis(150), stream.write(&part)).await {
+        sent_bytes += sent.expect("it is written");
+    }
+    sent_bytes
+}
+
+// Guards against bytes that are not read and take the memory of the host in the kernel's buffers.
+#[test]
+fn unread_bytes_are_few_once_many_connections_are_open() {
+    run_local(async {
+        let counters = Counters::new(None).expect("the counters are created");
+        let address = start_server_of(Rc::new(Unreading), 8, &counters);
+        let mut streams = Vec::new();
+        for _ in 0..3 {
+            let socket = TcpSocket::new_v4().expect("a socket");
+            socket.set_send_buffer_size(4 << 10).expect("the option is set");
+            streams.push(socket.connect(address).await.expect("it connects"));
+        }
+        sleep(Duration::from_millis(50)).await;
+        let last = unread_bytes(streams.remove(2));
+        let first = unread_bytes(streams.remove(0));
+        let (last, first) = tokio::join!(last, first);
+        println!("first={first} last={last}");
+        // Both counts hold the buffers of the client and of the HTTP library too.
+        assert!(last < first / 4 * 3, "{last} of {first}");
+    });
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -180,7 +180,7 @@
     match local_server::listen(address) {
         Ok(listener) => {
             let page = Rc::new(MetricsPage { counters: counters.clone(), budget: budget.clone() });
-            let bounds = ConnectionBounds::for_max_descriptors(settings.max_descriptors);
+            let bounds = ConnectionBounds::for_host(settings.max_descriptors, settings.memory_mb);
             let lifecycle = bounded_lifecycle("metrics", bounds.metrics, counters);
             spawn_local(local_server::serve(listener, page, lifecycle));
         }
@@ -271,7 +271,7 @@
         budget: budget.clone(),
         quotas: quotas.clone(),
     }));
-    let bounds = ConnectionBounds::for_max_descriptors(settings.max_descriptors);
+    let bounds = ConnectionBounds::for_host(settings.max_descriptors, settings.memory_mb);
     let ingress_lifecycle = bounded_lifecycle("ingress", bounds.ingress, &counters);
     let state = Rc::new(PlatformState::new(
         clock,
