Measure connections, bodies and streams on a host that admits them

Cause: connections_bodies_and_streams_cost_a_bounded_amount opens 420 connections on a host of 88 MB, which admits 208 since connections are bounded by the memory, so that 188 bodies were held instead of 200.

Change: The test runs on a host of 256 MB. The counts and the limits of the cost are as before.

--- a/crates/daemon/tests/platform_memory.rs
+++ b/crates/daemon/tests/platform_memory.rs
@@ -24,6 +24,8 @@
 const METRICS_PORT: u16 = 9464;
 /// The connections of one kind.
 const CONNECTIONS: usize = 200;
+/// The memory of a host that admits all connections of a measurement at the same time, in MB.
+const MEASURED_MEMORY_MB: u64 = 256;
 /// The time after which the daemon has read what was sent.
 const READ_TIME: Duration = Duration::from_millis(500);
 /// The bytes that each incomplete body has brought.
@@ -39,7 +41,10 @@
 #[test]
 fn connections_bodies_and_streams_cost_a_bounded_amount() {
     run_local("costs", |folder| async move {
-        let fleet = Fleet::start(folder, 1).await;
+        let fleet = Fleet::start_with_settings(folder, 1, |settings| {
+            settings.memory_mb = MEASURED_MEMORY_MB;
+        })
+        .await;
         let pid = fleet.daemons[0].id();
         let to = fleet.ingress(0);
         Client.lookup(to, LOOKUP, "first").await.expect("an answer");
