Release the inputs of items once they are listed

Cause: A job kept the inputs of all items in memory until its retention ended. On a host of 88 MB the 18th job of 798,000 bytes got 503 although all earlier ones were finished.

Change: When the store has acknowledged a result, the body and headers of its item are dropped, and all of a job's once its end is written. Adopted and handed-over jobs hold the inputs of open items alone. A read of a released body is answered from the job's record, within the memory for jobs.

--- a/crates/daemon/tests/platform_memory.rs
+++ b/crates/daemon/tests/platform_memory.rs
@@ -5,8 +5,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use http::Method;
 use http::StatusCode;
 use platform_stub::Client;
+use platform_stub::client::NewItem;
 use platform_stub::deployment::JOBS;
 use platform_stub::deployment::LOOKUP;
 use platform_stub::deployment::STREAM;
@@ -37,6 +39,13 @@
 /// The most that a stream may cost whose client reads nothing, in bytes.
 const MAX_STREAM_BYTES: usize = 160 << 10;
 
+/// The items of a job with inputs.
+const ITEMS: usize = 10;
+/// The size of the inputs of a job, in bytes: a multiple of three for each item.
+const INPUT_BYTES: usize = 798_000;
+/// More finished jobs than the part for jobs of a host of 88 MB holds with their inputs.
+const FINISHED_JOBS: usize = 30;
+
 /// Guards against connections, incomplete bodies and unread streams that cost much more than they hold.
 #[test]
 fn connections_bodies_and_streams_cost_a_bounded_amount() {
@@ -170,3 +179,49 @@
         assert!(held_bytes <= 2 * texts + 8_000, "{held_bytes} for texts of {texts} bytes");
     });
 }
+
+/// Guards against finished jobs whose inputs fill the memory for jobs until their retention ends, such
+/// that new jobs are refused, and against inputs that cannot be read any more once they are released.
+#[test]
+fn finished_jobs_leave_room_for_new_ones() {
+    run_local("finished-jobs", |folder| async move {
+        let fleet = Fleet::start(folder, 1).await;
+        let to = fleet.ingress(0);
+        for number in 0..FINISHED_JOBS {
+            let job = format!("finished-{number}");
+            let body = job_with_inputs(&job);
+            let headers = [("x-request-id", job.as_str()), ("x-deadline-ms", "4000")];
+            let target = format!("{JOBS}{job}");
+            let accepted = Client.send(to, Method::POST, &target, &headers, body.as_bytes()).await;
+            let status = accepted.expect("an answer").status;
+            assert_eq!(status, StatusCode::ACCEPTED, "job {number} of {FINISHED_JOBS}");
+            let results = read_all_results(to, &job, Duration::from_secs(20)).await;
+            assert_eq!(results.len(), ITEMS);
+        }
+        // The sizes of jobs are measured once a second.
+        sleep(3 * READ_TIME).await;
+        let held_bytes = gauge(to, "crocus_bytes_held_jobs").await;
+        println!("held_bytes={held_bytes}");
+        assert!(held_bytes < FINISHED_JOBS * INPUT_BYTES / 4, "{held_bytes}");
+        let body = Client.read_item_body(to, "finished-0", "finished-0-3").await;
+        let body = body.expect("an answer");
+        assert_eq!(body.status, StatusCode::OK);
+        assert!(body.body.len() == INPUT_BYTES / ITEMS && body.body.iter().all(|b| *b == b'x'));
+        let unknown = Client.read_item_body(to, "finished-0", "finished-0-99").await;
+        assert_eq!(unknown.expect("an answer").status, StatusCode::NOT_FOUND);
+    });
+}
+
+/// Returns the submission of a job whose items have bodies of `INPUT_BYTES` together.
+fn job_with_inputs(job: &str) -> String {
+    let text = "eHh4".repeat(INPUT_BYTES / ITEMS / 3);
+    let items: Vec<String> = items(job, ITEMS, 1)
+        .iter()
+        .map(|NewItem { id, path, .. }| {
+            format!(
+                r#"{{"id":"{id}","path":"{path}","headers":{{"x-token-counts":"100,5"}},"body":"{text}","tokens":105}}"#
+            )
+        })
+        .collect();
+    format!(r#"{{"items":[{}]}}"#, items.join(","))
+}
--- a/crates/jobs/src/adoption.rs
+++ b/crates/jobs/src/adoption.rs
@@ -282,15 +282,7 @@
         store_timeout: Duration,
     ) -> Result<RecordedJob, StoreError> {
         let (value, status) = decode_record(id, object)?;
-        let malformed = |error: record::RecordError| malformed(id, error.message);
-        let mut input = value.input.clone();
-        for part in 0..value.input_parts {
-            let name = record::input_part_name(id.as_str(), part);
-            input.push_str(
-                &self.read_part::<String>(record::INPUT_KIND, name, store_timeout).await?,
-            );
-        }
-        let submission: Submission = record::decode_input(&input).map_err(malformed)?;
+        let submission = self.read_input(id, &value, store_timeout).await?;
         let mut results = Vec::new();
         if let Some(status) = &status {
             for part in &status.result_parts {
@@ -309,6 +301,23 @@
         Ok(RecordedJob { job, home: status.map_or(value.home, |status| status.home) })
     }
 
+    /// Reads the input to which a job's record refers.
+    pub(crate) async fn read_input(
+        &self,
+        id: &JobId,
+        value: &JobRecord,
+        store_timeout: Duration,
+    ) -> Result<Submission, StoreError> {
+        let mut input = value.input.clone();
+        for part in 0..value.input_parts {
+            let name = record::input_part_name(id.as_str(), part);
+            input.push_str(
+                &self.read_part::<String>(record::INPUT_KIND, name, store_timeout).await?,
+            );
+        }
+        record::decode_input(&input).map_err(|error| malformed(id, error.message))
+    }
+
     async fn read_results(
         &self,
         id: &JobId,
@@ -369,7 +378,7 @@
     }
 }
 
-fn decode_record(
+pub(crate) fn decode_record(
     id: &JobId,
     object: &StoredObject,
 ) -> Result<(JobRecord, Option<JobStatus>), StoreError> {
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -1,7 +1,9 @@
 //! The state machine of one job at its home, without I/O.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use quarantine::Suspect;
 use wire::JobId;
 use wire::Millis;
@@ -83,6 +85,17 @@
     held_by: Option<Suspect>,
     /// When a replica was last lost or gave no usable answer as it ran the item.
     lost_ms: Option<Millis>,
+    /// Whether the item's body and headers are held in the store alone, since it never runs again.
+    is_released: bool,
+}
+
+/// The request body of an item.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ItemBody {
+    /// The body.
+    Held(Bytes),
+    /// The body is in the job's record alone.
+    Released,
 }
 
 /// The limits that the job's route sets.
@@ -177,6 +190,7 @@
                 progress: Progress::default(),
                 held_by: None,
                 lost_ms: None,
+                is_released: false,
             })
             .collect();
         Self {
@@ -281,10 +295,32 @@
         self.written.iter().chain(&self.unwritten).map(|result| result.text.len()).sum()
     }
 
-    /// Returns the request body of an item.
-    pub fn item_body(&self, id: &str) -> Option<bytes::Bytes> {
+    /// Returns the request body of an item, or `None` if the job has no such item.
+    pub fn item_body(&self, id: &str) -> Option<ItemBody> {
         let entry = self.entries.iter().find(|entry| &*entry.item.id == id)?;
-        Some(entry.item.body.clone())
+        if entry.is_released {
+            return Some(ItemBody::Released);
+        }
+        Some(ItemBody::Held(entry.item.body.clone()))
+    }
+
+    /// Releases the inputs of items that never run again: those listed with their results, and all once
+    /// the end of the job is written.
+    ///
+    /// Designed for jobs of 0.8 MB on a host of 88 MB, whose part for jobs 24 of them fill until their
+    /// retention ends: a finished job keeps its results alone. The record keeps the inputs for a home that
+    /// adopts the job, and for clients that read them.
+    pub(crate) fn release_inputs(&mut self) {
+        let is_end_written = self.is_ended && !self.needs_write;
+        let listed: HashSet<Arc<str>> =
+            self.written.iter().map(|result| result.item.clone()).collect();
+        for entry in &mut self.entries {
+            if is_end_written || listed.contains(&entry.item.id) {
+                entry.item.body = Bytes::new();
+                entry.item.headers = Vec::new();
+                entry.is_released = true;
+            }
+        }
     }
 
     /// Returns the urgency of the next run, or `None` if no item is ready.
@@ -514,6 +550,7 @@
         self.progress_since_ms = None;
         self.unconfirmed_since_ms = None;
         self.needs_write = self.is_ended && !is_ended;
+        self.release_inputs();
     }
 
     /// Returns the state that is sent to the job's successor.
@@ -561,6 +598,7 @@
         job.input_parts = handover.input_parts;
         job.result_parts = handover.result_parts;
         job.is_ended = handover.is_ended;
+        job.release_inputs();
         job
     }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod progress;
 mod quarantine_check;
 pub mod record;
+mod released_input;
 pub mod retention;
 pub mod run_time;
 pub mod runner;
--- a/crates/jobs/src/serve.rs
+++ b/crates/jobs/src/serve.rs
@@ -37,6 +37,7 @@
 use crate::adoption::LoadedJob;
 use crate::item::ItemResult;
 use crate::item::Submission;
+use crate::job::ItemBody;
 use crate::job::Job;
 use crate::manager::JobHandle;
 use crate::manager::JobLocation;
@@ -52,7 +53,7 @@
 /// The maximum size of the results in one answer, in bytes.
 const MAX_RESULTS_BYTES: usize = 900 << 10;
 /// How long a read tries the store before the client is told to retry.
-const READ_TIMEOUT: Duration = Duration::from_millis(1_200);
+pub(crate) const READ_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// How long another daemon may take to answer a call, in addition to the time that the client asked
 /// it to wait.
 const PEER_TIMEOUT: Duration = Duration::from_millis(700);
@@ -205,7 +206,11 @@
                         self.notify_home(&job, &home.daemon);
                     }
                     self.note_home(&job, &home);
-                    if let Some(answer) = self.answer_from_memory(call, &handle) {
+                    let answer = match self.answer_from_input(call, &handle).await {
+                        Some(answer) => Some(answer),
+                        None => self.answer_from_memory(call, &handle),
+                    };
+                    if let Some(answer) = answer {
                         info!(
                             "event=answered_from_record job={job} home={} listed={} revision={}",
                             home.daemon,
@@ -258,7 +263,10 @@
             );
             return None;
         }
-        self.answer_from_memory(call, handle)
+        match self.answer_from_input(call, handle).await {
+            Some(answer) => Some(answer),
+            None => self.answer_from_memory(call, handle),
+        }
     }
 
     /// Returns whether the call asks for results that the job's record may hold although this home
@@ -273,7 +281,9 @@
         match call {
             JobCall::Results { after, .. } => Some(self.results(handle, *after)),
             JobCall::ItemBody { item, .. } => match handle.job.borrow().item_body(item) {
-                Some(body) => Some((StatusCode::OK, body)),
+                Some(ItemBody::Held(body)) => Some((StatusCode::OK, body)),
+                // Such a read is answered from the record.
+                Some(ItemBody::Released) => Some((StatusCode::SERVICE_UNAVAILABLE, Bytes::new())),
                 None => Some((StatusCode::NOT_FOUND, Bytes::new())),
             },
             JobCall::End { .. } => None,
--- a/crates/jobs/src/status.rs
+++ b/crates/jobs/src/status.rs
@@ -84,6 +84,7 @@
             self.is_ended = status.is_ended;
             self.restore_progress(status.progress.clone());
         }
+        self.release_inputs();
     }
 
     /// Adds a part that holds the first results of those outside the existing parts.
--- a/crates/jobs/tests/job.rs
+++ b/crates/jobs/tests/job.rs
@@ -6,6 +6,7 @@
 use jobs::item::ItemResult;
 use jobs::item::Outcome;
 use jobs::item::Submission;
+use jobs::job::ItemBody;
 use jobs::job::ItemRunEnd;
 use jobs::job::Job;
 use jobs::job::JobLimits;
@@ -221,6 +222,54 @@
     assert_eq!(job.waiting_tokens(), 100);
 }
 
+// Guards against a finished job that keeps its inputs in memory until its retention ends.
+#[test]
+fn inputs_are_held_until_their_item_is_listed() {
+    let mut job = job(3);
+    let held_bytes = job.held_bytes();
+    run(&mut job, 0, ItemRunEnd::Completed, output("", 1));
+    job.begin_write(1);
+    assert!(matches!(job.item_body("i0"), Some(ItemBody::Held(_))), "not listed yet");
+    job.mark_written(2, 2, 1, false);
+    assert_eq!(job.item_body("i0"), Some(ItemBody::Released));
+    assert_eq!(job.item_body("i1"), Some(ItemBody::Held(Bytes::from_static(b"prompt"))));
+    assert_eq!(job.item_body("unknown"), None);
+    // The body "prompt" and the header "x: y".
+    assert_eq!(job.held_bytes(), held_bytes - 8);
+    let next = job.start_next(3).expect("an item is ready");
+    assert_eq!((&*next.item.id, &next.item.body[..]), ("i1", &b"prompt"[..]));
+}
+
+// Guards against an ended job that keeps the inputs of items that never run, and against releasing them
+// before the store knows of the end.
+#[test]
+fn inputs_of_ended_job_are_released_once_its_end_is_written() {
+    let mut job = job(2);
+    job.end();
+    assert!(matches!(job.item_body("i0"), Some(ItemBody::Held(_))));
+    job.mark_written(1, 2, 0, true);
+    assert_eq!(job.item_body("i0"), Some(ItemBody::Released));
+    assert_eq!(job.item_body("i1"), Some(ItemBody::Released));
+}
+
+// Guards against a successor that runs an item whose body its predecessor released, or that lacks the
+// body of one that has to run.
+#[test]
+fn handed_over_job_runs_its_open_items_with_their_bodies() {
+    let mut job = job(3);
+    run(&mut job, 0, ItemRunEnd::Completed, output("a", 1));
+    job.mark_written(1, 2, 1, false);
+    run(&mut job, 2, ItemRunEnd::Completed, output("b", 1));
+    let mut successor = Job::from_handover(job.to_handover(3), 50);
+    assert_eq!(successor.written_results().len(), 1);
+    assert_eq!(successor.results().len(), 2);
+    assert_eq!(successor.item_body("i0"), Some(ItemBody::Released));
+    assert!(matches!(successor.item_body("i1"), Some(ItemBody::Held(_))), "its write is open");
+    let next = successor.start_next(51).expect("an item is ready");
+    assert_eq!((&*next.item.id, &next.item.body[..]), ("i2", &b"prompt"[..]));
+    assert!(successor.start_next(52).is_none());
+}
+
 #[test]
 fn input_round_trips_in_record_and_in_parts() {
     let submission = Submission { items: (0..50).map(|n| item(&format!("i{n}"))).collect() };
