Date a report on the store's answers by when it was sent

Cause: the ages in a heartbeat's report were taken from the time of its arrival. A heartbeat that arrived seconds late in an outage of the store hid the outage, and expired records of living replicas were dropped. Change: the report is followed by the time on the sender's clock, which older builds ignore. The receiver knows its delay by the smallest difference of the clocks. A report of unknown delay says nothing about the time before a gap that was noticed.

--- a/crates/catalog/src/contact.rs
+++ b/crates/catalog/src/contact.rs
@@ -2,12 +2,16 @@
 //!
 //! Records expire only while the store is down for all, not while one daemon cannot reach it. Each
 //! daemon reports its own latest answer, never one that it heard of: otherwise the delays of the
-//! reports would add up from daemon to daemon and hide an outage.
+//! reports would add up from daemon to daemon and hide an outage. For the same reason a report counts
+//! from its sending on, not from its arrival.
 
 use serde::Deserialize;
 use serde::Serialize;
 use wire::Millis;
 
+use crate::sender_clock::SendTime;
+use crate::sender_clock::SenderClocks;
+
 /// The longest time without an answer to any daemon that does not count as an outage. Records
 /// expire after three missed heartbeats of a replica, which takes an outage of over two seconds.
 pub const MAX_CONTACT_GAP_MS: Millis = 1_300;
@@ -33,6 +37,10 @@
     ticked_ms: Option<Millis>,
     /// Before this time, what arrives may have been waiting during a pause of this daemon.
     unreliable_until_ms: Millis,
+    /// When this daemon last noticed that nothing was heard of the store. A report of unknown delay
+    /// may have been on its way since before.
+    noticed_gap_ms: Option<i64>,
+    clocks: SenderClocks,
 }
 
 /// Times on this daemon's clock, which are negative before its start.
@@ -53,14 +61,28 @@
         self.extend(Interval { since_ms: answered_ms, latest_ms: answered_ms });
     }
 
-    /// Merges the report of a peer.
+    /// Merges the report of a peer whose delay is unknown. It says nothing about the time before a
+    /// gap that this daemon noticed, since it may be older than the gap.
     pub fn merge(&mut self, now_ms: Millis, report: ContactReport) {
         if self.is_unreliable(now_ms) {
             return;
         }
-        let latest_ms = signed(now_ms) - signed(report.latest_age_ms);
-        let since_ms = (signed(now_ms) - signed(report.since_age_ms)).min(latest_ms);
-        self.extend(Interval { since_ms, latest_ms });
+        let Interval { since_ms, latest_ms } = Interval::reported(signed(now_ms), report);
+        let from_ms = self.noticed_gap_ms.unwrap_or(i64::MIN);
+        if latest_ms >= from_ms {
+            self.extend(Interval { since_ms: since_ms.max(from_ms), latest_ms });
+        }
+    }
+
+    /// Merges the report of a peer that states when it was sent, so that its delay is known once the
+    /// sender has been heard for a while.
+    pub fn merge_sent(&mut self, now_ms: Millis, sent: SendTime<'_>, report: ContactReport) {
+        let Some(delay_ms) = self.clocks.record_arrival(now_ms, sent) else {
+            return self.merge(now_ms, report);
+        };
+        if !self.is_unreliable(now_ms) {
+            self.extend(Interval::reported(signed(now_ms) - signed(delay_ms), report));
+        }
     }
 
     /// Returns the report for peers; `None` if this daemon has had no answer in the interval.
@@ -73,12 +95,17 @@
         })
     }
 
-    /// Notices pauses of this daemon.
+    /// Notices pauses of this daemon, and gaps in the contact while it runs.
     pub fn tick(&mut self, now_ms: Millis) {
         if self.is_paused(now_ms) {
             self.unreliable_until_ms = now_ms + AFTER_PAUSE_MS;
         }
         self.ticked_ms = Some(now_ms);
+        self.clocks.tick(now_ms);
+        let has_run_through_gap = now_ms > self.unreliable_until_ms + MAX_CONTACT_GAP_MS;
+        if self.interval.is_some() && has_run_through_gap && self.is_interrupted(now_ms) {
+            self.noticed_gap_ms = Some(signed(now_ms));
+        }
     }
 
     /// Returns when the contact began, or `None` before the first answer. The time is negative if that
@@ -142,6 +169,12 @@
 }
 
 impl Interval {
+    /// Returns the contact that a report of a peer states, by the time at which it was sent.
+    fn reported(sent_ms: i64, report: ContactReport) -> Self {
+        let latest_ms = sent_ms - signed(report.latest_age_ms);
+        Self { since_ms: (sent_ms - signed(report.since_age_ms)).min(latest_ms), latest_ms }
+    }
+
     fn touches(self, other: Self) -> bool {
         let gap_ms = signed(MAX_CONTACT_GAP_MS);
         other.since_ms <= self.latest_ms + gap_ms && self.since_ms <= other.latest_ms + gap_ms
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod contact;
 pub mod leaving;
 pub mod replicas;
+pub mod sender_clock;
 pub mod view;
 
 pub use change::ReplicaChange;
@@ -17,4 +18,5 @@
 pub use leaving::Incarnation;
 pub use leaving::LeavingReplicas;
 pub use replicas::ReplicaSet;
+pub use sender_clock::SendTime;
 pub use view::ReplicaView;
--- a/crates/catalog/src/replicas.rs
+++ b/crates/catalog/src/replicas.rs
@@ -18,6 +18,7 @@
 use crate::contact::StoreContact;
 use crate::leaving::Incarnation;
 use crate::leaving::LeavingReplicas;
+use crate::sender_clock::SendTime;
 use crate::view::ReplicaView;
 use crate::view::ViewEntry;
 use crate::view::digest;
@@ -86,11 +87,21 @@
         self.contact.record_answer(now_ms, answered_ms);
     }
 
-    /// Merges the report of a peer on the store's answers.
+    /// Merges the report of a peer on the store's answers whose delay is unknown.
     pub fn merge_contact(&mut self, now_ms: Millis, report: ContactReport) {
         self.contact.merge(now_ms, report);
     }
 
+    /// Merges the report of a peer on the store's answers that states when it was sent.
+    pub fn merge_sent_contact(
+        &mut self,
+        now_ms: Millis,
+        sent: SendTime<'_>,
+        report: ContactReport,
+    ) {
+        self.contact.merge_sent(now_ms, sent, report);
+    }
+
     /// Returns the revision at which the record of a replica is known to have been in the store.
     pub fn confirmed_revision(&self, name: &ReplicaName) -> Option<u64> {
         self.entries.get(name).map(|entry| entry.confirmed_revision)
--- a/crates/catalog/tests/contact.rs
+++ b/crates/catalog/tests/contact.rs
@@ -1,11 +1,15 @@
 //! Tests of the fleet's contact with the store.
 
 use catalog::ContactReport;
+use catalog::SendTime;
 use catalog::StoreContact;
 use catalog::contact::MAX_CONTACT_GAP_MS;
+use catalog::sender_clock::SenderClocks;
+use wire::DaemonName;
 use wire::Millis;
 
 const STEP_MS: Millis = 200;
+const PEER_AHEAD_MS: Millis = 700_000;
 
 fn contact(answers_ms: impl IntoIterator<Item = Millis>) -> StoreContact {
     let mut contact = StoreContact::default();
@@ -101,3 +105,93 @@
     in_outage.record_answer(1_200, 1_200);
     assert_eq!(in_outage.since_ms(), Some(1_200));
 }
+
+fn sent(sender: &DaemonName, sent_ms: Millis) -> SendTime<'_> {
+    SendTime { sender, incarnation: 1, sent_ms }
+}
+
+/// Returns a contact that has heard of answers up to `until_ms` from a peer whose clock is ahead by
+/// `PEER_AHEAD_MS`.
+fn contact_by_peer(peer: &DaemonName, until_ms: Millis) -> StoreContact {
+    let mut contact = StoreContact::default();
+    for now_ms in (0..=until_ms).step_by(50) {
+        contact.tick(now_ms);
+        if now_ms.is_multiple_of(200) {
+            let report = ContactReport { since_age_ms: now_ms, latest_age_ms: 10 };
+            contact.merge_sent(now_ms + 5, sent(peer, now_ms + PEER_AHEAD_MS), report);
+        }
+    }
+    contact
+}
+
+// Guards against an outage that is hidden by a report which was on its way during the outage, both
+// before and after the first answer, and at a time that would close the gap.
+#[test]
+fn late_report_counts_from_its_sending_on() {
+    let peer = DaemonName::from("peer");
+    let report = ContactReport { since_age_ms: 10_000, latest_age_ms: 0 };
+    for arrives_ms in [11_000, 12_000, 12_950, 13_050] {
+        let mut contact = contact_by_peer(&peer, 10_000);
+        for now_ms in (10_050..=14_000).step_by(50) {
+            contact.tick(now_ms);
+            if now_ms == arrives_ms {
+                contact.merge_sent(now_ms, sent(&peer, 10_000 + PEER_AHEAD_MS), report);
+            }
+            if now_ms >= 13_000 {
+                contact.record_answer(now_ms, now_ms);
+            }
+        }
+        assert_eq!(contact.since_ms(), Some(13_000), "arrived at {arrives_ms}");
+    }
+}
+
+// Guards against a gap that stays though a peer had answers all the time, of which nothing was heard.
+#[test]
+fn report_in_time_closes_a_gap_that_was_noticed() {
+    let peer = DaemonName::from("peer");
+    let mut contact = contact_by_peer(&peer, 10_000);
+    (10_050..14_000).step_by(50).for_each(|now_ms| contact.tick(now_ms));
+    assert!(contact.is_interrupted(13_950));
+    let report = ContactReport { since_age_ms: 14_000, latest_age_ms: 10 };
+    contact.merge_sent(14_005, sent(&peer, 14_000 + PEER_AHEAD_MS), report);
+    assert!(contact.is_unbroken_for(14_005, 13_900));
+}
+
+// Guards against an outage that is hidden by a late report of a build that does not state when it
+// was sent, after the first answer.
+#[test]
+fn report_of_unknown_delay_does_not_close_a_gap_that_was_noticed() {
+    let mut contact = contact([0]);
+    for now_ms in (0..=10_000).step_by(50) {
+        contact.tick(now_ms);
+        contact.record_answer(now_ms, now_ms);
+    }
+    (10_050..13_000).step_by(50).for_each(|now_ms| contact.tick(now_ms));
+    contact.record_answer(13_000, 13_000);
+    contact.merge(13_100, ContactReport { since_age_ms: 10_000, latest_age_ms: 0 });
+    assert!(!contact.has_lasted(200));
+    for now_ms in (13_100..16_000).step_by(200) {
+        contact.tick(now_ms);
+        contact.merge(now_ms, ContactReport { since_age_ms: 14_000, latest_age_ms: 0 });
+    }
+    assert!(contact.has_lasted(2_800), "the contact since the gap counts");
+}
+
+// Guards against reports that count as late for ever after the sender's host was suspended, and
+// against a restarted sender whose clock starts anew.
+#[test]
+fn clock_of_a_sender_is_known_again_after_it_changed() {
+    let peer = DaemonName::from("peer");
+    let mut clocks = SenderClocks::default();
+    assert_eq!(clocks.record_arrival(0, sent(&peer, 500)), None);
+    assert_eq!(clocks.record_arrival(2_000, sent(&peer, 2_500)), Some(0));
+    assert_eq!(clocks.record_arrival(3_000, sent(&peer, 3_200)), Some(300));
+    let suspended: Vec<_> = (4_000..200_000)
+        .step_by(1_000)
+        .map(|now_ms| clocks.record_arrival(now_ms, sent(&peer, now_ms - 3_500)))
+        .collect();
+    assert_eq!(suspended.first(), Some(&Some(4_000)));
+    assert_eq!(suspended.last(), Some(&Some(0)));
+    let restarted = SendTime { sender: &peer, incarnation: 2, sent_ms: 5 };
+    assert_eq!(clocks.record_arrival(200_000, restarted), None);
+}
--- a/crates/catalog/tests/departure_days.rs
+++ b/crates/catalog/tests/departure_days.rs
@@ -204,6 +204,25 @@
     });
 }
 
+// Guards against an outage that is hidden by heartbeats which arrive seconds late, so that live replicas are dropped.
+#[test]
+fn live_replicas_stay_in_use_through_an_outage_with_late_heartbeats() {
+    check_days(|fleet| {
+        fleet.very_late_percent = 5;
+        plan_outage(fleet);
+    });
+}
+
+// Guards against departures that are missed since heartbeats that arrive seconds late are not believed.
+#[test]
+fn departures_around_an_outage_with_late_heartbeats_are_known() {
+    check_days(|fleet| {
+        fleet.very_late_percent = 5;
+        plan_outage(fleet);
+        plan_departures(fleet, START_MS, DAY_MS, 1_000);
+    });
+}
+
 // Guards against a hold that stays at peers because another watcher never saw the record missing.
 #[test]
 fn return_that_one_watcher_never_saw_missing_reaches_peers() {
--- a/crates/catalog/tests/fleet/daemon.rs
+++ b/crates/catalog/tests/fleet/daemon.rs
@@ -56,6 +56,8 @@
 
 pub struct Daemon {
     number: usize,
+    /// When the daemon started, which is also its incarnation.
+    pub started_ms: Millis,
     pub set: ReplicaSet,
     peers: Vec<Option<Peer>>,
     cursor: Option<u64>,
@@ -78,6 +80,7 @@
     pub fn new(number: usize, daemons: usize, now_ms: Millis) -> Self {
         Self {
             number,
+            started_ms: now_ms,
             set: ReplicaSet::default(),
             peers: vec![None; daemons],
             cursor: None,
--- a/crates/catalog/tests/fleet/mod.rs
+++ b/crates/catalog/tests/fleet/mod.rs
@@ -8,9 +8,11 @@
 
 use catalog::ContactReport;
 use catalog::ReplicaView;
+use catalog::SendTime;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use wire::DaemonName;
 use wire::Millis;
 
 use self::check::Fault;
@@ -53,9 +55,17 @@
     Arrive,
 }
 
+/// The report of a daemon on the store's answers, with the time on the sender's clock.
+#[derive(Clone, Copy, Debug)]
+struct SentContact {
+    report: ContactReport,
+    incarnation: Millis,
+    sent_ms: Millis,
+}
+
 #[derive(Clone, Debug)]
 enum Message {
-    Heartbeat { reaches_store: bool, revision: u64, contact: Option<ContactReport> },
+    Heartbeat { reaches_store: bool, revision: u64, contact: Option<SentContact> },
     Changes(ReplicaView),
     Pull(u64),
     Pulled(ReplicaView),
@@ -89,6 +99,8 @@
     pub daemons: Vec<Daemon>,
     /// The share of datagrams that are lost, in percent.
     pub lost_percent: u32,
+    /// The share of heartbeats that arrive seconds late, in percent.
+    pub very_late_percent: u32,
     links: Vec<Links>,
     inboxes: Vec<Vec<Event>>,
     events: BTreeMap<(Millis, u64), Event>,
@@ -113,6 +125,7 @@
             store,
             daemons: (0..DAEMONS).map(|number| Daemon::new(number, DAEMONS, 0)).collect(),
             lost_percent: 5,
+            very_late_percent: 0,
             links: vec![Links::default(); DAEMONS],
             inboxes: (0..DAEMONS).map(|_| Vec::new()).collect(),
             events: BTreeMap::new(),
@@ -311,10 +324,13 @@
         let daemon = &mut self.daemons[from];
         let changes = daemon.recent_view(self.now_ms);
         let revision = daemon.set.revision();
+        let report = daemon.set.contact().report(self.now_ms);
+        let incarnation = daemon.started_ms;
+        let sent_ms = self.now_ms - incarnation;
         let heartbeat = Message::Heartbeat {
             reaches_store: daemon.reaches_store,
             revision,
-            contact: daemon.set.contact().report(self.now_ms),
+            contact: report.map(|report| SentContact { report, incarnation, sent_ms }),
         };
         for to in (0..DAEMONS).filter(|to| *to != from) {
             if let Some(changes) = &changes {
@@ -329,13 +345,22 @@
         let copies = if self.random.gen_ratio(1, 20) { 2 } else { 1 };
         for _ in 0..copies {
             let is_late = self.random.gen_ratio(1, 20);
-            let delay_ms = self.random.gen_range(1..if is_late { 300 } else { 20 });
+            let mut delay_ms = self.random.gen_range(1..if is_late { 300 } else { 20 });
+            if self.is_very_late(&message) {
+                delay_ms = self.random.gen_range(1_000..4_000);
+            }
             if !self.random.gen_ratio(self.lost_percent, 100) {
                 self.send_surely(from, to, message.clone(), delay_ms);
             }
         }
     }
 
+    fn is_very_late(&mut self, message: &Message) -> bool {
+        self.very_late_percent > 0
+            && matches!(message, Message::Heartbeat { .. })
+            && self.random.gen_ratio(self.very_late_percent, 100)
+    }
+
     fn send_surely(&mut self, from: usize, to: usize, message: Message, delay_ms: Millis) {
         if !self.links[from].peers_out && !self.links[to].peers_in {
             self.push(self.now_ms + delay_ms, Event::Message { from, to, message });
@@ -347,8 +372,10 @@
         let daemon = &mut self.daemons[to];
         let since = match message {
             Message::Heartbeat { reaches_store, revision, contact } => {
-                if let Some(contact) = contact {
-                    daemon.set.merge_contact(now_ms, contact);
+                if let Some(SentContact { report, incarnation, sent_ms }) = contact {
+                    let sender = DaemonName::from(format!("d{from}"));
+                    let sent = SendTime { sender: &sender, incarnation, sent_ms };
+                    daemon.set.merge_sent_contact(now_ms, sent, report);
                 }
                 let asks = daemon.handle_heartbeat(now_ms, from, reaches_store, revision);
                 asks.then_some(daemon.set.revision())
--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -8,6 +8,7 @@
 use catalog::ContactReport;
 use catalog::Incarnation;
 use catalog::ReplicaView;
+use catalog::SendTime;
 use gate::CrashGuard;
 use jobs::JobManager;
 use jobs::message::JobMessage;
@@ -23,6 +24,8 @@
 use peers::heartbeat::Readiness;
 use peers::membership::MemberAction;
 use peers::transport::decode;
+use peers::transport::decode_extension;
+use peers::transport::decode_prefix;
 use peers::transport::encode;
 use quarantine::QuarantineView;
 use quota::Quotas;
@@ -214,17 +217,25 @@
         }
     }
 
-    /// Encodes the report on the store's answers, which daemons of builds before it ignore.
+    /// Encodes the report on the store's answers, which daemons of builds before it ignore, and the
+    /// time at which it is sent, which those that know only the report ignore.
     fn encode_contact(&self) -> Option<Attachment> {
-        let report = self.state.replicas.borrow().contact().report(self.state.clock.now_ms())?;
-        Some(Attachment { topic: Topic::Replicas, payload: encode(Topic::Replicas, &report) })
+        let now_ms = self.state.clock.now_ms();
+        let report = self.state.replicas.borrow().contact().report(now_ms)?;
+        let payload = encode(Topic::Replicas, &(report, now_ms));
+        Some(Attachment { topic: Topic::Replicas, payload })
     }
 
-    fn merge_contact(&self, payload: &[u8]) {
-        if let Some(report) = decode::<ContactReport>(Topic::Replicas, payload) {
-            let now_ms = self.state.clock.now_ms();
-            self.state.replicas.borrow_mut().merge_contact(now_ms, report);
-        }
+    fn merge_contact(&self, sender: &Identity, payload: &[u8]) {
+        let decoded = decode_prefix::<ContactReport>(Topic::Replicas, payload);
+        let Some((report, rest)) = decoded else { return };
+        let now_ms = self.state.clock.now_ms();
+        let mut replicas = self.state.replicas.borrow_mut();
+        let Some(sent_ms) = decode_extension::<Millis>(Topic::Replicas, rest) else {
+            return replicas.merge_contact(now_ms, report);
+        };
+        let sent = SendTime { sender: &sender.name, incarnation: sender.incarnation, sent_ms };
+        replicas.merge_sent_contact(now_ms, sent, report);
     }
 
     fn perform(&self, actions: Vec<MemberAction>) {
@@ -350,7 +361,9 @@
                         &attachment.payload,
                     );
                 }
-                Topic::Replicas => self.merge_contact(&attachment.payload),
+                Topic::Replicas => {
+                    self.merge_contact(&heartbeat.identity, &attachment.payload);
+                }
                 Topic::Heartbeat
                 | Topic::Members
                 | Topic::Lost
