--- a/crates/gate/tests/attempt.rs
+++ b/crates/gate/tests/attempt.rs
@@ -170,3 +170,15 @@
         assert_eq!(attempt.next_on_silence(0), expected);
     }
 }
+
+// Guards against a silent run that is closed early although nothing can follow an error of its replacement.
+#[test]
+fn replacement_is_last_once_no_further_run_is_permitted() {
+    let mut attempt = Attempt::new(RetryPolicy { is_repeatable: true, max_runs: 3, ..policy() });
+    assert!(!attempt.is_replacement_last());
+    attempt.record_ended_run(SendFailure::TurnedAway);
+    assert!(!attempt.is_replacement_last());
+    attempt.record_ended_run(SendFailure::ServerError);
+    assert!(attempt.is_replacement_last());
+    assert!(Attempt::new(RetryPolicy { is_repeatable: true, ..policy() }).is_replacement_last());
+}
