Answer calls about jobs that wait when the process is about to exit

Cause: only requests were told that the process is about to exit. Submissions, reads and ends of jobs that still waited, usually for the store, were cut without an answer. Change: they are answered at the same moment as requests: a submission with 504, since its record may have reached the store, an end with 504, since it may have been written or forwarded, a read with 503. Event job_call_ended_at_exit.

--- a/crates/gate/src/codec.rs
+++ b/crates/gate/src/codec.rs
@@ -94,6 +94,16 @@
     Unknown,
 }
 
+impl JobCall {
+    /// Returns the job that the call names.
+    pub fn job(&self) -> Option<&str> {
+        match self {
+            Self::Results { job, .. } | Self::ItemBody { job, .. } | Self::End { job } => Some(job),
+            Self::Unknown => None,
+        }
+    }
+}
+
 /// Decodes and encodes requests, answers and calls about jobs for one platform.
 pub trait IngressCodec {
     /// Decodes the head of a client's request.
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -71,7 +71,7 @@
 /// The `Retry-After` of a refusal is the remaining time of the request divided by this.
 const RETRY_AFTER_DIVISOR: Millis = 6;
 /// The shortest `Retry-After` of a refusal.
-const MIN_RETRY_AFTER_MS: Millis = 50;
+pub(crate) const MIN_RETRY_AFTER_MS: Millis = 50;
 
 /// The least time that a run had before its request's deadline, for the deadline to count as a failure
 /// of the replica.
--- a/crates/gate/src/gateway.rs
+++ b/crates/gate/src/gateway.rs
@@ -44,6 +44,7 @@
 use crate::codec::RequestMeta;
 use crate::crash_guard::CrashGuard;
 use crate::forward::MAX_WAIT_MS;
+use crate::forward::MIN_RETRY_AFTER_MS;
 use crate::report::RequestReport;
 use crate::shutdown::ShutdownWindow;
 
@@ -234,7 +235,7 @@
         if route.kind == RouteKind::Batch {
             let checked = self.check_waiting_caller(&route, meta.key.as_ref(), &caller);
             return match checked {
-                Ok(()) => self.jobs.clone().submit(route, caller, meta, parts, body).await,
+                Ok(()) => self.submit(route, caller, meta, parts, body).await,
                 Err(refusal) => self.refuse_unrouted(&refusal, &parts),
             };
         }
@@ -248,6 +249,44 @@
         self.forward(route, caller, meta, parts, body, report).await
     }
 
+    /// Submits a job. The answer at the exit of the process promises nothing, since the job's record
+    /// may have reached the store, now or by an earlier submission.
+    async fn submit(
+        &self,
+        route: Arc<Route>,
+        caller: Caller,
+        meta: RequestMeta,
+        parts: Parts,
+        body: Bytes,
+    ) -> Response<LocalBody> {
+        let id = meta.id.clone();
+        let submitting = self.jobs.clone().submit(route, caller, meta, parts, body);
+        match self.unless_ending(submitting).await {
+            Some(answer) => answer,
+            None => {
+                let message = "this daemon stopped before the store had answered";
+                let refusal = Refusal::may_have_run(Reason::Deadline, message);
+                self.answer_job_call_at_exit("submit", id.as_str(), &refusal)
+            }
+        }
+    }
+
+    /// Returns the answer to a call about a job that still waits when the process is about to exit.
+    fn answer_job_call_at_exit(
+        &self,
+        call: &str,
+        job: &str,
+        refusal: &Refusal,
+    ) -> Response<LocalBody> {
+        self.counters.count_refusal(refusal);
+        info!(
+            "event=job_call_ended_at_exit call={call} job={job} reason={} ran={:?}",
+            refusal.reason.as_str(),
+            refusal.ran
+        );
+        answer::refusal(&*self.codec, refusal)
+    }
+
     /// Answers a call about a job; a key that is revoked while a read waits reads nothing.
     async fn serve_job_call(&self, call: JobCall, parts: &Parts) -> Response<LocalBody> {
         let key = self.codec.decode_key(&parts.headers);
@@ -256,7 +295,19 @@
             Err(refusal) => return self.refuse_unrouted(&refusal, parts),
         };
         let is_read = !matches!(call, JobCall::End { .. });
-        let answer = self.jobs.clone().handle_call(call, caller).await;
+        let job = call.job().map(str::to_owned);
+        let answering = self.jobs.clone().handle_call(call, caller);
+        let Some(answer) = self.unless_ending(answering).await else {
+            let message = "this daemon stopped before the call was answered";
+            let (name, refusal) = if is_read {
+                let refusal = Refusal::not_run(Reason::Leaving, message);
+                ("read", refusal.with_retry_after(MIN_RETRY_AFTER_MS))
+            } else {
+                // The end may have been written, or forwarded to the job's home.
+                ("end", Refusal::may_have_run(Reason::Deadline, message))
+            };
+            return self.answer_job_call_at_exit(name, job.as_deref().unwrap_or("-"), &refusal);
+        };
         match self.authenticate_job_call(key.as_ref()) {
             Err(refusal) if is_read => self.refuse_unrouted(&refusal, parts),
             _ => answer,
