Close a silent run 250 ms after the one that replaces it, as before

Cause: two runs of a request may overlap for 400 ms. Keeping the silent run for 375 ms beside the last permitted run left 25 ms for timers that fire late; a host whose share of a core is a quota may pause for most of 100 ms.

--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -212,11 +212,6 @@
         SilenceAction::KeepWaiting
     }
 
-    /// Returns whether no further run is permitted after the one that replaces the current run.
-    pub fn is_replacement_last(&self) -> bool {
-        self.runs + 2 >= self.policy.max_runs
-    }
-
     /// Records that one of two runs has ended while the other one goes on.
     ///
     /// A send that was not run does not count: the pause between searches bounds their number.
--- a/crates/gate/src/gateway.rs
+++ b/crates/gate/src/gateway.rs
@@ -33,6 +33,7 @@
 use wire::RouteKind;
 
 use crate::answer;
+use crate::attempt::MIN_RETRY_AFTER_MS;
 use crate::attempt::RetryPolicy;
 use crate::body;
 use crate::body::BodyLimits;
@@ -44,7 +45,6 @@
 use crate::codec::RequestMeta;
 use crate::crash_guard::CrashGuard;
 use crate::forward::MAX_WAIT_MS;
-use crate::attempt::MIN_RETRY_AFTER_MS;
 use crate::report::RequestReport;
 use crate::shutdown::ShutdownWindow;
 
--- a/crates/gate/src/silent_run.rs
+++ b/crates/gate/src/silent_run.rs
@@ -26,11 +26,8 @@
 use crate::gateway::Gateway;
 use crate::report::Sends;
 
-/// How long two runs of a request are open at engines at the same time if another run may follow.
-const ENGINE_OVERLAP: Duration = Duration::from_millis(250);
-/// The same if no other run may follow, so that an error of the new run ends the request once the
-/// silent one is closed. Two runs may overlap for 400 ms; a busy host ends the wait some ms late.
-const LAST_ENGINE_OVERLAP: Duration = Duration::from_millis(375);
+/// The longest time that two runs of a request are open at engines at the same time.
+const MAX_ENGINE_OVERLAP: Duration = Duration::from_millis(250);
 /// The pause after a search for another replica that was in vain.
 const SEARCH_PAUSE: Duration = Duration::from_millis(200);
 
@@ -209,8 +206,7 @@
     fn max_overlap(&self) -> Duration {
         let Call { request, route, .. } = &self.call;
         if self.gateway.has_engine(route.service_for(request.id.as_str())) {
-            let is_last = self.attempt.is_replacement_last();
-            return if is_last { LAST_ENGINE_OVERLAP } else { ENGINE_OVERLAP };
+            return MAX_ENGINE_OVERLAP;
         }
         let give_up_at_ms = self.attempt.policy().give_up_at_ms;
         Duration::from_millis(give_up_at_ms.saturating_sub(self.gateway.now_ms()))
