Degrade replicas with good health in the soak

Cause: the soak has no replica that fails a part of its requests or becomes slow while its health is good, so nothing checks with real processes that such replicas break no promise and are used again later. A new check reports a replica that gets none of 100 runs of its service after the recovery time.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -42,6 +42,9 @@
 /// The minimum share of the requests sent after the recovery time that must be served.
 const MIN_RECOVERED_SHARE: f64 = 0.25;
 
+/// The number of runs of a service after the recovery time from which a sound replica must have some.
+const MIN_SERVICE_RUNS: usize = 100;
+
 /// A broken promise.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Violation {
@@ -67,6 +70,8 @@
     pub timeline: &'a Timeline,
     /// When the fleet must have recovered, in milliseconds of the run.
     pub recovered_ms: u64,
+    /// The running replicas that were degraded before.
+    pub degraded_replicas: &'a [String],
 }
 
 /// Returns the violations of all promises.
@@ -79,6 +84,7 @@
     check_unrequested_runs(evidence, &mut found);
     check_drained_replicas(evidence, &mut found);
     check_leaving_replicas(evidence, &mut found);
+    check_degraded_replicas(evidence, &mut found);
     check_routes(evidence, &mut found);
     for (id, job) in &evidence.observation.jobs {
         check_job(evidence, id, job, &mut found);
@@ -281,6 +287,26 @@
     }
 }
 
+/// Checks that replicas that were degraded get requests again after the recovery time.
+fn check_degraded_replicas(evidence: &Evidence<'_>, found: &mut Vec<Violation>) {
+    let late_runs: Vec<&str> = evidence
+        .run_log
+        .ids()
+        .flat_map(|id| evidence.run_log.runs_of(id))
+        .filter(|run| run.started_ms > evidence.recovered_ms)
+        .map(|run| run.replica.as_str())
+        .collect();
+    let service = |replica: &str| replica.rsplit_once('-').map(|(service, _)| service.to_owned());
+    for replica in evidence.degraded_replicas {
+        let is_same_service = |other: &&&str| service(other) == service(replica);
+        let service_runs = late_runs.iter().filter(is_same_service).count();
+        if service_runs >= MIN_SERVICE_RUNS && !late_runs.contains(&replica.as_str()) {
+            let detail = format!("{replica} ran none of {service_runs} requests of its service");
+            add_violation(found, "sound replicas are used again", detail);
+        }
+    }
+}
+
 fn check_routes(evidence: &Evidence<'_>, found: &mut Vec<Violation>) {
     let mut known_routes: BTreeMap<(usize, u32), u64> = BTreeMap::new();
     for query in &evidence.observation.route_queries {
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::io;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
@@ -30,6 +31,7 @@
 use crate::plan::LinkFault;
 use crate::plan::PlannedFault;
 use crate::proxy::Proxy;
+use crate::scenario::Scenario;
 use crate::timeline::MAX_STOP_MS;
 use crate::timeline::Timeline;
 
@@ -69,6 +71,7 @@
     replica_links: RefCell<BTreeMap<String, Rc<Proxy>>>,
     next_replica: Cell<u32>,
     routes_added_ms: RefCell<Vec<u64>>,
+    degraded_replicas: RefCell<BTreeSet<String>>,
 }
 
 impl Fleet {
@@ -78,6 +81,7 @@
         folder: &Path,
         subnet: [u8; 2],
         count: usize,
+        scenario: &Scenario,
     ) -> Result<Rc<Self>, KernelError> {
         let deployment = Deployment::start()?;
         deployment.configure(|_| {});
@@ -95,7 +99,7 @@
                 store: store_link.address,
                 grace_s: GRACE_S,
                 status_s: STATUS_RETENTION_S,
-                contracts: Vec::new(),
+                contracts: scenario.contracts.clone(),
                 is_first_start: true,
                 memory_mb: SMALLEST_MEMORY_MB,
                 max_fds: USUAL_MAX_FDS,
@@ -118,6 +122,7 @@
             replica_links: RefCell::default(),
             next_replica: Cell::new(0),
             routes_added_ms: RefCell::default(),
+            degraded_replicas: RefCell::default(),
         });
         let engines = (count as f64 * ENGINES_PER_DAEMON).ceil() as usize;
         for _ in 0..engines.max(2) {
@@ -164,6 +169,12 @@
             .collect()
     }
 
+    /// Returns the running replicas that were degraded before.
+    pub fn degraded_replicas(&self) -> Vec<String> {
+        let degraded = self.degraded_replicas.borrow();
+        self.deployment.replicas().into_iter().filter(|name| degraded.contains(name)).collect()
+    }
+
     /// Waits until every daemon is ready, and returns those that are not ready in time.
     pub async fn wait_until_ready(&self) -> Vec<usize> {
         let mut unready = Vec::new();
@@ -253,6 +264,12 @@
             Fault::ReplicaFull { replica } => {
                 self.inject_replica_fault(replica, ReplicaFault::Full, duration).await
             }
+            Fault::ReplicaFailsPart { replica, failure } => {
+                self.degrade_replica(replica, ReplicaFault::FailsPart(failure), duration).await
+            }
+            Fault::ReplicaSlow { replica, factor } => {
+                self.degrade_replica(replica, ReplicaFault::Slow(factor), duration).await
+            }
             Fault::ReplicaCrash { replica } => {
                 let name = self.replica_name(replica);
                 self.deployment.crash_replica(&name, REPLICA_RECORD_TTL);
@@ -327,6 +344,16 @@
         Ok(())
     }
 
+    async fn degrade_replica(
+        &self,
+        number: usize,
+        fault: ReplicaFault,
+        duration: Duration,
+    ) -> io::Result<()> {
+        self.degraded_replicas.borrow_mut().insert(self.replica_name(number));
+        self.inject_replica_fault(number, fault, duration).await
+    }
+
     fn replica_name(&self, number: usize) -> String {
         let names = self.deployment.replicas();
         match names.len() {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod proxy;
 pub mod regressions;
 pub mod run;
+pub mod scenario;
 pub mod schedule;
 pub mod timeline;
 pub mod traffic;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,10 +2,13 @@
 
 use std::fmt;
 
+use platform_stub::replica::PartialFailure;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use crate::scenario;
+
 /// The length of the window in which all faults start, in milliseconds.
 pub const FAULT_WINDOW_MS: u64 = 12_000;
 /// The time before the first fault, in milliseconds; the fleet is ready by then.
@@ -168,6 +171,20 @@
         /// The number of replicas that are silent together, if as many run.
         count: usize,
     },
+    /// A replica fails a part of its requests and reports good health.
+    ReplicaFailsPart {
+        /// Selects one of the running replicas: its index in their list, modulo their number.
+        replica: usize,
+        /// How the requests fail.
+        failure: PartialFailure,
+    },
+    /// A replica is slow and reports good health.
+    ReplicaSlow {
+        /// Selects one of the running replicas: its index in their list, modulo their number.
+        replica: usize,
+        /// How many times as long each step takes.
+        factor: u32,
+    },
     /// The operator adds a route.
     Configure,
     /// A daemon's wall clock steps, and steps back when the fault ends.
@@ -279,6 +296,7 @@
     faults.extend(draw_clock_steps(seed, daemons));
     faults.extend(draw_announced_leaves(seed, daemons));
     faults.extend(draw_pauses(seed));
+    faults.extend(scenario::draw_degradations(seed));
     faults.sort_by_key(|planned| planned.start_ms);
     faults
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -21,6 +21,7 @@
 use crate::job_client;
 use crate::observation::RequestOutcome;
 use crate::plan;
+use crate::scenario::Scenario;
 use crate::traffic;
 use crate::traffic::RunContext;
 
@@ -109,7 +110,9 @@
 }
 
 async fn run_fleet(config: &RunConfig) -> Result<RunReport, RunError> {
-    let fleet = Fleet::start(&config.binary, &config.folder, config.subnet, config.daemons);
+    let scenario = Scenario::draw(config.seed);
+    let fleet =
+        Fleet::start(&config.binary, &config.folder, config.subnet, config.daemons, &scenario);
     let fleet = fleet.await.map_err(RunError::Start)?;
     let mut violations = check_readiness(&fleet).await;
     let context = Rc::new(RunContext {
@@ -147,11 +150,13 @@
     let observation = context.observation.borrow();
     let run_log = fleet.deployment.log.borrow();
     let timeline = fleet.timeline.borrow();
+    let degraded_replicas = fleet.degraded_replicas();
     violations.extend(check::violations(&Evidence {
         observation: &observation,
         run_log: &run_log,
         timeline: &timeline,
         recovered_ms,
+        degraded_replicas: &degraded_replicas,
     }));
     let is_served =
         |outcome: &RequestOutcome| matches!(outcome, RequestOutcome::Answered { status: 200, .. });
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -23,6 +23,7 @@
     observation: Observation,
     run_log: RunLog,
     timeline: Timeline,
+    degraded_replicas: Vec<String>,
 }
 
 impl TestRun {
@@ -79,6 +80,7 @@
             run_log: &self.run_log,
             timeline: &self.timeline,
             recovered_ms: 29_000,
+            degraded_replicas: &self.degraded_replicas,
         };
         violations(&evidence).iter().map(|violation| violation.promise).collect()
     }
@@ -191,6 +193,23 @@
     assert_eq!(run.broken_promises(), Vec::<&str>::new());
 }
 
+/// Guards against a replica that stays out of use after it became sound again.
+#[test]
+fn degraded_replica_without_later_runs_is_reported() {
+    let mut run = TestRun::new();
+    run.degraded_replicas = vec!["engines-0".to_owned()];
+    for number in 0..100 {
+        assert_eq!(run.broken_promises(), Vec::<&str>::new(), "after {number} runs");
+        let id = format!("r{number}");
+        run.add_request(&id, RequestKind::Stream, 30_000, answered(200));
+        run.add_run(&id, "engines-1", 30_010);
+    }
+    assert_eq!(run.broken_promises(), ["sound replicas are used again"]);
+    run.add_request("again", RequestKind::Stream, 30_000, answered(200));
+    run.add_run("again", "engines-0", 30_010);
+    assert_eq!(run.broken_promises(), Vec::<&str>::new());
+}
+
 #[test]
 fn configuration_rollback_or_delay_is_reported() {
     let query = |starts: u32, sent_ms: u64, is_known: bool| RouteQuery {
