Add organisations with keys and quotas to the soak

Cause: the soak has no organisations, so nothing checks under random faults that no key and no wrong organisation reaches a replica, that quotas hold in each window and that a revoked key stops working. Ordinary clients, jobs and route tests send with keys. Further clients send with the keys of a hot organisation, of one whose quota is lowered, of one whose keys are revoked (one among the other faults, one while no other fault is active), and with an unknown key; half of their requests claim another organisation. New checks: keys and organisations at replicas, keys in logs, valid keys that are denied, unknown and revoked keys that work, a daemon that accepts a key after it denied it, jobs shown to another organisation, and the quota in each window, before and after it is lowered. The lowered quota binds one window after 2 s without faults.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -12,6 +12,8 @@
 use crate::observation::Observation;
 use crate::observation::RequestKind;
 use crate::observation::RequestOutcome;
+use crate::organisation_check::check_organisations;
+use crate::organisations::Organisations;
 use crate::plan::Fault;
 use crate::timeline::MAX_STOP_MS;
 use crate::timeline::Timeline;
@@ -21,7 +23,7 @@
 const CLOSE_RACE_MS: u64 = 200;
 /// The longest time until a daemon applies a new configuration, in milliseconds; the settings'
 /// `config_ms`.
-const MAX_CONFIG_DELAY_MS: u64 = 2_000;
+pub const MAX_CONFIG_DELAY_MS: u64 = 2_000;
 /// How long after the end of a job its items may still start, in milliseconds; the settings'
 /// `cancel_ms`.
 const MAX_CANCEL_DELAY_MS: u64 = 3_000;
@@ -72,6 +74,8 @@
     pub recovered_ms: u64,
     /// The running replicas that were degraded before.
     pub degraded_replicas: &'a [String],
+    /// The operator's changes to the organisations, if the run has organisations.
+    pub organisations: Option<&'a Organisations>,
 }
 
 /// Returns the violations of all promises.
@@ -85,6 +89,7 @@
     check_drained_replicas(evidence, &mut found);
     check_leaving_replicas(evidence, &mut found);
     check_degraded_replicas(evidence, &mut found);
+    check_organisations(evidence, &mut found);
     check_routes(evidence, &mut found);
     for (id, job) in &evidence.observation.jobs {
         check_job(evidence, id, job, &mut found);
@@ -92,7 +97,8 @@
     found
 }
 
-fn add_violation(found: &mut Vec<Violation>, promise: &'static str, detail: String) {
+/// Adds a violation of a promise.
+pub fn add_violation(found: &mut Vec<Violation>, promise: &'static str, detail: String) {
     found.push(Violation { promise, detail });
 }
 
@@ -235,6 +241,7 @@
     let mut requested: BTreeSet<&str> =
         observation.route_request_ids.iter().map(String::as_str).collect();
     requested.extend(observation.requests.iter().map(|request| request.id.as_str()));
+    requested.extend(observation.key_requests.iter().map(|request| request.id.as_str()));
     requested
         .extend(observation.jobs.values().flat_map(|job| job.items.keys().map(String::as_str)));
     for id in evidence.run_log.ids().filter(|id| !requested.contains(id)) {
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -27,6 +27,8 @@
 use rustix::process::Signal;
 use tokio::time::sleep;
 
+use crate::organisations::KEY_PREFIX;
+use crate::organisations::Organisations;
 use crate::plan::Fault;
 use crate::plan::LinkFault;
 use crate::plan::PlannedFault;
@@ -72,6 +74,7 @@
     next_replica: Cell<u32>,
     routes_added_ms: RefCell<Vec<u64>>,
     degraded_replicas: RefCell<BTreeSet<String>>,
+    organisations: RefCell<Option<Organisations>>,
 }
 
 impl Fleet {
@@ -84,7 +87,11 @@
         scenario: &Scenario,
     ) -> Result<Rc<Self>, KernelError> {
         let deployment = Deployment::start()?;
-        deployment.configure(|_| {});
+        let organisations = scenario.has_organisations.then(Organisations::default);
+        match &organisations {
+            Some(organisations) => deployment.set_organisations(organisations.to_json()),
+            None => deployment.configure(|_| {}),
+        };
         let ip =
             |number: usize| IpAddr::V4(Ipv4Addr::new(127, subnet[0], subnet[1], number as u8 + 1));
         let mut daemons = Vec::new();
@@ -123,6 +130,7 @@
             next_replica: Cell::new(0),
             routes_added_ms: RefCell::default(),
             degraded_replicas: RefCell::default(),
+            organisations: RefCell::new(organisations),
         });
         let engines = (count as f64 * ENGINES_PER_DAEMON).ceil() as usize;
         for _ in 0..engines.max(2) {
@@ -175,6 +183,28 @@
         self.deployment.replicas().into_iter().filter(|name| degraded.contains(name)).collect()
     }
 
+    /// Returns whether the configuration has organisations.
+    pub fn has_organisations(&self) -> bool {
+        self.organisations.borrow().is_some()
+    }
+
+    /// Returns the operator's changes to the organisations, if the configuration has any.
+    pub fn organisations(&self) -> Option<Organisations> {
+        self.organisations.borrow().clone()
+    }
+
+    /// Returns the names of the daemons whose logs contain a key.
+    pub fn daemons_that_log_keys(&self) -> Vec<String> {
+        let processes = self.daemons.iter().map(|daemon| daemon.process.borrow());
+        processes
+            .filter(|process| {
+                let log = std::fs::read_to_string(&process.log).unwrap_or_default();
+                log.contains(KEY_PREFIX)
+            })
+            .map(|process| process.settings.name.clone())
+            .collect()
+    }
+
     /// Waits until every daemon is ready, and returns those that are not ready in time.
     pub async fn wait_until_ready(&self) -> Vec<usize> {
         let mut unready = Vec::new();
@@ -298,6 +328,18 @@
                 sleep(duration).await;
                 self.daemons[daemon].step_clock(-by_ms)
             }
+            Fault::RevokeKey { key } => {
+                self.change_organisations(|organisations, now_ms| {
+                    organisations.revoke(key, now_ms)
+                });
+                Ok(())
+            }
+            Fault::LowerQuota => {
+                self.change_organisations(|organisations, now_ms| {
+                    organisations.lowered_ms = Some(now_ms);
+                });
+                Ok(())
+            }
             Fault::Configure => {
                 let number = self.routes_added_ms.borrow().len();
                 self.deployment.add_route(&route_prefix(number));
@@ -344,6 +386,13 @@
         Ok(())
     }
 
+    fn change_organisations(&self, change: impl FnOnce(&mut Organisations, u64)) {
+        if let Some(organisations) = self.organisations.borrow_mut().as_mut() {
+            change(organisations, self.now_ms());
+            self.deployment.set_organisations(organisations.to_json());
+        }
+    }
+
     async fn degrade_replica(
         &self,
         number: usize,
--- a/crates/soak/src/job_client.rs
+++ b/crates/soak/src/job_client.rs
@@ -6,6 +6,8 @@
 use platform_stub::Client;
 use platform_stub::client::ItemResult;
 use platform_stub::client::NewItem;
+use platform_stub::client::OutgoingRequest;
+use platform_stub::client::ResultsPage;
 use platform_stub::deployment::JOBS;
 use platform_stub::replica::TOKENS_PER_EVENT;
 use rand::Rng;
@@ -14,6 +16,7 @@
 use tokio::time::sleep;
 
 use crate::observation::JobObservation;
+use crate::organisations::USUAL;
 use crate::traffic::RunContext;
 
 /// How often a client submits the same job before it gives up.
@@ -42,6 +45,7 @@
                 .iter()
                 .map(|item| (item.id.clone(), item.tokens / TOKENS_PER_EVENT))
                 .collect(),
+            organisation: context.organisation(client),
             ..JobObservation::default()
         };
         context.observation.borrow_mut().jobs.insert(id.clone(), job);
@@ -49,6 +53,7 @@
             let ends = random.gen_ratio(1, JOBS_PER_END);
             let reads = random.gen_range(2..6);
             read_random_pages(&context, &mut random, &id, reads).await;
+            read_with_foreign_key(&context, &id).await;
             if ends {
                 end_job(&context, &mut random, &id).await;
             }
@@ -60,7 +65,10 @@
 async fn submit(context: &RunContext, random: &mut StdRng, id: &str, items: &[NewItem]) -> bool {
     for _ in 0..MAX_SUBMISSIONS {
         let daemon = random.gen_range(0..context.fleet.len());
-        let answer = Client.submit_job(context.fleet.ingress(daemon), JOBS, id, items).await;
+        let call = OutgoingRequest::job(JOBS, id, items);
+        let ids = items.iter().map(|item| item.id.as_str());
+        let call = context.sign(call, organisation_of(context, id), ids);
+        let answer = Client.call(context.fleet.ingress(daemon), &call).await;
         let status = answer.map_or(0, |answer| answer.status.as_u16());
         let now_ms = context.fleet.now_ms();
         update_job(context, id, |job| {
@@ -94,8 +102,10 @@
     from: usize,
 ) -> Option<Vec<ItemResult>> {
     let sent_ms = context.fleet.now_ms();
-    let answer = Client.read_results(context.fleet.ingress(daemon), id, from).await;
-    let (status, page) = answer.ok()?;
+    let call = OutgoingRequest::results(id, from);
+    let call = context.sign(call, organisation_of(context, id), []);
+    let answer = Client.call(context.fleet.ingress(daemon), &call).await.ok()?;
+    let status = answer.status;
     if status.as_u16() == 404 || status.as_u16() == 410 {
         let until_ms = context.fleet.now_ms();
         if context.fleet.timeline.borrow().is_undisturbed(sent_ms, until_ms) {
@@ -104,7 +114,10 @@
         }
         return None;
     }
-    let page = page.filter(|_| status.is_success())?;
+    if !status.is_success() {
+        return None;
+    }
+    let page: ResultsPage = serde_json::from_slice(&answer.body).ok()?;
     let results = page.results;
     update_job(context, id, |job| {
         if page.total != job.items.len() {
@@ -119,12 +132,27 @@
     Some(results)
 }
 
+/// Reads a job with the key of another organisation, for which it must not exist.
+async fn read_with_foreign_key(context: &RunContext, id: &str) {
+    let Some(own) = organisation_of(context, id) else { return };
+    let foreign = USUAL.into_iter().find(|name| *name != own);
+    let daemon = id.len() % context.fleet.len();
+    let call = context.sign(OutgoingRequest::results(id, 0), foreign, []);
+    let answer = Client.call(context.fleet.ingress(daemon), &call).await;
+    if answer.is_ok_and(|answer| answer.status.is_success()) {
+        let contradiction = format!("daemon-{daemon} showed it to {foreign:?}");
+        update_job(context, id, |job| job.contradictions.push(contradiction));
+    }
+}
+
 async fn end_job(context: &RunContext, random: &mut StdRng, id: &str) {
     update_job(context, id, |job| job.is_end_requested = true);
     for _ in 0..MAX_END_REQUESTS {
         let daemon = random.gen_range(0..context.fleet.len());
-        let status = Client.end_job(context.fleet.ingress(daemon), id).await;
-        if status.is_ok_and(|status| status.is_success()) {
+        let call = OutgoingRequest::end_of_job(id);
+        let call = context.sign(call, organisation_of(context, id), []);
+        let answer = Client.call(context.fleet.ingress(daemon), &call).await;
+        if answer.is_ok_and(|answer| answer.status.is_success()) {
             let now_ms = context.fleet.now_ms();
             return update_job(context, id, |job| job.ended_ms = Some(now_ms));
         }
@@ -179,6 +207,10 @@
         .is_none_or(|job| job.is_end_requested || job.results.len() >= job.items.len())
 }
 
+fn organisation_of(context: &RunContext, id: &str) -> Option<&'static str> {
+    context.observation.borrow().jobs.get(id).and_then(|job| job.organisation)
+}
+
 fn read_count(context: &RunContext, id: &str) -> usize {
     context.observation.borrow().jobs.get(id).map_or(0, |job| job.results.len())
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,8 +4,11 @@
 pub mod check;
 pub mod fleet;
 pub mod job_client;
+pub mod key_client;
 pub mod observation;
 pub mod options;
+pub mod organisation_check;
+pub mod organisations;
 pub mod plan;
 pub mod proxy;
 pub mod regressions;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -140,11 +140,15 @@
         match soak::run::run(&config, &self.interrupted) {
             Ok(report) => {
                 println!(
-                    "seed={seed} daemons={daemons} faults={} requests={} served={} jobs={} broken={}",
+                    "seed={seed} daemons={daemons} faults={} requests={} served={} jobs={} \
+                     key_requests={} key_served={} key_over_quota={} broken={}",
                     report.faults,
                     report.requests,
                     report.served,
                     report.jobs,
+                    report.key_requests,
+                    report.key_outcomes.0,
+                    report.key_outcomes.1,
                     report.violations.len()
                 );
                 for violation in &report.violations {
--- a/crates/soak/src/observation.rs
+++ b/crates/soak/src/observation.rs
@@ -70,6 +70,8 @@
 pub struct JobObservation {
     /// The number of events of each item, by its id.
     pub items: BTreeMap<String, u64>,
+    /// The organisation that submits it, if the run has organisations.
+    pub organisation: Option<&'static str>,
     /// The status of each submission, 0 where no answer came.
     pub submit_statuses: Vec<u16>,
     /// When it was accepted, in milliseconds of the run.
@@ -120,6 +122,25 @@
     pub is_known: bool,
 }
 
+/// One request of a client that sends with different keys.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyRequest {
+    /// The request's id.
+    pub id: String,
+    /// The key that it was sent with.
+    pub key: String,
+    /// The daemon to which it was sent.
+    pub daemon: usize,
+    /// How often the daemon's process had been started; none if it was restarted meanwhile.
+    pub starts: Option<u32>,
+    /// When it was sent, in milliseconds of the run.
+    pub sent_ms: u64,
+    /// When it ended, in milliseconds of the run.
+    pub ended_ms: u64,
+    /// The status of its answer, 0 where no answer came.
+    pub status: u16,
+}
+
 /// Everything that clients observed.
 #[derive(Clone, Debug, Default)]
 pub struct Observation {
@@ -131,4 +152,15 @@
     pub route_queries: Vec<RouteQuery>,
     /// The ids of all requests that were sent to test routes, answered or not.
     pub route_request_ids: BTreeSet<String>,
+    /// Requests of clients that send with different keys.
+    pub key_requests: Vec<KeyRequest>,
+    /// The organisation of each request and item that was sent with a key of one, by id.
+    pub organisations: BTreeMap<String, &'static str>,
+}
+
+impl Observation {
+    /// Records the organisation that sends a request or an item.
+    pub fn record_organisation(&mut self, id: &str, organisation: &'static str) {
+        self.organisations.insert(id.to_owned(), organisation);
+    }
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -185,6 +185,13 @@
         /// How many times as long each step takes.
         factor: u32,
     },
+    /// The operator revokes a key of the rotating organisation.
+    RevokeKey {
+        /// The number of the key.
+        key: usize,
+    },
+    /// The operator lowers the quota of an organisation.
+    LowerQuota,
     /// The operator adds a route.
     Configure,
     /// A daemon's wall clock steps, and steps back when the fault ends.
@@ -206,6 +213,8 @@
                 | Self::ReplicaDrain { .. }
                 | Self::ReplicaLeave { .. }
                 | Self::Configure
+                | Self::RevokeKey { .. }
+                | Self::LowerQuota
         )
     }
 
@@ -215,6 +224,8 @@
         matches!(
             self,
             Self::Configure
+                | Self::RevokeKey { .. }
+                | Self::LowerQuota
                 | Self::ReplicaDrain { .. }
                 | Self::ReplicaLeave { .. }
                 | Self::ReplicaPause { .. }
@@ -297,6 +308,7 @@
     faults.extend(draw_announced_leaves(seed, daemons));
     faults.extend(draw_pauses(seed));
     faults.extend(scenario::draw_degradations(seed));
+    faults.extend(scenario::draw_operator_changes(seed));
     faults.sort_by_key(|planned| planned.start_ms);
     faults
 }
@@ -361,6 +373,7 @@
             faults.push(PlannedFault { start_ms, duration_ms: 0, fault: Fault::Configure });
         }
     }
+    faults.extend(scenario::draw_calm_revocation(seed));
     faults.sort_by_key(|planned| planned.start_ms);
     faults
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -19,6 +19,8 @@
 use crate::check::Violation;
 use crate::fleet::Fleet;
 use crate::job_client;
+use crate::key_client;
+use crate::observation::Observation;
 use crate::observation::RequestOutcome;
 use crate::plan;
 use crate::scenario::Scenario;
@@ -27,6 +29,8 @@
 
 /// The clients that send online requests to each daemon.
 const CLIENTS_PER_DAEMON: usize = 3;
+/// The clients that send with different keys to each daemon, if the run has organisations.
+const KEY_CLIENTS_PER_DAEMON: usize = 2;
 /// The clients of a run that submit jobs.
 const JOB_CLIENTS: usize = 4;
 /// The longest time in which the fleet must recover after the last fault, in milliseconds; the
@@ -66,6 +70,10 @@
     pub jobs: usize,
     /// The number of faults.
     pub faults: usize,
+    /// The number of requests of clients that send with different keys.
+    pub key_requests: usize,
+    /// The number of these requests that were served, and of those over a quota.
+    pub key_outcomes: (usize, usize),
 }
 
 /// The reason why a run has no report.
@@ -127,6 +135,11 @@
             clients.push(spawn_local(sender));
         }
         clients.push(spawn_local(traffic::query_routes(context.clone(), daemon)));
+        let key_clients = if fleet.has_organisations() { KEY_CLIENTS_PER_DAEMON } else { 0 };
+        for client in 0..key_clients {
+            let sender = key_client::send_with_keys(context.clone(), daemon, client, config.seed);
+            clients.push(spawn_local(sender));
+        }
     }
     for client in 0..JOB_CLIENTS {
         clients.push(spawn_local(job_client::submit_jobs(context.clone(), client, config.seed)));
@@ -151,12 +164,15 @@
     let run_log = fleet.deployment.log.borrow();
     let timeline = fleet.timeline.borrow();
     let degraded_replicas = fleet.degraded_replicas();
+    let organisations = fleet.organisations();
+    violations.extend(check_logs(&fleet));
     violations.extend(check::violations(&Evidence {
         observation: &observation,
         run_log: &run_log,
         timeline: &timeline,
         recovered_ms,
         degraded_replicas: &degraded_replicas,
+        organisations: organisations.as_ref(),
     }));
     let is_served =
         |outcome: &RequestOutcome| matches!(outcome, RequestOutcome::Answered { status: 200, .. });
@@ -165,6 +181,8 @@
         served: observation.requests.iter().filter(|request| is_served(&request.outcome)).count(),
         jobs: observation.jobs.values().filter(|job| job.accepted_ms.is_some()).count(),
         faults: faults.len() + calm_faults.len(),
+        key_requests: observation.key_requests.len(),
+        key_outcomes: (count_status(&observation, 200), count_status(&observation, 429)),
         violations,
     };
     write_summary(&config.folder, config.seed, &fleet, &report).map_err(RunError::File)?;
@@ -180,6 +198,18 @@
     unready.into_iter().map(violation).collect()
 }
 
+fn count_status(observation: &Observation, status: u16) -> usize {
+    observation.key_requests.iter().filter(|request| request.status == status).count()
+}
+
+fn check_logs(fleet: &Fleet) -> Vec<Violation> {
+    let violation = |daemon| Violation {
+        promise: "logs show no key",
+        detail: format!("the log of {daemon} shows one"),
+    };
+    fleet.daemons_that_log_keys().into_iter().map(violation).collect()
+}
+
 /// Injects every fault at its time and waits until all have ended.
 async fn inject_faults(fleet: &Rc<Fleet>, faults: &[plan::PlannedFault]) {
     let begin_ms = fleet.now_ms();
--- a/crates/soak/src/scenario.rs
+++ b/crates/soak/src/scenario.rs
@@ -22,11 +22,19 @@
 /// Combined with the seed of the run for the degraded replicas.
 const DEGRADATION_SEED: u64 = 0x6465_6772_6164;
 
+/// The period in which a key is revoked while no other fault is active, in milliseconds after the end
+/// of the other faults.
+const CALM_REVOCATION_MS: (u64, u64) = (3_100, 8_000);
+/// Combined with the seed of the run for the operator's changes to organisations.
+const OPERATOR_SEED: u64 = 0x6f70_6572_6174;
+
 /// What a run has beside its faults.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Scenario {
     /// The optional parts of the platform's contract that apply to the daemons.
     pub contracts: Vec<String>,
+    /// Whether the configuration has organisations.
+    pub has_organisations: bool,
 }
 
 impl Scenario {
@@ -37,8 +45,35 @@
         }
         let mut random = StdRng::seed_from_u64(seed ^ SCENARIO_SEED);
         let contracts = if random.r#gen() { vec!["health".to_owned()] } else { Vec::new() };
-        Self { contracts }
+        Self { contracts, has_organisations: random.r#gen() }
+    }
+}
+
+/// Returns the key that the operator revokes and the quota that is lowered among the other faults.
+pub fn draw_operator_changes(seed: u64) -> Vec<PlannedFault> {
+    if !Scenario::draw(seed).has_organisations {
+        return Vec::new();
     }
+    let mut random = StdRng::seed_from_u64(seed ^ OPERATOR_SEED);
+    [Fault::RevokeKey { key: 0 }, Fault::LowerQuota]
+        .map(|fault| PlannedFault {
+            start_ms: WARM_UP_MS + random.gen_range(0..FAULT_WINDOW_MS),
+            duration_ms: 0,
+            fault,
+        })
+        .into()
+}
+
+/// Returns the key that the operator revokes while no other fault is active.
+pub fn draw_calm_revocation(seed: u64) -> Option<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(!seed ^ OPERATOR_SEED);
+    let start_ms = random.gen_range(CALM_REVOCATION_MS.0..CALM_REVOCATION_MS.1);
+    let fault = Fault::RevokeKey { key: 1 };
+    Scenario::draw(seed).has_organisations.then_some(PlannedFault {
+        start_ms,
+        duration_ms: 0,
+        fault,
+    })
 }
 
 /// Returns the replicas that fail a part of their requests or become slow with good health.
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -25,6 +25,9 @@
 use crate::observation::RequestKind;
 use crate::observation::RequestOutcome;
 use crate::observation::RouteQuery;
+use crate::organisations;
+use crate::organisations::OPERATOR;
+use crate::organisations::USUAL;
 
 /// The longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -47,6 +50,28 @@
     pub stopped: CancellationToken,
 }
 
+impl RunContext {
+    /// Returns the organisation of an ordinary client, if the run has organisations.
+    pub fn organisation(&self, client: usize) -> Option<&'static str> {
+        self.fleet.has_organisations().then(|| USUAL[client % USUAL.len()])
+    }
+
+    /// Returns a request with the key of an organisation, if it has one, and records the organisation
+    /// of what the request runs.
+    pub fn sign<'a>(
+        &self,
+        request: OutgoingRequest,
+        organisation: Option<&'static str>,
+        ids: impl IntoIterator<Item = &'a str>,
+    ) -> OutgoingRequest {
+        let Some(organisation) = organisation else { return request };
+        for id in ids {
+            self.observation.borrow_mut().record_organisation(id, organisation);
+        }
+        request.with_key(&organisations::key(organisation, 0))
+    }
+}
+
 /// Sends online requests to one daemon, one at a time, until the run stops its clients.
 ///
 /// A connection is reused while it is open; otherwise a new one is opened.
@@ -60,6 +85,7 @@
         count += 1;
         let id = format!("{daemon}-{client}-{count}");
         let (kind, call, events) = draw_request(&mut random, &id);
+        let call = context.sign(call, context.organisation(client), [id.as_str()]);
         let leave_after = (kind != RequestKind::Lookup && random.gen_ratio(1, STREAMS_PER_LEAVE))
             .then(|| Duration::from_millis(random.gen_range(1..300)));
         let is_connection_reused =
@@ -149,8 +175,9 @@
         let id = format!("route-{daemon}-{count}");
         context.observation.borrow_mut().route_request_ids.insert(id.clone());
         let (starts, sent_ms) = (context.fleet.starts(daemon), context.fleet.now_ms());
-        let answer =
-            Client.call(context.fleet.ingress(daemon), &OutgoingRequest::lookup(prefix, &id)).await;
+        let organisation = context.fleet.has_organisations().then_some(OPERATOR);
+        let call = context.sign(OutgoingRequest::lookup(prefix, &id), organisation, [id.as_str()]);
+        let answer = Client.call(context.fleet.ingress(daemon), &call).await;
         let is_known = match answer.map(|answer| answer.status.as_u16()) {
             Ok(200..300) => true,
             Ok(404) => false,
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -11,10 +11,17 @@
 use soak::check::violations;
 use soak::observation::ClientRequest;
 use soak::observation::JobObservation;
+use soak::observation::KeyRequest;
 use soak::observation::Observation;
 use soak::observation::RequestKind;
 use soak::observation::RequestOutcome;
 use soak::observation::RouteQuery;
+use soak::organisations::HOT;
+use soak::organisations::LOWERED;
+use soak::organisations::Organisations;
+use soak::organisations::ROTATING;
+use soak::organisations::UNKNOWN_KEY;
+use soak::organisations::key;
 use soak::plan::Fault;
 use soak::timeline::Timeline;
 
@@ -24,6 +31,7 @@
     run_log: RunLog,
     timeline: Timeline,
     degraded_replicas: Vec<String>,
+    organisations: Option<Organisations>,
 }
 
 impl TestRun {
@@ -57,6 +65,40 @@
         self.run_log.record_start(id, run);
     }
 
+    /// Adds a request that ran if it has an organisation and was answered with 200.
+    fn add_key_request(&mut self, id: &str, key: &str, sent_ms: u64, status: u16) {
+        self.observation.key_requests.push(KeyRequest {
+            id: id.to_owned(),
+            key: key.to_owned(),
+            daemon: 0,
+            starts: Some(1),
+            sent_ms,
+            ended_ms: sent_ms + 20,
+            status,
+        });
+        let organisation =
+            [HOT, LOWERED, ROTATING].into_iter().find(|name| key.contains(&format!("-{name}-")));
+        let Some(organisation) = organisation else { return };
+        self.observation.record_organisation(id, organisation);
+        if status == 200 {
+            self.add_run(id, "plain-0", sent_ms + 10);
+            self.set_run_organisation(id, organisation);
+        }
+    }
+
+    /// Replaces the last run of a request by one for an organisation.
+    fn set_run_organisation(&mut self, id: &str, organisation: &str) {
+        let run = self.run_log.runs_of(id).last().expect("it ran").clone();
+        let mut log = RunLog::default();
+        for other in self.run_log.ids().filter(|other| *other != id) {
+            for run in self.run_log.runs_of(other) {
+                log.record_start(other, run.clone());
+            }
+        }
+        log.record_start(id, Run { organisation: Some(organisation.to_owned()), ..run });
+        self.run_log = log;
+    }
+
     fn add_fault(&mut self, fault: Fault, from_ms: u64, until_ms: u64) {
         let index = self.timeline.begin(from_ms, fault);
         self.timeline.end(until_ms, index);
@@ -81,6 +123,7 @@
             timeline: &self.timeline,
             recovered_ms: 29_000,
             degraded_replicas: &self.degraded_replicas,
+            organisations: self.organisations.as_ref(),
         };
         violations(&evidence).iter().map(|violation| violation.promise).collect()
     }
@@ -210,6 +253,83 @@
     assert_eq!(run.broken_promises(), Vec::<&str>::new());
 }
 
+/// Guards against a key, or a request of another organisation, at a replica.
+#[test]
+fn key_or_wrong_organisation_at_replica_is_reported() {
+    let mut run = TestRun::new();
+    run.organisations = Some(Organisations::default());
+    run.add_key_request("hot", &key(HOT, 0), 2_000, 200);
+    assert_eq!(run.broken_promises(), Vec::<&str>::new());
+    run.set_run_organisation("hot", ROTATING);
+    assert_eq!(run.broken_promises(), ["no wrong organisation reaches a replica"]);
+    run.set_run_organisation("hot", HOT);
+    run.run_log.credential_arrivals.push("hot".to_owned());
+    assert_eq!(run.broken_promises(), ["no key reaches a replica"]);
+}
+
+/// Guards against a revoked key that keeps working, or works again at a daemon that denied it.
+#[test]
+fn revoked_key_that_works_is_reported() {
+    let mut run = TestRun::new();
+    let revoked = key(ROTATING, 1);
+    run.organisations = Some(Organisations::default());
+    run.organisations.as_mut().expect("it is set").revoke(1, 10_000);
+    run.add_key_request("early", &revoked, 11_900, 200);
+    run.add_key_request("denied", &revoked, 12_100, 401);
+    assert_eq!(run.broken_promises(), Vec::<&str>::new());
+    run.add_key_request("late", &revoked, 12_200, 200);
+    assert_eq!(
+        run.broken_promises(),
+        ["a revoked key stops working", "the configuration never goes back"]
+    );
+    run.add_fault(Fault::StoreSilent, 9_000, 13_000);
+    assert_eq!(run.broken_promises(), ["the configuration never goes back"]);
+    run.observation.key_requests[2].starts = Some(2);
+    assert_eq!(run.broken_promises(), Vec::<&str>::new(), "the daemon was restarted");
+}
+
+/// Guards against a daemon that denies a valid key, accepts an unknown one, or runs what it denied.
+#[test]
+fn wrongly_denied_and_accepted_keys_are_reported() {
+    let mut run = TestRun::new();
+    run.organisations = Some(Organisations::default());
+    run.add_key_request("unknown", UNKNOWN_KEY, 1_000, 401);
+    run.add_key_request("refused", &key(HOT, 0), 1_000, 429);
+    assert_eq!(run.broken_promises(), Vec::<&str>::new());
+    run.add_run("unknown", "plain-0", 1_010);
+    assert_eq!(run.broken_promises(), ["unknown keys run nothing"]);
+    run.add_run("refused", "plain-0", 1_010);
+    run.set_run_organisation("refused", HOT);
+    assert_eq!(run.broken_promises(), ["unknown keys run nothing", "refused means not run"]);
+
+    let mut run = TestRun::new();
+    run.organisations = Some(Organisations::default());
+    run.add_key_request("valid", &key(ROTATING, 2), 1_000, 401);
+    run.add_request("usual", RequestKind::Lookup, 1_000, answered(401));
+    assert_eq!(run.broken_promises(), ["valid keys are accepted", "valid keys are accepted"]);
+}
+
+/// Guards against more requests of an organisation in a window than its quota allows, before and
+/// after the quota is lowered.
+#[test]
+fn requests_over_a_quota_are_reported() {
+    // (10 x 5 + 5) x 1.1 + 20 = 80.5 and, lowered, (4 x 5 + 2) x 1.1 + 20 = 44.2.
+    let run_of = |organisation: &str, from_ms: u64, count: u64| {
+        let mut run = TestRun::new();
+        run.organisations = Some(Organisations { lowered_ms: Some(2_000), ..Default::default() });
+        for number in 0..count {
+            let id = format!("q{number:03}");
+            run.add_key_request(&id, &key(organisation, 0), from_ms + number * 10, 200);
+        }
+        run.broken_promises()
+    };
+    assert_eq!(run_of(HOT, 10_000, 80), Vec::<&str>::new());
+    assert_eq!(run_of(HOT, 10_000, 81), ["quotas hold in each window"]);
+    assert_eq!(run_of(LOWERED, 8_000, 45), Vec::<&str>::new(), "the window began before");
+    assert_eq!(run_of(LOWERED, 9_000, 44), Vec::<&str>::new());
+    assert_eq!(run_of(LOWERED, 9_000, 45), ["quotas hold in each window"]);
+}
+
 #[test]
 fn configuration_rollback_or_delay_is_reported() {
     let query = |starts: u32, sent_ms: u64, is_known: bool| RouteQuery {
