Flood daemons in the soak and watch their processes

Cause: the soak has no clients that flood, and it does not notice a daemon that ends by itself and is restarted by a later fault, or that takes more memory than its host has. In every run, each daemon's process is looked at every 100 ms: a process that ended though no fault keeps it down, and a peak of resident memory of memory_mb (88) or more, are reported. The peak is part of the line of a seed.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -27,11 +27,17 @@
 use rustix::process::Signal;
 use tokio::time::sleep;
 
+use crate::check::Violation;
+use crate::flood::flood;
+use crate::organisations;
 use crate::organisations::KEY_PREFIX;
+use crate::organisations::OPERATOR;
 use crate::organisations::Organisations;
 use crate::plan::Fault;
 use crate::plan::LinkFault;
 use crate::plan::PlannedFault;
+use crate::process_watch::ProcessWatch;
+use crate::process_watch::read_peak_kib;
 use crate::proxy::Proxy;
 use crate::scenario::Scenario;
 use crate::timeline::MAX_STOP_MS;
@@ -75,6 +81,7 @@
     routes_added_ms: RefCell<Vec<u64>>,
     degraded_replicas: RefCell<BTreeSet<String>>,
     organisations: RefCell<Option<Organisations>>,
+    process_watch: RefCell<ProcessWatch>,
 }
 
 impl Fleet {
@@ -131,6 +138,7 @@
             routes_added_ms: RefCell::default(),
             degraded_replicas: RefCell::default(),
             organisations: RefCell::new(organisations),
+            process_watch: RefCell::default(),
         });
         let engines = (count as f64 * ENGINES_PER_DAEMON).ceil() as usize;
         for _ in 0..engines.max(2) {
@@ -183,6 +191,32 @@
         self.deployment.replicas().into_iter().filter(|name| degraded.contains(name)).collect()
     }
 
+    /// Looks at the processes of all daemons that no fault keeps down.
+    pub fn watch_processes(&self) {
+        let mut watch = self.process_watch.borrow_mut();
+        for (number, daemon) in self.daemons.iter().enumerate() {
+            if daemon.down_count.get() > 0 {
+                continue;
+            }
+            let mut process = daemon.process.borrow_mut();
+            if !process.is_running() {
+                watch.record_end(number, process.starts());
+            } else if let Some(peak_kib) = read_peak_kib(process.id()) {
+                watch.record_peak(number, peak_kib);
+            }
+        }
+    }
+
+    /// Returns the highest peak of a daemon's resident memory that was seen, in KiB.
+    pub fn peak_kib(&self) -> u64 {
+        self.process_watch.borrow().peak_kib()
+    }
+
+    /// Returns what is wrong with the processes that were watched.
+    pub fn process_violations(&self) -> Vec<Violation> {
+        self.process_watch.borrow().violations(SMALLEST_MEMORY_MB)
+    }
+
     /// Returns whether the configuration has organisations.
     pub fn has_organisations(&self) -> bool {
         self.organisations.borrow().is_some()
@@ -328,6 +362,11 @@
                 sleep(duration).await;
                 self.daemons[daemon].step_clock(-by_ms)
             }
+            Fault::Flood { daemon, kind, connections } => {
+                let key = self.has_organisations().then(|| organisations::key(OPERATOR, 0));
+                flood(self.ingress(daemon), kind, connections, key.as_deref(), duration).await;
+                Ok(())
+            }
             Fault::RevokeKey { key } => {
                 self.change_organisations(|organisations, now_ms| {
                     organisations.revoke(key, now_ms)
--- a/crates/soak/src/flood.rs
+++ b/crates/soak/src/flood.rs
@@ -95,8 +95,7 @@
 
 fn request_head(number: usize, key: Option<&str>) -> String {
     let id = format!("flood-{number}");
-    let credentials =
-        key.map_or(String::new(), |key| format!("authorization: Bearer {key}\r\n"));
+    let credentials = key.map_or(String::new(), |key| format!("authorization: Bearer {key}\r\n"));
     format!(
         "POST {LOOKUP}{id} HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: {id}\r\n\
          x-deadline-ms: 30000\r\n{credentials}"
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod check;
 pub mod fleet;
+pub mod flood;
 pub mod job_client;
 pub mod key_client;
 pub mod observation;
@@ -10,6 +11,7 @@
 pub mod organisation_check;
 pub mod organisations;
 pub mod plan;
+pub mod process_watch;
 pub mod proxy;
 pub mod regressions;
 pub mod run;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -141,7 +141,8 @@
             Ok(report) => {
                 println!(
                     "seed={seed} daemons={daemons} faults={} requests={} served={} jobs={} \
-                     key_requests={} key_served={} key_over_quota={} broken={}",
+                     key_requests={} key_served={} key_over_quota={} \
+                     peak_kib={} broken={}",
                     report.faults,
                     report.requests,
                     report.served,
@@ -149,6 +150,7 @@
                     report.key_requests,
                     report.key_outcomes.0,
                     report.key_outcomes.1,
+                    report.peak_kib,
                     report.violations.len()
                 );
                 for violation in &report.violations {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -7,6 +7,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use crate::flood::FloodKind;
 use crate::scenario;
 
 /// The length of the window in which all faults start, in milliseconds.
@@ -185,6 +186,15 @@
         /// How many times as long each step takes.
         factor: u32,
     },
+    /// Clients open connections to a daemon whose requests never end.
+    Flood {
+        /// The daemon.
+        daemon: usize,
+        /// What the connections send.
+        kind: FloodKind,
+        /// The number of connections.
+        connections: usize,
+    },
     /// The operator revokes a key of the rotating organisation.
     RevokeKey {
         /// The number of the key.
@@ -309,6 +319,7 @@
     faults.extend(draw_pauses(seed));
     faults.extend(scenario::draw_degradations(seed));
     faults.extend(scenario::draw_operator_changes(seed));
+    faults.extend(scenario::draw_floods(seed, daemons));
     faults.sort_by_key(|planned| planned.start_ms);
     faults
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -36,6 +36,8 @@
 /// The longest time in which the fleet must recover after the last fault, in milliseconds; the
 /// platform's `recover_s`.
 const MAX_RECOVERY_MS: u64 = 12_000;
+/// The time between two looks at the daemons' processes.
+const WATCH_INTERVAL: Duration = Duration::from_millis(100);
 /// How long clients keep sending after the recovery time, in milliseconds.
 const POST_RECOVERY_MS: u64 = 3_000;
 /// The longest time in which jobs must finish after the clients have stopped, in milliseconds; the
@@ -70,6 +72,8 @@
     pub jobs: usize,
     /// The number of faults.
     pub faults: usize,
+    /// The highest peak of a daemon's resident memory, in KiB.
+    pub peak_kib: u64,
     /// The number of requests of clients that send with different keys.
     pub key_requests: usize,
     /// The number of these requests that were served, and of those over a quota.
@@ -141,6 +145,7 @@
             clients.push(spawn_local(sender));
         }
     }
+    clients.push(spawn_local(watch_processes(context.clone())));
     for client in 0..JOB_CLIENTS {
         clients.push(spawn_local(job_client::submit_jobs(context.clone(), client, config.seed)));
     }
@@ -166,6 +171,7 @@
     let degraded_replicas = fleet.degraded_replicas();
     let organisations = fleet.organisations();
     violations.extend(check_logs(&fleet));
+    violations.extend(fleet.process_violations());
     violations.extend(check::violations(&Evidence {
         observation: &observation,
         run_log: &run_log,
@@ -181,6 +187,7 @@
         served: observation.requests.iter().filter(|request| is_served(&request.outcome)).count(),
         jobs: observation.jobs.values().filter(|job| job.accepted_ms.is_some()).count(),
         faults: faults.len() + calm_faults.len(),
+        peak_kib: fleet.peak_kib(),
         key_requests: observation.key_requests.len(),
         key_outcomes: (count_status(&observation, 200), count_status(&observation, 429)),
         violations,
@@ -202,6 +209,13 @@
     observation.key_requests.iter().filter(|request| request.status == status).count()
 }
 
+async fn watch_processes(context: Rc<RunContext>) {
+    while !context.stopped.is_cancelled() {
+        context.fleet.watch_processes();
+        sleep(WATCH_INTERVAL).await;
+    }
+}
+
 fn check_logs(fleet: &Fleet) -> Vec<Violation> {
     let violation = |daemon| Violation {
         promise: "logs show no key",
--- a/crates/soak/src/scenario.rs
+++ b/crates/soak/src/scenario.rs
@@ -1,10 +1,12 @@
-//! What a run has in addition to its plan: replicas that degrade, and the contracts of its daemons.
+//! What a run has in addition to its plan: replicas that degrade, organisations, floods, and the
+//! contracts of its daemons.
 
 use platform_stub::replica::PartialFailure;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use crate::flood::FloodKind;
 use crate::plan::FAULT_WINDOW_MS;
 use crate::plan::Fault;
 use crate::plan::PlannedFault;
@@ -28,6 +30,16 @@
 /// Combined with the seed of the run for the operator's changes to organisations.
 const OPERATOR_SEED: u64 = 0x6f70_6572_6174;
 
+/// The maximum number of floods of a run.
+const MAX_FLOODS: usize = 2;
+/// The minimum and maximum number of connections of a flood; all floods of a run together stay far
+/// below the descriptors that the soak may open.
+const FLOOD_CONNECTIONS: (usize, usize) = (50, 250);
+/// The shortest and longest time of a flood, in milliseconds.
+const FLOOD_MS: (u64, u64) = (1_500, 5_000);
+/// Combined with the seed of the run for the floods.
+const FLOOD_SEED: u64 = 0x666c_6f6f_6473;
+
 /// What a run has beside its faults.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Scenario {
@@ -92,6 +104,35 @@
         .collect()
 }
 
+/// Returns the floods of a run.
+pub fn draw_floods(seed: u64, daemons: usize) -> Vec<PlannedFault> {
+    if seed < FIRST_SCENARIO_SEED {
+        return Vec::new();
+    }
+    let mut random = StdRng::seed_from_u64(seed ^ FLOOD_SEED);
+    let count = random.gen_range(0..=MAX_FLOODS);
+    (0..count)
+        .map(|_| PlannedFault {
+            start_ms: WARM_UP_MS + random.gen_range(0..FAULT_WINDOW_MS),
+            duration_ms: random.gen_range(FLOOD_MS.0..FLOOD_MS.1),
+            fault: Fault::Flood {
+                daemon: random.gen_range(0..daemons),
+                kind: draw_flood_kind(&mut random),
+                connections: random.gen_range(FLOOD_CONNECTIONS.0..=FLOOD_CONNECTIONS.1),
+            },
+        })
+        .collect()
+}
+
+fn draw_flood_kind(random: &mut StdRng) -> FloodKind {
+    match random.gen_range(0..4) {
+        0 => FloodKind::StoppedBodies,
+        1 => FloodKind::TinyChunks,
+        2 => FloodKind::EndlessHeads,
+        _ => FloodKind::SilentConnections,
+    }
+}
+
 fn draw_degradation(random: &mut StdRng) -> Fault {
     let replica = random.gen_range(0..64);
     match random.gen_range(0..4) {
--- a/crates/soak/tests/scenario.rs
+++ b/crates/soak/tests/scenario.rs
@@ -18,6 +18,7 @@
                 | Fault::ReplicaSlow { .. }
                 | Fault::RevokeKey { .. }
                 | Fault::LowerQuota
+                | Fault::Flood { .. }
         )
     };
     for seed in 0..FIRST_SCENARIO_SEED {
@@ -45,6 +46,7 @@
         assert!(calm.contains(&Fault::RevokeKey { key: 1 }), "{calm:?}");
     }
     let degradations: BTreeSet<String> = seeds
+        .clone()
         .flat_map(|seed| draw_faults(seed, 4))
         .filter_map(|planned| match planned.fault {
             Fault::ReplicaFailsPart { failure, .. } => Some(format!("{failure:?}")),
@@ -53,4 +55,12 @@
         })
         .collect();
     assert_eq!(degradations.len(), 4, "{degradations:?}");
+    let floods: BTreeSet<String> = seeds
+        .flat_map(|seed| draw_faults(seed, 4))
+        .filter_map(|planned| match planned.fault {
+            Fault::Flood { kind, .. } => Some(format!("{kind:?}")),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(floods.len(), 4, "{floods:?}");
 }
