--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::io;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
@@ -26,10 +27,19 @@
 use rustix::process::Signal;
 use tokio::time::sleep;
 
+use crate::check::Violation;
+use crate::flood::flood;
+use crate::organisations;
+use crate::organisations::KEY_PREFIX;
+use crate::organisations::OPERATOR;
+use crate::organisations::Organisations;
 use crate::plan::Fault;
 use crate::plan::LinkFault;
 use crate::plan::PlannedFault;
+use crate::process_watch::ProcessWatch;
+use crate::process_watch::read_peak_kib;
 use crate::proxy::Proxy;
+use crate::scenario::Scenario;
 use crate::timeline::MAX_STOP_MS;
 use crate::timeline::Timeline;
 
@@ -69,6 +79,9 @@
     replica_links: RefCell<BTreeMap<String, Rc<Proxy>>>,
     next_replica: Cell<u32>,
     routes_added_ms: RefCell<Vec<u64>>,
+    degraded_replicas: RefCell<BTreeSet<String>>,
+    organisations: RefCell<Option<Organisations>>,
+    process_watch: RefCell<ProcessWatch>,
 }
 
 impl Fleet {
@@ -78,9 +91,14 @@
         folder: &Path,
         subnet: [u8; 2],
         count: usize,
+        scenario: &Scenario,
     ) -> Result<Rc<Self>, KernelError> {
         let deployment = Deployment::start()?;
-        deployment.configure(|_| {});
+        let organisations = scenario.has_organisations.then(Organisations::default);
+        match &organisations {
+            Some(organisations) => deployment.set_organisations(organisations.to_json()),
+            None => deployment.configure(|_| {}),
+        };
         let ip =
             |number: usize| IpAddr::V4(Ipv4Addr::new(127, subnet[0], subnet[1], number as u8 + 1));
         let mut daemons = Vec::new();
@@ -95,7 +113,7 @@
                 store: store_link.address,
                 grace_s: GRACE_S,
                 status_s: STATUS_RETENTION_S,
-                contracts: Vec::new(),
+                contracts: scenario.contracts.clone(),
                 is_first_start: true,
                 memory_mb: SMALLEST_MEMORY_MB,
                 max_fds: USUAL_MAX_FDS,
@@ -118,6 +136,9 @@
             replica_links: RefCell::default(),
             next_replica: Cell::new(0),
             routes_added_ms: RefCell::default(),
+            degraded_replicas: RefCell::default(),
+            organisations: RefCell::new(organisations),
+            process_watch: RefCell::default(),
         });
         let engines = (count as f64 * ENGINES_PER_DAEMON).ceil() as usize;
         for _ in 0..engines.max(2) {
@@ -164,6 +185,60 @@
             .collect()
     }
 
+    /// Returns the running replicas that were degraded before.
+    pub fn degraded_replicas(&self) -> Vec<String> {
+        let degraded = self.degraded_replicas.borrow();
+        self.deployment.replicas().into_iter().filter(|name| degraded.contains(name)).collect()
+    }
+
+    /// Looks at the processes of all daemons that no fault keeps down.
+    pub fn watch_processes(&self) {
+        let mut watch = self.process_watch.borrow_mut();
+        for (number, daemon) in self.daemons.iter().enumerate() {
+            if daemon.down_count.get() > 0 {
+                continue;
+            }
+            let mut process = daemon.process.borrow_mut();
+            if !process.is_running() {
+                watch.record_end(number, process.starts());
+            } else if let Some(peak_kib) = read_peak_kib(process.id()) {
+                watch.record_peak(number, peak_kib);
+            }
+        }
+    }
+
+    /// Returns the highest peak of a daemon's resident memory that was seen, in KiB.
+    pub fn peak_kib(&self) -> u64 {
+        self.process_watch.borrow().peak_kib()
+    }
+
+    /// Returns what is wrong with the processes that were watched.
+    pub fn process_violations(&self) -> Vec<Violation> {
+        self.process_watch.borrow().violations(SMALLEST_MEMORY_MB)
+    }
+
+    /// Returns whether the configuration has organisations.
+    pub fn has_organisations(&self) -> bool {
+        self.organisations.borrow().is_some()
+    }
+
+    /// Returns the operator's changes to the organisations, if the configuration has any.
+    pub fn organisations(&self) -> Option<Organisations> {
+        self.organisations.borrow().clone()
+    }
+
+    /// Returns the names of the daemons whose logs contain a key.
+    pub fn daemons_that_log_keys(&self) -> Vec<String> {
+        let processes = self.daemons.iter().map(|daemon| daemon.process.borrow());
+        processes
+            .filter(|process| {
+                let log = std::fs::read_to_string(&process.log).unwrap_or_default();
+                log.contains(KEY_PREFIX)
+            })
+            .map(|process| process.settings.name.clone())
+            .collect()
+    }
+
     /// Waits until every daemon is ready, and returns those that are not ready in time.
     pub async fn wait_until_ready(&self) -> Vec<usize> {
         let mut unready = Vec::new();
@@ -253,6 +328,12 @@
             Fault::ReplicaFull { replica } => {
                 self.inject_replica_fault(replica, ReplicaFault::Full, duration).await
             }
+            Fault::ReplicaFailsPart { replica, failure } => {
+                self.degrade_replica(replica, ReplicaFault::FailsPart(failure), duration).await
+            }
+            Fault::ReplicaSlow { replica, factor } => {
+                self.degrade_replica(replica, ReplicaFault::Slow(factor), duration).await
+            }
             Fault::ReplicaCrash { replica } => {
                 let name = self.replica_name(replica);
                 self.deployment.crash_replica(&name, REPLICA_RECORD_TTL);
@@ -281,6 +362,23 @@
                 sleep(duration).await;
                 self.daemons[daemon].step_clock(-by_ms)
             }
+            Fault::Flood { daemon, kind, connections } => {
+                let key = self.has_organisations().then(|| organisations::key(OPERATOR, 0));
+                flood(self.ingress(daemon), kind, connections, key.as_deref(), duration).await;
+                Ok(())
+            }
+            Fault::RevokeKey { key } => {
+                self.change_organisations(|organisations, now_ms| {
+                    organisations.revoke(key, now_ms)
+                });
+                Ok(())
+            }
+            Fault::LowerQuota => {
+                self.change_organisations(|organisations, now_ms| {
+                    organisations.lowered_ms = Some(now_ms);
+                });
+                Ok(())
+            }
             Fault::Configure => {
                 let number = self.routes_added_ms.borrow().len();
                 self.deployment.add_route(&route_prefix(number));
@@ -327,6 +425,23 @@
         Ok(())
     }
 
+    fn change_organisations(&self, change: impl FnOnce(&mut Organisations, u64)) {
+        if let Some(organisations) = self.organisations.borrow_mut().as_mut() {
+            change(organisations, self.now_ms());
+            self.deployment.set_organisations(organisations.to_json());
+        }
+    }
+
+    async fn degrade_replica(
+        &self,
+        number: usize,
+        fault: ReplicaFault,
+        duration: Duration,
+    ) -> io::Result<()> {
+        self.degraded_replicas.borrow_mut().insert(self.replica_name(number));
+        self.inject_replica_fault(number, fault, duration).await
+    }
+
     fn replica_name(&self, number: usize) -> String {
         let names = self.deployment.replicas();
         match names.len() {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,13 +3,19 @@
 
 pub mod check;
 pub mod fleet;
+pub mod flood;
 pub mod job_client;
+pub mod key_client;
 pub mod observation;
 pub mod options;
+pub mod organisation_check;
+pub mod organisations;
 pub mod plan;
+pub mod process_watch;
 pub mod proxy;
 pub mod regressions;
 pub mod run;
+pub mod scenario;
 pub mod schedule;
 pub mod timeline;
 pub mod traffic;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,10 +2,14 @@
 
 use std::fmt;
 
+use platform_stub::replica::PartialFailure;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use crate::flood::FloodKind;
+use crate::scenario;
+
 /// The length of the window in which all faults start, in milliseconds.
 pub const FAULT_WINDOW_MS: u64 = 12_000;
 /// The time before the first fault, in milliseconds; the fleet is ready by then.
@@ -168,6 +172,36 @@
         /// The number of replicas that are silent together, if as many run.
         count: usize,
     },
+    /// A replica fails a part of its requests and reports good health.
+    ReplicaFailsPart {
+        /// Selects one of the running replicas: its index in their list, modulo their number.
+        replica: usize,
+        /// How the requests fail.
+        failure: PartialFailure,
+    },
+    /// A replica is slow and reports good health.
+    ReplicaSlow {
+        /// Selects one of the running replicas: its index in their list, modulo their number.
+        replica: usize,
+        /// How many times as long each step takes.
+        factor: u32,
+    },
+    /// Clients open connections to a daemon whose requests never end.
+    Flood {
+        /// The daemon.
+        daemon: usize,
+        /// What the connections send.
+        kind: FloodKind,
+        /// The number of connections.
+        connections: usize,
+    },
+    /// The operator revokes a key of the rotating organisation.
+    RevokeKey {
+        /// The number of the key.
+        key: usize,
+    },
+    /// The operator lowers the quota of an organisation.
+    LowerQuota,
     /// The operator adds a route.
     Configure,
     /// A daemon's wall clock steps, and steps back when the fault ends.
@@ -189,6 +223,8 @@
                 | Self::ReplicaDrain { .. }
                 | Self::ReplicaLeave { .. }
                 | Self::Configure
+                | Self::RevokeKey { .. }
+                | Self::LowerQuota
         )
     }
 
@@ -198,6 +234,8 @@
         matches!(
             self,
             Self::Configure
+                | Self::RevokeKey { .. }
+                | Self::LowerQuota
                 | Self::ReplicaDrain { .. }
                 | Self::ReplicaLeave { .. }
                 | Self::ReplicaPause { .. }
@@ -279,6 +317,9 @@
     faults.extend(draw_clock_steps(seed, daemons));
     faults.extend(draw_announced_leaves(seed, daemons));
     faults.extend(draw_pauses(seed));
+    faults.extend(scenario::draw_degradations(seed));
+    faults.extend(scenario::draw_operator_changes(seed));
+    faults.extend(scenario::draw_floods(seed, daemons));
     faults.sort_by_key(|planned| planned.start_ms);
     faults
 }
@@ -343,6 +384,7 @@
             faults.push(PlannedFault { start_ms, duration_ms: 0, fault: Fault::Configure });
         }
     }
+    faults.extend(scenario::draw_calm_revocation(seed));
     faults.sort_by_key(|planned| planned.start_ms);
     faults
 }
