Discard the rest of a refused request before its connection closes

Cause: A request that is refused before its body was read left unread bytes in the kernel's buffer. Closing the connection then sent a reset, and a client that sends its body first lost the refusal.

Change: The gate marks such a request; before the connection closes, the server ends its side and discards what comes, for 1 s and up to 4.25 MiB, the largest usual body with its framing. The connection counts as idle meanwhile, so it is closed first at the bound. Both bounds are counted and logged as reasons. A body that was evicted as stalled is not waited for.

--- a/crates/daemon/tests/platform_memory.rs
+++ b/crates/daemon/tests/platform_memory.rs
@@ -128,6 +128,32 @@
     });
 }
 
+/// Guards against a refusal that is lost in a reset, since its client sends the whole body before it reads.
+#[test]
+fn refusal_of_an_unread_body_reaches_its_client() {
+    run_local("refusal-read", |folder| async move {
+        let fleet = Fleet::start(folder, 1).await;
+        let to = fleet.ingress(0);
+        let heads = [
+            (LOOKUP, "content-length: 4200000\r\n", "413"),
+            ("/nothing/", "content-length: 1000000\r\n", "404"),
+        ];
+        for (number, (path, headers, status)) in heads.into_iter().enumerate() {
+            let head = request_head(path, "r", number, headers);
+            let mut stream = send(to, head.as_bytes()).await;
+            for _ in 0..19 {
+                stream.write_all(&[b'x'; 50_000]).await.expect("the client is not reset");
+                sleep(Duration::from_millis(5)).await;
+            }
+            let mut answer = Vec::new();
+            stream.read_to_end(&mut answer).await.expect("the answer is whole");
+            let answer = String::from_utf8_lossy(&answer).into_owned();
+            assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{answer}");
+            assert_eq!(fleet.runs(&format!("r-{number}")), 0, "a refusal must stay true");
+        }
+    });
+}
+
 fn request_head(path: &str, id: &str, number: usize, headers: &str) -> String {
     format!(
         "POST {path}{id}-{number} HTTP/1.1\r\nhost: stub.example\r\nx-request-id: {id}-{number}\r\n\
--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -20,6 +20,7 @@
 use kernel::BootClock;
 use kernel::body_watch::BodyWatch;
 use kernel::body_watch::ConnectionEvicted;
+use kernel::linger::UnreadRequest;
 use kernel::pause_tolerant;
 use log::debug;
 use wire::Millis;
@@ -147,6 +148,18 @@
     parts.extensions.get().cloned()
 }
 
+/// Has the server discard the rest of a refused request, if it has a body, so that its client can read the
+/// refusal.
+pub fn discard_rest(parts: &Parts) {
+    let is_chunked = parts.headers.contains_key(header::TRANSFER_ENCODING);
+    if !is_chunked && announced_bytes(parts).is_none_or(|bytes| bytes == 0) {
+        return;
+    }
+    if let Some(unread_request) = parts.extensions.get::<UnreadRequest>() {
+        unread_request.mark();
+    }
+}
+
 /// Returns the length of the body that the head announces, if any.
 pub fn announced_bytes(parts: &Parts) -> Option<usize> {
     let value = parts.headers.get(header::CONTENT_LENGTH)?;
--- a/crates/gate/src/gateway.rs
+++ b/crates/gate/src/gateway.rs
@@ -35,6 +35,7 @@
 use crate::answer;
 use crate::attempt::RetryPolicy;
 use crate::body;
+use crate::body::BodyFailure;
 use crate::body::BodyLimits;
 use crate::body::BodyReader;
 use crate::body::UnreadBody;
@@ -288,6 +289,7 @@
             self.logged_key_hash(self.codec.decode_key(&parts.headers).as_ref()),
             self.slots.list_state(),
         );
+        body::discard_rest(parts);
         answer::refusal(&*self.codec, refusal)
     }
 
@@ -315,6 +317,10 @@
             self.budget.used_bytes(Kind::RequestBodies),
             self.budget.total_used_bytes(),
         );
+        // A stalled client sends nothing, and its connection no longer counts as open.
+        if unread.failure != BodyFailure::Stalled {
+            body::discard_rest(parts);
+        }
         let mut answer = answer::refusal(&*self.codec, &refusal);
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         answer
--- a/crates/kernel/src/idle_timer.rs
+++ b/crates/kernel/src/idle_timer.rs
@@ -9,6 +9,7 @@
 use std::sync::Mutex;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 
 use tokio::io::AsyncRead;
@@ -21,6 +22,9 @@
 use crate::body_watch;
 use crate::connection_table::ConnectionId;
 use crate::connection_table::ConnectionTable;
+use crate::linger::Linger;
+use crate::linger::LingerEnd;
+use crate::linger::UnreadRequest;
 use crate::pause_tolerant;
 use crate::unread_answer;
 use crate::unread_answer::UnreadAnswer;
@@ -88,6 +92,8 @@
     /// Whether the timer does not know of the head yet.
     has_new_head: Cell<bool>,
     limits_when_idle: Cell<TimeLimits>,
+    unread_request: UnreadRequest,
+    linger_end: Cell<Option<LingerEnd>>,
 }
 
 impl IdleTimer {
@@ -109,6 +115,8 @@
             head_since: Cell::new(None),
             has_new_head: Cell::new(false),
             limits_when_idle: Cell::new(limits()),
+            unread_request: UnreadRequest::default(),
+            linger_end: Cell::new(None),
             limits: Box::new(limits),
         };
         Self { state: Rc::new(state) }
@@ -118,6 +126,7 @@
     pub fn begin_request(&self) -> BusyConnection {
         self.state.requests.set(self.state.requests.get() + 1);
         self.state.head_since.set(None);
+        self.state.unread_request.clear();
         self.state.update_table();
         BusyConnection { state: self.state.clone() }
     }
@@ -129,7 +138,17 @@
 
     /// Returns a stream whose blocked writes keep the connection from being idle.
     pub fn watch(&self, stream: TcpStream) -> WatchedStream {
-        WatchedStream { stream, state: self.state.clone() }
+        WatchedStream { stream, state: self.state.clone(), linger: None }
+    }
+
+    /// Returns the mark of a request that is refused before its body was read.
+    pub fn unread_request(&self) -> UnreadRequest {
+        self.state.unread_request.clone()
+    }
+
+    /// Returns why no more bytes of a refused request were discarded, if any were.
+    pub fn linger_end(&self) -> Option<LingerEnd> {
+        self.state.linger_end.get()
     }
 
     /// Waits until the connection must be closed: until it has been idle, or a head incomplete, for
@@ -251,6 +270,8 @@
 pub struct WatchedStream {
     stream: TcpStream,
     state: Rc<IdleState>,
+    /// The discarding of a refused request's rest, once it has begun.
+    linger: Option<Linger>,
 }
 
 impl AsyncRead for WatchedStream {
@@ -299,6 +320,13 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        let this = &mut *self;
+        ready!(Pin::new(&mut this.stream).poll_shutdown(context))?;
+        if this.state.unread_request.is_marked() {
+            let linger = this.linger.get_or_insert_with(Linger::begin);
+            let end = ready!(linger.poll(&mut this.stream, context));
+            this.state.linger_end.set(Some(end));
+        }
+        Poll::Ready(Ok(()))
     }
 }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod http_server;
 mod idle_timer;
 pub mod lifecycle;
+pub mod linger;
 pub mod local_server;
 pub mod log_writer;
 pub mod logs;
--- a/crates/kernel/src/local_server.rs
+++ b/crates/kernel/src/local_server.rs
@@ -53,6 +53,7 @@
 use crate::idle_timer::Expiry;
 use crate::idle_timer::IdleTimer;
 use crate::idle_timer::TimeLimits;
+use crate::linger::LingerEnd;
 use crate::receive_buffer;
 
 /// The length of the queue of connections that wait to be accepted.
@@ -390,6 +391,7 @@
         let service = service_fn(|mut request: Request<Incoming>| {
             let busy = idle_timer.begin_request();
             request.extensions_mut().insert(peer);
+            request.extensions_mut().insert(idle_timer.unread_request());
             request.extensions_mut().insert(BodyWatch::new(
                 lifecycle.table.clone(),
                 self.id,
@@ -435,6 +437,13 @@
                 () = lifecycle.stopped.cancelled() => break None,
             }
         };
+        if let Some(reason) = idle_timer.linger_end().and_then(LingerEnd::bound_reason) {
+            lifecycle.count_closed(reason);
+            debug!(
+                "event=client_connection_closed server={} reason={reason} peer={peer}",
+                lifecycle.server()
+            );
+        }
         if let Some(Err(error)) = result {
             debug!("event=connection_ended peer={peer} error=\"{error}\"");
         }
--- a/crates/kernel/tests/local_server.rs
+++ b/crates/kernel/tests/local_server.rs
@@ -5,10 +5,14 @@
 use std::time::Duration;
 
 use futures::future::LocalBoxFuture;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::StatusCode;
+use http::header::CONNECTION;
 use hyper::body::Incoming;
 use kernel::Counters;
+use kernel::linger::UnreadRequest;
 use kernel::local_server;
 use kernel::local_server::ConnectionBound;
 use kernel::local_server::ConnectionLimits;
@@ -25,6 +29,8 @@
 use tokio::time::timeout;
 
 const IDLE: Duration = Duration::from_millis(200);
+/// An idle limit that ends no connection of a test.
+const LONG_IDLE: Duration = Duration::from_secs(60);
 const HEAD: Duration = Duration::from_millis(100);
 /// More than the socket buffers of both ends hold.
 const BODY_BYTES: usize = 48 << 20;
@@ -44,18 +50,19 @@
 
 /// Starts a server with the idle limit `IDLE`, the limit `HEAD` of a head and a bound of connections.
 fn start_server(max_connections: usize, counters: &Counters) -> SocketAddr {
-    start_server_of(Rc::new(LargeAnswer), max_connections, counters)
+    start_server_of(Rc::new(LargeAnswer), max_connections, IDLE, counters)
 }
 
-/// Starts a server of a handler with the same limits.
+/// Starts a server of a handler with another idle limit.
 fn start_server_of<H: LocalHandler>(
     handler: Rc<H>,
     max_connections: usize,
+    idle: Duration,
     counters: &Counters,
 ) -> SocketAddr {
     let listener = local_server::listen(([127, 0, 0, 1], 0).into()).expect("it listens");
     let address = listener.local_addr().expect("it has an address");
-    let limits = ConnectionLimits { header_bytes: 8192, idle: IDLE, head: HEAD };
+    let limits = ConnectionLimits { header_bytes: 8192, idle, head: HEAD };
     let counters = counters.clone();
     let bound = ConnectionBound { server: "test", max_connections, counters };
     let lifecycle = Rc::new(ServerLifecycle::bounded(limits, bound));
@@ -188,7 +195,7 @@
 fn unread_bytes_are_few_once_many_connections_are_open() {
     run_local(async {
         let counters = Counters::new(None).expect("the counters are created");
-        let address = start_server_of(Rc::new(Unreading), 8, &counters);
+        let address = start_server_of(Rc::new(Unreading), 8, IDLE, &counters);
         let mut streams = Vec::new();
         for _ in 0..3 {
             let socket = TcpSocket::new_v4().expect("a socket");
@@ -204,3 +211,83 @@
         assert!(last < first / 4 * 3, "{last} of {first}");
     });
 }
+
+/// Refuses each request without reading its body.
+struct Refusing;
+
+impl LocalHandler for Refusing {
+    fn handle(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+    ) -> LocalBoxFuture<'static, Response<LocalBody>> {
+        let unread_request = request.extensions().get::<UnreadRequest>().cloned();
+        unread_request.expect("the server adds it").mark();
+        Box::pin(async {
+            let mut answer = Response::new(LocalBody::full("refused"));
+            *answer.status_mut() = StatusCode::PAYLOAD_TOO_LARGE;
+            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            answer
+        })
+    }
+}
+
+/// Connects to a server that refuses each request, and sends a head.
+async fn request_refusal(counters: &Counters, length: usize) -> TcpStream {
+    let address = start_server_of(Rc::new(Refusing), usize::MAX, LONG_IDLE, counters);
+    let mut stream = TcpStream::connect(address).await.expect("it connects");
+    let head = format!("POST / HTTP/1.1\r\nhost: h\r\ncontent-length: {length}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.expect("it is written");
+    stream
+}
+
+// Guards against a reset for unread bytes, by which a client that sends its whole body first loses the
+// refusal.
+#[test]
+fn refusal_reaches_a_client_that_sends_its_whole_body_first() {
+    run_local(async {
+        let counters = Counters::new(None).expect("the counters are created");
+        for length in [100 << 10, 1 << 20, 4 << 20] {
+            let mut stream = request_refusal(&counters, length).await;
+            for _ in 0..length / (50 << 10) {
+                stream.write_all(&[b'x'; 50 << 10]).await.expect("the client is not reset");
+                sleep(Duration::from_millis(1)).await;
+            }
+            let mut answer = Vec::new();
+            stream.read_to_end(&mut answer).await.expect("the answer is whole");
+            let answer = String::from_utf8(answer).expect("it is text");
+            assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+            assert!(answer.ends_with("refused"), "{answer}");
+        }
+    });
+}
+
+// Guards against discarding the bytes of a client for ever.
+#[test]
+fn refused_client_that_never_ends_is_disconnected() {
+    run_local(async {
+        let counters = Counters::new(None).expect("the counters are created");
+        let mut stream = request_refusal(&counters, usize::MAX >> 1).await;
+        let mut sent_bytes = 0;
+        let part = vec![b'x'; 64 << 10];
+        while let Ok(sent) = stream.write(&part).await {
+            sent_bytes += sent;
+            assert!(sent_bytes < BODY_BYTES, "the connection stays open");
+        }
+        sleep(Duration::from_millis(50)).await;
+        assert!(counters.render_page().contains("unread_request_bytes"), "it is not counted");
+    });
+}
+
+// Guards against a connection that a silent client keeps open after its refusal.
+#[test]
+fn refused_client_that_stays_silent_is_disconnected() {
+    run_local(async {
+        let counters = Counters::new(None).expect("the counters are created");
+        let mut stream = request_refusal(&counters, 1 << 20).await;
+        let mut answer = Vec::new();
+        let read = timeout(Duration::from_secs(5), stream.read_to_end(&mut answer)).await;
+        read.expect("the answer ends").expect("it is read");
+        sleep(Duration::from_secs(3)).await;
+        assert!(counters.render_page().contains("unread_request_time"), "it is not counted");
+    });
+}
