Forget the health that a former owner reported

Cause: load reports of an owner of an older build have no outcomes, and those of the former owner stayed, so that a replica that failed once got few requests for as long as that owner stayed. Change: a load report without outcomes sets those of its replica to none (Balancer::record_report). Result: the new test passes, and fails if a report without outcomes is passed over as before (60 of 60 failures stay).

--- a/crates/slots/src/balancer.rs
+++ b/crates/slots/src/balancer.rs
@@ -9,6 +9,7 @@
 
 use crate::message::Class;
 use crate::message::Load;
+use crate::message::LoadReport;
 use crate::outlier::HealthSummary;
 use crate::speed;
 
@@ -97,6 +98,18 @@
         stats.requested_since_load = 0;
     }
 
+    /// Records the load and the recent outcomes that the owner reported. An owner that reports no
+    /// outcomes knows none, and those of a former owner count no more.
+    pub fn record_report(
+        &mut self,
+        now_ms: Millis,
+        report: &LoadReport,
+        health: Option<HealthSummary>,
+    ) {
+        self.record_load(now_ms, &report.replica, report.load);
+        self.record_health(&report.replica, health.unwrap_or_default());
+    }
+
     /// Records that this daemon requested a slot.
     pub fn record_request(&mut self, replica: &ReplicaName) {
         let stats = self.stats_mut(replica);
--- a/crates/slots/src/client.rs
+++ b/crates/slots/src/client.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::fmt;
+use std::iter::repeat;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::rc::Weak;
@@ -327,17 +328,15 @@
             return;
         };
         let mut inner = self.inner.borrow_mut();
-        for report in &reports {
-            inner.balancer.record_load(now_ms, &report.replica, report.load);
-        }
-        if rest.is_empty() || !inner.balancer.replicas_may_degrade() {
-            return;
-        }
-        let Some((summaries, _)) = decode_prefix::<Vec<HealthSummary>>(Topic::Slots, rest) else {
-            return;
+        // Owners of builds before them send no summaries.
+        let summaries = match rest.is_empty() || !inner.balancer.replicas_may_degrade() {
+            true => None,
+            false => decode_prefix::<Vec<HealthSummary>>(Topic::Slots, rest),
         };
+        let summaries = summaries.map(|(summaries, _)| summaries).unwrap_or_default();
+        let summaries = summaries.into_iter().map(Some).chain(repeat(None));
         for (report, summary) in reports.iter().zip(summaries) {
-            inner.balancer.record_health(&report.replica, summary);
+            inner.balancer.record_report(now_ms, report, summary);
         }
     }
 
--- a/crates/slots/tests/outlier.rs
+++ b/crates/slots/tests/outlier.rs
@@ -10,6 +10,7 @@
 use slots::balancer::Balancer;
 use slots::message::Class;
 use slots::message::Load;
+use slots::message::LoadReport;
 use slots::message::Ticket;
 use slots::message::ToOwner;
 use slots::outcomes::OutcomeReport;
@@ -226,6 +227,20 @@
     assert_eq!(limits, [1, 2, 4, 8]);
 }
 
+/// An owner of a build without outcomes takes over a replica whose former owner reported failures. Guards
+/// against failures that cost the replica requests for as long as that owner stays.
+#[test]
+fn health_of_a_former_owner_ends_with_the_report_of_one_without_outcomes() {
+    let mut balancer = Balancer::default();
+    balancer.set_replicas_may_degrade(true);
+    let report = LoadReport { replica: "a".into(), load: Load::default() };
+    let failing = HealthSummary { outcomes: 60, failures: 60, run_ms: 300 };
+    balancer.record_report(0, &report, Some(failing));
+    assert_eq!(balancer.health(&report.replica), failing);
+    balancer.record_report(100, &report, None);
+    assert_eq!(balancer.health(&report.replica), HealthSummary::default());
+}
+
 /// A holder's outcomes travel after a complete message. Guards against datagrams that a build without
 /// outcomes cannot read, and against outcomes that the next build cannot find.
 #[test]
