Count only runs from after the withdrawal as trials

Cause: the outcomes of runs that began before an owner withdrew all slots of a replica counted as its trials: four successes of old runs restored it, and a failure of one delayed the next trial. Change: an owner knows from its table when the run began whose release carries the outcome. While the replica is out, only the outcome of a run that was granted its slot after the withdrawal counts, and one outcome a release. The model of the tests does the same. Result: the new test passes, and fails if old runs count as before.

--- a/crates/slots/src/health.rs
+++ b/crates/slots/src/health.rs
@@ -69,10 +69,18 @@
         Some(self.inner.borrow_mut().outcomes.take(replica)).filter(|report| !report.is_empty())
     }
 
-    /// Applies the outcomes that a daemon had at an owned replica.
+    /// Returns when the run whose slot a message releases began, if that is known.
+    pub(crate) fn run_began_ms(&self, message: &ToOwner) -> Option<Millis> {
+        let ToOwner::Release { replica, ticket } = message else { return None };
+        self.inner.borrow().tables.get(replica)?.run_began_ms(*ticket)
+    }
+
+    /// Applies the outcomes that a daemon had at an owned replica; `began_ms` is the start of the run
+    /// whose release they came with, if it is known.
     pub(crate) fn apply_outcomes(
         &self,
         now_ms: Millis,
+        began_ms: Option<Millis>,
         holder: &DaemonName,
         replica: &ReplicaName,
         report: &OutcomeReport,
@@ -88,7 +96,7 @@
         let change = {
             let mut inner = self.inner.borrow_mut();
             let detector = inner.detectors.entry(replica.clone()).or_default();
-            detector.record(now_ms, holder, report, rate)
+            detector.record_release(now_ms, began_ms, holder, report, rate)
         };
         if let Some(change) = change {
             self.counters.count_tagged("replica_stage", "to", change.to.as_str());
--- a/crates/slots/src/outcomes.rs
+++ b/crates/slots/src/outcomes.rs
@@ -30,6 +30,13 @@
     pub fn is_empty(&self) -> bool {
         self.successes == 0 && self.failures.is_empty()
     }
+
+    /// Returns a report with one outcome: the latest failure if there is one, else a success.
+    pub fn last(&self) -> Self {
+        let failures: Vec<u32> = self.failures.last().copied().into_iter().collect();
+        let successes = if failures.is_empty() { self.successes.min(1) } else { 0 };
+        Self { successes, failures }
+    }
 }
 
 /// Returns a hash that tells the requests of some seconds apart.
--- a/crates/slots/src/outlier.rs
+++ b/crates/slots/src/outlier.rs
@@ -302,6 +302,26 @@
         })
     }
 
+    /// Records what a daemon reported with the release of a run that began at `began_ms`, if that is
+    /// known; returns the change of the stage, if any.
+    ///
+    /// While single trials are granted, only the outcome of a run that began after the withdrawal
+    /// counts: others say nothing about the replica of now.
+    pub fn record_release(
+        &mut self,
+        now_ms: Millis,
+        began_ms: Option<Millis>,
+        holder: u64,
+        report: &OutcomeReport,
+        service_rate: f64,
+    ) -> Option<StageChange> {
+        if self.stage != Stage::Out {
+            return self.record(now_ms, holder, report, service_rate);
+        }
+        let is_trial = began_ms.is_some_and(|began_ms| began_ms > self.staged_at_ms);
+        is_trial.then(|| self.record(now_ms, holder, &report.last(), service_rate)).flatten()
+    }
+
     fn record_holder(&mut self, now_ms: Millis, holder: u64) {
         self.holders.retain(|(other, at_ms)| *other != holder && now_ms < at_ms + HOLDER_TTL_MS);
         if self.holders.len() >= MAX_HOLDERS {
--- a/crates/slots/src/owner.rs
+++ b/crates/slots/src/owner.rs
@@ -121,7 +121,8 @@
         let Extension { share, outcomes } = extension;
         if let Some(outcomes) = outcomes {
             // Before a released slot is granted again.
-            self.apply_outcomes(now_ms, holder, &replica, &outcomes);
+            let began_ms = self.run_began_ms(&message);
+            self.apply_outcomes(now_ms, began_ms, holder, &replica, &outcomes);
             if let ToOwner::Release { ticket, .. } = &message
                 && outcomes.failures.is_empty()
             {
--- a/crates/slots/src/table.rs
+++ b/crates/slots/src/table.rs
@@ -208,6 +208,12 @@
         Some(now_ms.saturating_sub(grant.granted_at_ms))
     }
 
+    /// Returns when the run of a ticket began, if it began with its grant.
+    pub fn run_began_ms(&self, ticket: Ticket) -> Option<Millis> {
+        let is_run = |grant: &&Grant| grant.ticket == ticket && grant.is_whole_run;
+        self.grants.iter().find(is_run).map(|grant| grant.granted_at_ms)
+    }
+
     /// Returns how long each online run that began with its grant has had its slot.
     pub fn online_runs_ms(&self, now_ms: Millis) -> impl Iterator<Item = Millis> + '_ {
         let online = self.grants.iter().filter(|grant| grant.is_whole_online_run());
--- a/crates/slots/tests/fleet/mod.rs
+++ b/crates/slots/tests/fleet/mod.rs
@@ -350,7 +350,8 @@
                 true => OutcomeReport { successes: 1, failures: Vec::new() },
                 false => OutcomeReport { successes: 0, failures: vec![id as u32] },
             };
-            self.record_outcome(replica, request.daemon, &report);
+            let began_ms = self.replicas[replica].table.run_began_ms(Ticket(id));
+            self.record_outcome(replica, began_ms, request.daemon, &report);
             let Replica { table, detector, .. } = &mut self.replicas[replica];
             if succeeds && let Some(run_ms) = table.online_run_ms(self.now_ms, Ticket(id)) {
                 detector.record_run(self.now_ms, run_ms);
@@ -360,12 +361,18 @@
         self.apply(replica, actions);
     }
 
-    fn record_outcome(&mut self, replica: usize, daemon: usize, report: &OutcomeReport) {
+    fn record_outcome(
+        &mut self,
+        replica: usize,
+        began_ms: Option<u64>,
+        daemon: usize,
+        report: &OutcomeReport,
+    ) {
         let owner = self.replicas[replica].owner;
         let summaries = self.replicas.iter().map(|other| self.summary(owner, other));
         let rate = service_rate(summaries.collect::<Vec<_>>().into_iter());
         let detector = &mut self.replicas[replica].detector;
-        detector.record(self.now_ms, daemon as u64, report, rate);
+        detector.record_release(self.now_ms, began_ms, daemon as u64, report, rate);
         if detector.stage() == Stage::Out {
             self.out_at_ms[replica].get_or_insert(self.now_ms);
         }
--- a/crates/slots/tests/outlier.rs
+++ b/crates/slots/tests/outlier.rs
@@ -227,6 +227,31 @@
     assert_eq!(limits, [1, 2, 4, 8]);
 }
 
+/// Runs that began before a replica was taken out end while it is out. Guards against a replica that is
+/// restored by their successes, and against a trial that is delayed by their failures.
+#[test]
+fn runs_from_before_the_withdrawal_are_no_trials() {
+    let mut detector = Detector::default();
+    for request in 0..4 {
+        let began_ms = Some(u64::from(request));
+        detector.record_release(1_000, began_ms, u64::from(request), &failure(request), SOUND_RATE);
+    }
+    assert_eq!((detector.stage(), detector.limit(1_400, SLOTS)), (Stage::Out, 1));
+    for holder in 0..6 {
+        detector.record_release(1_400, Some(900), holder, &successes(1), SOUND_RATE);
+        detector.record_release(1_400, None, holder, &successes(1), SOUND_RATE);
+    }
+    assert_eq!(detector.stage(), Stage::Out, "no trial succeeded");
+    detector.record_release(1_400, Some(950), 1, &failure(9), SOUND_RATE);
+    assert_eq!(detector.limit(1_400, SLOTS), 1, "no trial failed");
+    for at_ms in 1_500..1_503 {
+        detector.record_release(at_ms, Some(1_400), 1, &successes(4), SOUND_RATE);
+    }
+    assert_eq!(detector.stage(), Stage::Out, "one trial has one outcome");
+    detector.record_release(1_503, Some(1_400), 1, &successes(1), SOUND_RATE);
+    assert_eq!(detector.stage(), Stage::Quarter);
+}
+
 /// An owner of a build without outcomes takes over a replica whose former owner reported failures. Guards
 /// against failures that cost the replica requests for as long as that owner stays.
 #[test]
