Judge a restarted replica anew

Cause: the detector of a replica was kept by name, so that a replica that was restarted under its name got no or few slots for the failures of its former incarnation. An owned table without a detector also took its own reduced slots for the limit. Change: detectors belong to an incarnation (slots::detectors) and end at the next list that shows another one; limits are checked for all owned tables, and one without a detector is granted in full.

--- a/crates/slots/src/client.rs
+++ b/crates/slots/src/client.rs
@@ -31,6 +31,7 @@
 use wire::ServiceName;
 
 use crate::balancer::Balancer;
+use crate::detectors::Detectors;
 use crate::extension::Extension;
 use crate::fair_share::Share;
 use crate::lease::HeldRun;
@@ -44,7 +45,6 @@
 use crate::message::ToOwner;
 use crate::message::Urgency;
 use crate::outcomes::PendingOutcomes;
-use crate::outlier::Detector;
 use crate::outlier::HealthSummary;
 use crate::request::NoSlot;
 use crate::request::SlotRequest;
@@ -63,7 +63,7 @@
 pub(crate) struct Inner {
     pub(crate) tables: HashMap<ReplicaName, SlotTable>,
     pub(crate) balancer: Balancer,
-    pub(crate) detectors: HashMap<ReplicaName, Detector>,
+    pub(crate) detectors: Detectors,
     pub(crate) outcomes: PendingOutcomes,
     pending: HashMap<Ticket, Rc<PendingGrant>>,
     held: HashMap<Ticket, HeldRun>,
--- a/crates/slots/src/health.rs
+++ b/crates/slots/src/health.rs
@@ -18,6 +18,7 @@
 use crate::message::ToOwner;
 use crate::outcomes::OutcomeReport;
 use crate::outcomes::request_hash;
+use crate::outlier::Detector;
 use crate::outlier::ServiceReplica;
 use crate::outlier::Stage;
 use crate::outlier::bounded_limits;
@@ -95,8 +96,7 @@
         let holder = rendezvous::hash(holder.as_str().as_bytes());
         let change = {
             let mut inner = self.inner.borrow_mut();
-            let detector = inner.detectors.entry(replica.clone()).or_default();
-            detector.record_release(now_ms, began_ms, holder, report, rate)
+            inner.detectors.of(&record).record_release(now_ms, began_ms, holder, report, rate)
         };
         if let Some(change) = change {
             self.counters.count_tagged("replica_stage", "to", change.to.as_str());
@@ -130,12 +130,13 @@
             let replicas = self.replicas.borrow();
             let mut inner = self.inner.borrow_mut();
             let Inner { detectors, tables, .. } = &mut *inner;
-            for (name, detector) in detectors {
-                detector.expire(now_ms);
-                let is_limited =
-                    tables.get(name).is_some_and(|table| table.limit() < table.slots());
+            detectors.iter_mut().for_each(|detector| detector.expire(now_ms));
+            for (name, table) in tables {
+                // A table without a detector may be limited by that of a former incarnation.
+                let is_limited = table.limit() < table.slots();
+                let stage = detectors.get(name).map(Detector::stage).unwrap_or_default();
                 if let Some(record) = replicas.get(name)
-                    && (is_limited || detector.stage() != Stage::Full)
+                    && (is_limited || stage != Stage::Full)
                 {
                     services.insert(record.service.clone());
                 }
@@ -191,14 +192,15 @@
 fn service_replica(inner: &Inner, now_ms: Millis, record: &ReplicaRecord) -> ServiceReplica {
     let slots = record.slots;
     let detector = inner.detectors.get(&record.name);
-    let load = match inner.tables.get(&record.name) {
+    let table = inner.tables.get(&record.name);
+    let load = match table {
         Some(table) => Some(table.load()),
         None => inner.balancer.load(now_ms, &record.name).map(|(load, _)| load),
     };
     let limit = match (detector, load) {
         (Some(detector), _) => detector.limit(now_ms, slots),
-        (None, Some(load)) => u32::from(load.slots).min(slots),
-        (None, None) => slots,
+        (None, Some(load)) if table.is_none() => u32::from(load.slots).min(slots),
+        (None, _) => slots,
     };
     let load = load.unwrap_or_default();
     ServiceReplica {
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod balancer;
 pub mod client;
+pub mod detectors;
 pub mod extension;
 pub mod fair_share;
 mod health;
--- a/crates/slots/src/owner.rs
+++ b/crates/slots/src/owner.rs
@@ -319,13 +319,11 @@
             return;
         }
         let records: Vec<ReplicaRecord> = self.replicas.borrow().records().cloned().collect();
-        let owned: Vec<&ReplicaName> = records
-            .iter()
-            .filter(|record| self.is_owned(record))
-            .map(|record| &record.name)
-            .collect();
+        let owned_records: Vec<&ReplicaRecord> =
+            records.iter().filter(|record| self.is_owned(record)).collect();
+        let owned: Vec<&ReplicaName> = owned_records.iter().map(|record| &record.name).collect();
         let mut inner = self.inner.borrow_mut();
-        inner.detectors.retain(|name, _| owned.contains(&name));
+        inner.detectors.retain(owned_records.iter().copied());
         inner.tables.retain(|name, _| {
             let is_kept = owned.contains(&name);
             if !is_kept {
