Ask three owners before a request is refused early

Cause: with three engines of one daemon a request was refused by two that were full while the third had just become idle: known loads are up to a heartbeat old, and those of owned replicas up to a tick. Change: the search ends after three early refusals, or when no replica is left. The new test shows that the gate sends the expected time: a daemon with the contract pressure refuses a stream with an objective of 300 ms.

--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -26,6 +26,7 @@
 use platform_stub::settings::DaemonSettings;
 use platform_stub::store_server::StoreFault;
 use rustix::process::Signal;
+use serde_json::json;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -404,6 +405,42 @@
     });
 }
 
+/// All 24 slots are taken by streams of 130 events, some 0.8 s, as before, when a stream with an objective of 300 ms comes.
+/// Guards against a `Retry-After` that ignores the expected time, and against a wait in vain.
+#[test]
+fn request_that_cannot_be_on_time_is_told_when_to_return() {
+    run_local("pressure", |folder| async move {
+        let pressure =
+            |settings: &mut DaemonSettings| settings.contracts.push("pressure".to_owned());
+        let fleet = Fleet::start_with_settings(folder, 1, pressure).await;
+        fleet
+            .deployment
+            .configure(|configuration| configuration["routes"][0]["goal_ms"] = json!(300));
+        sleep(Duration::from_secs(2)).await;
+        let daemon = fleet.ingress(0);
+        let streams = |name: &'static str| {
+            let start = move |number| {
+                let id = format!("{name}{number}");
+                spawn_local(async move { Client.stream(daemon, STREAM, &id, 130).await })
+            };
+            (0..24).map(start).collect::<Vec<_>>()
+        };
+        join_all(streams("first")).await;
+        let busy = streams("second");
+        sleep(Duration::from_millis(200)).await;
+        let asked = Instant::now();
+        let call = OutgoingRequest::stream(STREAM, "early", 5);
+        let refused = Client.call(daemon, &call).await.expect("an answer");
+        assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(asked.elapsed() < Duration::from_millis(1_000), "{:?}", asked.elapsed());
+        let header = refused.headers.get("retry-after").and_then(|value| value.to_str().ok());
+        let retry_after_s: f64 = header.and_then(|text| text.parse().ok()).expect("a number");
+        // 75% to 95% of a third of 5 s, less the time that the refusal took.
+        assert!((1.0..=1.59).contains(&retry_after_s), "{retry_after_s}");
+        busy.iter().for_each(tokio::task::JoinHandle::abort);
+    });
+}
+
 fn replicas_may_degrade(settings: &mut DaemonSettings) {
     settings.contracts.push("health".to_owned());
 }
--- a/crates/slots/src/search.rs
+++ b/crates/slots/src/search.rs
@@ -31,6 +31,9 @@
 const NO_REPLICA_RETRY_MS: Millis = 40;
 /// The number of queues in which an online request waits at the same time.
 const MAX_ONLINE_QUEUES: usize = 2;
+/// The number of early refusals after which an online request ends. The known loads are up to a heartbeat
+/// old, so that after two a replica with a free slot is often left.
+const MAX_EARLY_REFUSALS: usize = 3;
 
 /// The largest number of replicas that one search asks for a slot; more messages would cost more
 /// than the slot is worth.
@@ -137,12 +140,12 @@
         if !self.requests.is_empty() {
             return false;
         }
-        let has_asked_all = self.avoided.is_some()
+        let has_asked_all = (self.avoided.is_some() || self.slot_at_ms.is_some())
             && !self.refused.is_empty()
             && !self
                 .slots
                 .has_replica_where(self.slot_request.service, |name| !self.is_requested(name));
-        has_asked_all || self.refused.len() >= self.max_queues()
+        has_asked_all || self.refused.len() >= self.max_refusals()
     }
 
     /// Returns why a request is refused that the owners did not queue.
@@ -249,6 +252,10 @@
         }
     }
 
+    fn max_refusals(&self) -> usize {
+        if self.slot_at_ms.is_some() { MAX_EARLY_REFUSALS } else { self.max_queues() }
+    }
+
     /// Returns whether another owner should be asked: none was asked, or those asked have only
     /// queued the request.
     fn should_request_more(&self) -> bool {
@@ -257,7 +264,7 @@
             return false;
         }
         let max = self.max_queues();
-        let can_queue = self.refused.len() < max && self.requests.len() < max;
+        let can_queue = self.refused.len() < self.max_refusals() && self.requests.len() < max;
         can_queue || self.has_better_replica()
     }
 
--- a/crates/slots/tests/fleet/mod.rs
+++ b/crates/slots/tests/fleet/mod.rs
@@ -49,6 +49,7 @@
 const RESEND_MS: u64 = 150;
 const MAX_ASKED: usize = 16;
 const MAX_QUEUES: usize = 2;
+const MAX_EARLY_REFUSALS: usize = 3;
 const ORGANISATIONS: u64 = 88;
 pub const SLOTS: u32 = 8;
 
@@ -356,7 +357,9 @@
     fn ask_another(&mut self, id: u64) -> bool {
         let request = &self.requests[&id];
         let asked = request.asked.len();
-        let can_queue = request.queues() < MAX_QUEUES && request.refused.len() < MAX_QUEUES;
+        let is_early = request.slot_in_ms.is_some();
+        let max_refusals = if is_early { MAX_EARLY_REFUSALS } else { MAX_QUEUES };
+        let can_queue = request.queues() < MAX_QUEUES && request.refused.len() < max_refusals;
         let daemon = request.daemon;
         let has_better = self.replicas.iter().enumerate().any(|(index, other)| {
             !request.asked.contains(&index)
--- a/crates/slots/tests/overload.rs
+++ b/crates/slots/tests/overload.rs
@@ -151,16 +151,13 @@
     compare("a third lost with organisations", with_organisations);
 }
 
-/// A steady demand of three quarters of the capacity. Best: all on time at once. A random burst at one
-/// replica that seemed empty refuses some. Guards against early refusals without an overload.
+/// A steady demand of three quarters of the capacity. Best: all on time at once. Guards against early
+/// refusals without an overload.
 #[test]
-fn hardly_a_request_is_refused_without_overload() {
+fn no_request_is_refused_without_overload() {
     for seed in SEEDS {
-        let without = play(load(steady, always), seed);
         let got = play(Load { refuses_early: true, ..load(steady, always) }, seed);
-        println!("seed {seed}: {got:?}, without {without:?}");
-        assert_eq!(got.on_time + got.second, got.total(), "seed {seed}: {got:?}");
-        assert!(got.refusals * 500 <= got.total(), "seed {seed}: {got:?}");
+        assert_eq!((got.on_time, got.refusals), (got.total(), 0), "seed {seed}: {got:?}");
     }
 }
 
