--- a/crates/slots/src/overload.rs
+++ b/crates/slots/src/overload.rs
@@ -159,7 +159,7 @@
 }
 
 /// Returns the most refused requests that may be on their way: what the slots can serve within the
-/// longest wait, where each request was refused by the owners of two replicas.
+/// longest wait, counted twice. Up to three owners count a request, so that some more are kept.
 fn bound(outlook: &Outlook, give_up_left_ms: Millis) -> Millis {
     let slots = outlook.free_in_ms.len() as Millis;
     QUEUES_PER_REQUEST * slots * give_up_left_ms / outlook.usual_ms.max(1)
