--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -72,8 +72,8 @@
     pub timeline: &'a Timeline,
     /// When the fleet must have recovered, in milliseconds of the run.
     pub recovered_ms: u64,
-    /// The running replicas that were degraded before.
-    pub degraded_replicas: &'a [String],
+    /// The running replicas that showed a fault before.
+    pub mended_replicas: &'a [String],
     /// The operator's changes to the organisations, if the run has organisations.
     pub organisations: Option<&'a Organisations>,
 }
@@ -88,7 +88,7 @@
     check_unrequested_runs(evidence, &mut found);
     check_drained_replicas(evidence, &mut found);
     check_leaving_replicas(evidence, &mut found);
-    check_degraded_replicas(evidence, &mut found);
+    check_mended_replicas(evidence, &mut found);
     check_organisations(evidence, &mut found);
     check_routes(evidence, &mut found);
     for (id, job) in &evidence.observation.jobs {
@@ -294,8 +294,8 @@
     }
 }
 
-/// Checks that replicas that were degraded get requests again after the recovery time.
-fn check_degraded_replicas(evidence: &Evidence<'_>, found: &mut Vec<Violation>) {
+/// Checks that replicas that showed a fault get requests again after the recovery time.
+fn check_mended_replicas(evidence: &Evidence<'_>, found: &mut Vec<Violation>) {
     let late_runs: Vec<&str> = evidence
         .run_log
         .ids()
@@ -304,7 +304,7 @@
         .map(|run| run.replica.as_str())
         .collect();
     let service = |replica: &str| replica.rsplit_once('-').map(|(service, _)| service.to_owned());
-    for replica in evidence.degraded_replicas {
+    for replica in evidence.mended_replicas {
         let is_same_service = |other: &&&str| service(other) == service(replica);
         let service_runs = late_runs.iter().filter(is_same_service).count();
         if service_runs >= MIN_SERVICE_RUNS && !late_runs.contains(&replica.as_str()) {
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -9,6 +9,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -27,7 +28,6 @@
 use rustix::process::Signal;
 use tokio::time::sleep;
 
-use crate::check::Violation;
 use crate::flood::flood;
 use crate::organisations;
 use crate::organisations::KEY_PREFIX;
@@ -75,13 +75,15 @@
     pub deployment: Rc<Deployment>,
     /// The times of the injected faults.
     pub timeline: RefCell<Timeline>,
+    /// The operator's changes to the organisations, if the configuration has any.
+    pub organisations: RefCell<Option<Organisations>>,
+    /// What was seen of the daemons' processes.
+    pub process_watch: RefCell<ProcessWatch>,
     daemons: Vec<Daemon>,
     replica_links: RefCell<BTreeMap<String, Rc<Proxy>>>,
     next_replica: Cell<u32>,
     routes_added_ms: RefCell<Vec<u64>>,
-    degraded_replicas: RefCell<BTreeSet<String>>,
-    organisations: RefCell<Option<Organisations>>,
-    process_watch: RefCell<ProcessWatch>,
+    faulty_replicas: RefCell<BTreeSet<String>>,
 }
 
 impl Fleet {
@@ -136,7 +138,7 @@
             replica_links: RefCell::default(),
             next_replica: Cell::new(0),
             routes_added_ms: RefCell::default(),
-            degraded_replicas: RefCell::default(),
+            faulty_replicas: RefCell::default(),
             organisations: RefCell::new(organisations),
             process_watch: RefCell::default(),
         });
@@ -185,10 +187,10 @@
             .collect()
     }
 
-    /// Returns the running replicas that were degraded before.
-    pub fn degraded_replicas(&self) -> Vec<String> {
-        let degraded = self.degraded_replicas.borrow();
-        self.deployment.replicas().into_iter().filter(|name| degraded.contains(name)).collect()
+    /// Returns the running replicas that showed a fault before.
+    pub fn mended_replicas(&self) -> Vec<String> {
+        let faulty = self.faulty_replicas.borrow();
+        self.deployment.replicas().into_iter().filter(|name| faulty.contains(name)).collect()
     }
 
     /// Looks at the processes of all daemons that no fault keeps down.
@@ -207,35 +209,15 @@
         }
     }
 
-    /// Returns the highest peak of a daemon's resident memory that was seen, in KiB.
-    pub fn peak_kib(&self) -> u64 {
-        self.process_watch.borrow().peak_kib()
-    }
-
-    /// Returns what is wrong with the processes that were watched.
-    pub fn process_violations(&self) -> Vec<Violation> {
-        self.process_watch.borrow().violations(SMALLEST_MEMORY_MB)
-    }
-
     /// Returns whether the configuration has organisations.
     pub fn has_organisations(&self) -> bool {
         self.organisations.borrow().is_some()
     }
 
-    /// Returns the operator's changes to the organisations, if the configuration has any.
-    pub fn organisations(&self) -> Option<Organisations> {
-        self.organisations.borrow().clone()
-    }
-
-    /// Returns the names of the daemons whose logs contain a key.
-    pub fn daemons_that_log_keys(&self) -> Vec<String> {
-        let processes = self.daemons.iter().map(|daemon| daemon.process.borrow());
-        processes
-            .filter(|process| {
-                let log = std::fs::read_to_string(&process.log).unwrap_or_default();
-                log.contains(KEY_PREFIX)
-            })
-            .map(|process| process.settings.name.clone())
+    /// Returns the paths of the logs that contain a key.
+    pub fn logs_with_keys(&self) -> Vec<PathBuf> {
+        let logs = self.daemons.iter().map(|daemon| daemon.process.borrow().log.clone());
+        logs.filter(|log| std::fs::read_to_string(log).unwrap_or_default().contains(KEY_PREFIX))
             .collect()
     }
 
@@ -329,10 +311,10 @@
                 self.inject_replica_fault(replica, ReplicaFault::Full, duration).await
             }
             Fault::ReplicaFailsPart { replica, failure } => {
-                self.degrade_replica(replica, ReplicaFault::FailsPart(failure), duration).await
+                self.inject_replica_fault(replica, ReplicaFault::FailsPart(failure), duration).await
             }
             Fault::ReplicaSlow { replica, factor } => {
-                self.degrade_replica(replica, ReplicaFault::Slow(factor), duration).await
+                self.inject_replica_fault(replica, ReplicaFault::Slow(factor), duration).await
             }
             Fault::ReplicaCrash { replica } => {
                 let name = self.replica_name(replica);
@@ -416,9 +398,11 @@
         fault: ReplicaFault,
         duration: Duration,
     ) -> io::Result<()> {
-        let Some(replica) = self.deployment.replica(&self.replica_name(number)) else {
+        let name = self.replica_name(number);
+        let Some(replica) = self.deployment.replica(&name) else {
             return Ok(());
         };
+        self.faulty_replicas.borrow_mut().insert(name);
         replica.fault.set(fault);
         sleep(duration).await;
         replica.fault.set(ReplicaFault::None);
@@ -432,16 +416,6 @@
         }
     }
 
-    async fn degrade_replica(
-        &self,
-        number: usize,
-        fault: ReplicaFault,
-        duration: Duration,
-    ) -> io::Result<()> {
-        self.degraded_replicas.borrow_mut().insert(self.replica_name(number));
-        self.inject_replica_fault(number, fault, duration).await
-    }
-
     fn replica_name(&self, number: usize) -> String {
         let names = self.deployment.replicas();
         match names.len() {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -141,15 +141,12 @@
             Ok(report) => {
                 println!(
                     "seed={seed} daemons={daemons} faults={} requests={} served={} jobs={} \
-                     key_requests={} key_served={} key_over_quota={} \
-                     peak_kib={} broken={}",
+                     key_statuses={:?} peak_kib={} broken={}",
                     report.faults,
                     report.requests,
                     report.served,
                     report.jobs,
-                    report.key_requests,
-                    report.key_outcomes.0,
-                    report.key_outcomes.1,
+                    report.key_statuses,
                     report.peak_kib,
                     report.violations.len()
                 );
--- a/crates/soak/src/organisation_check.rs
+++ b/crates/soak/src/organisation_check.rs
@@ -54,11 +54,10 @@
 
 /// Checks that no daemon denies a key that all versions of the configuration have.
 fn check_valid_keys(evidence: &Evidence<'_>, found: &mut Vec<Violation>) {
-    let is_denied = |outcome: RequestOutcome| {
-        matches!(outcome, RequestOutcome::Answered { status: UNAUTHORIZED, .. })
-    };
-    let requests =
-        evidence.observation.requests.iter().filter(|request| is_denied(request.outcome));
+    let is_denied =
+        |outcome| matches!(outcome, RequestOutcome::Answered { status: UNAUTHORIZED, .. });
+    let requests = evidence.observation.requests.iter();
+    let requests = requests.filter(|request| is_denied(request.outcome));
     let mut denied: Vec<&str> = requests.map(|request| request.id.as_str()).collect();
     let jobs = evidence.observation.jobs.iter();
     let jobs = jobs.filter(|(_, job)| job.submit_statuses.contains(&UNAUTHORIZED));
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -317,9 +317,7 @@
     faults.extend(draw_clock_steps(seed, daemons));
     faults.extend(draw_announced_leaves(seed, daemons));
     faults.extend(draw_pauses(seed));
-    faults.extend(scenario::draw_degradations(seed));
-    faults.extend(scenario::draw_operator_changes(seed));
-    faults.extend(scenario::draw_floods(seed, daemons));
+    faults.extend(scenario::draw_faults(seed, daemons));
     faults.sort_by_key(|planned| planned.start_ms);
     faults
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,5 +1,6 @@
 //! One run: starts a fleet and its clients, injects the faults and checks the promises.
 
+use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::io;
 use std::path::Path;
@@ -8,6 +9,7 @@
 use std::time::Duration;
 
 use kernel::KernelError;
+use platform_stub::settings::SMALLEST_MEMORY_MB;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
@@ -20,7 +22,6 @@
 use crate::fleet::Fleet;
 use crate::job_client;
 use crate::key_client;
-use crate::observation::Observation;
 use crate::observation::RequestOutcome;
 use crate::plan;
 use crate::scenario::Scenario;
@@ -74,10 +75,8 @@
     pub faults: usize,
     /// The highest peak of a daemon's resident memory, in KiB.
     pub peak_kib: u64,
-    /// The number of requests of clients that send with different keys.
-    pub key_requests: usize,
-    /// The number of these requests that were served, and of those over a quota.
-    pub key_outcomes: (usize, usize),
+    /// The number of requests of clients that send with different keys, by status.
+    pub key_statuses: BTreeMap<u16, usize>,
 }
 
 /// The reason why a run has no report.
@@ -168,28 +167,36 @@
     let observation = context.observation.borrow();
     let run_log = fleet.deployment.log.borrow();
     let timeline = fleet.timeline.borrow();
-    let degraded_replicas = fleet.degraded_replicas();
-    let organisations = fleet.organisations();
-    violations.extend(check_logs(&fleet));
-    violations.extend(fleet.process_violations());
+    let mended_replicas = fleet.mended_replicas();
+    let organisations = fleet.organisations.borrow();
+    violations.extend(
+        fleet.logs_with_keys().into_iter().map(|log| Violation {
+            promise: "logs show no key",
+            detail: log.display().to_string(),
+        }),
+    );
+    violations.extend(fleet.process_watch.borrow().violations(SMALLEST_MEMORY_MB));
     violations.extend(check::violations(&Evidence {
         observation: &observation,
         run_log: &run_log,
         timeline: &timeline,
         recovered_ms,
-        degraded_replicas: &degraded_replicas,
+        mended_replicas: &mended_replicas,
         organisations: organisations.as_ref(),
     }));
     let is_served =
         |outcome: &RequestOutcome| matches!(outcome, RequestOutcome::Answered { status: 200, .. });
+    let mut key_statuses = BTreeMap::new();
+    for request in &observation.key_requests {
+        *key_statuses.entry(request.status).or_default() += 1;
+    }
     let report = RunReport {
         requests: observation.requests.len(),
         served: observation.requests.iter().filter(|request| is_served(&request.outcome)).count(),
         jobs: observation.jobs.values().filter(|job| job.accepted_ms.is_some()).count(),
         faults: faults.len() + calm_faults.len(),
-        peak_kib: fleet.peak_kib(),
-        key_requests: observation.key_requests.len(),
-        key_outcomes: (count_status(&observation, 200), count_status(&observation, 429)),
+        peak_kib: fleet.process_watch.borrow().peak_kib(),
+        key_statuses,
         violations,
     };
     write_summary(&config.folder, config.seed, &fleet, &report).map_err(RunError::File)?;
@@ -205,10 +212,6 @@
     unready.into_iter().map(violation).collect()
 }
 
-fn count_status(observation: &Observation, status: u16) -> usize {
-    observation.key_requests.iter().filter(|request| request.status == status).count()
-}
-
 async fn watch_processes(context: Rc<RunContext>) {
     while !context.stopped.is_cancelled() {
         context.fleet.watch_processes();
@@ -216,14 +219,6 @@
     }
 }
 
-fn check_logs(fleet: &Fleet) -> Vec<Violation> {
-    let violation = |daemon| Violation {
-        promise: "logs show no key",
-        detail: format!("the log of {daemon} shows one"),
-    };
-    fleet.daemons_that_log_keys().into_iter().map(violation).collect()
-}
-
 /// Injects every fault at its time and waits until all have ended.
 async fn inject_faults(fleet: &Rc<Fleet>, faults: &[plan::PlannedFault]) {
     let begin_ms = fleet.now_ms();
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -30,7 +30,7 @@
     observation: Observation,
     run_log: RunLog,
     timeline: Timeline,
-    degraded_replicas: Vec<String>,
+    mended_replicas: Vec<String>,
     organisations: Option<Organisations>,
 }
 
@@ -122,7 +122,7 @@
             run_log: &self.run_log,
             timeline: &self.timeline,
             recovered_ms: 29_000,
-            degraded_replicas: &self.degraded_replicas,
+            mended_replicas: &self.mended_replicas,
             organisations: self.organisations.as_ref(),
         };
         violations(&evidence).iter().map(|violation| violation.promise).collect()
@@ -238,9 +238,9 @@
 
 /// Guards against a replica that stays out of use after it became sound again.
 #[test]
-fn degraded_replica_without_later_runs_is_reported() {
+fn mended_replica_without_later_runs_is_reported() {
     let mut run = TestRun::new();
-    run.degraded_replicas = vec!["engines-0".to_owned()];
+    run.mended_replicas = vec!["engines-0".to_owned()];
     for number in 0..100 {
         assert_eq!(run.broken_promises(), Vec::<&str>::new(), "after {number} runs");
         let id = format!("r{number}");
