--- a/crates/slots/src/client.rs
+++ b/crates/slots/src/client.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::fmt;
+use std::iter::repeat;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::rc::Weak;
@@ -30,6 +31,7 @@
 use wire::ServiceName;
 
 use crate::balancer::Balancer;
+use crate::detectors::Detectors;
 use crate::extension::Expectation;
 use crate::extension::Extension;
 use crate::fair_share::Share;
@@ -44,7 +46,6 @@
 use crate::message::ToOwner;
 use crate::message::Urgency;
 use crate::outcomes::PendingOutcomes;
-use crate::outlier::Detector;
 use crate::outlier::HealthSummary;
 use crate::overload;
 use crate::request::NoSlot;
@@ -66,7 +67,7 @@
     pub(crate) refuses_early: bool,
     pub(crate) tables: HashMap<ReplicaName, SlotTable>,
     pub(crate) balancer: Balancer,
-    pub(crate) detectors: HashMap<ReplicaName, Detector>,
+    pub(crate) detectors: Detectors,
     pub(crate) outcomes: PendingOutcomes,
     pending: HashMap<Ticket, Rc<PendingGrant>>,
     held: HashMap<Ticket, HeldRun>,
@@ -336,17 +337,15 @@
             return;
         };
         let mut inner = self.inner.borrow_mut();
-        for report in &reports {
-            inner.balancer.record_load(now_ms, &report.replica, report.load);
-        }
-        if rest.is_empty() || !inner.balancer.replicas_may_degrade() {
-            return;
-        }
-        let Some((summaries, _)) = decode_prefix::<Vec<HealthSummary>>(Topic::Slots, rest) else {
-            return;
+        // Owners of builds before them send no summaries.
+        let summaries = match rest.is_empty() || !inner.balancer.replicas_may_degrade() {
+            true => None,
+            false => decode_prefix::<Vec<HealthSummary>>(Topic::Slots, rest),
         };
+        let summaries = summaries.map(|(summaries, _)| summaries).unwrap_or_default();
+        let summaries = summaries.into_iter().map(Some).chain(repeat(None));
         for (report, summary) in reports.iter().zip(summaries) {
-            inner.balancer.record_health(&report.replica, summary);
+            inner.balancer.record_report(now_ms, report, summary);
         }
     }
 
--- a/crates/slots/src/owner.rs
+++ b/crates/slots/src/owner.rs
@@ -125,7 +125,8 @@
         let Extension { share, outcomes } = extension;
         if let Some(outcomes) = outcomes {
             // Before a released slot is granted again.
-            self.apply_outcomes(now_ms, holder, &replica, &outcomes);
+            let began_ms = self.run_began_ms(&message);
+            self.apply_outcomes(now_ms, began_ms, holder, &replica, &outcomes);
             if let ToOwner::Release { ticket, .. } = &message
                 && outcomes.failures.is_empty()
             {
@@ -329,13 +330,11 @@
             return;
         }
         let records: Vec<ReplicaRecord> = self.replicas.borrow().records().cloned().collect();
-        let owned: Vec<&ReplicaName> = records
-            .iter()
-            .filter(|record| self.is_owned(record))
-            .map(|record| &record.name)
-            .collect();
+        let owned_records: Vec<&ReplicaRecord> =
+            records.iter().filter(|record| self.is_owned(record)).collect();
+        let owned: Vec<&ReplicaName> = owned_records.iter().map(|record| &record.name).collect();
         let mut inner = self.inner.borrow_mut();
-        inner.detectors.retain(|name, _| owned.contains(&name));
+        inner.detectors.retain(owned_records.iter().copied());
         inner.tables.retain(|name, _| {
             let is_kept = owned.contains(&name);
             if !is_kept {
--- a/crates/slots/tests/outlier.rs
+++ b/crates/slots/tests/outlier.rs
@@ -10,6 +10,7 @@
 use slots::balancer::Balancer;
 use slots::message::Class;
 use slots::message::Load;
+use slots::message::LoadReport;
 use slots::message::Ticket;
 use slots::message::ToOwner;
 use slots::outcomes::OutcomeReport;
@@ -269,6 +270,45 @@
     assert_eq!(limits, [1, 2, 4, 8]);
 }
 
+/// Runs that began before a replica was taken out end while it is out. Guards against a replica that is
+/// restored by their successes, and against a trial that is delayed by their failures.
+#[test]
+fn runs_from_before_the_withdrawal_are_no_trials() {
+    let mut detector = Detector::default();
+    for request in 0..4 {
+        let began_ms = Some(u64::from(request));
+        detector.record_release(1_000, began_ms, u64::from(request), &failure(request), SOUND_RATE);
+    }
+    assert_eq!((detector.stage(), detector.limit(1_400, SLOTS)), (Stage::Out, 1));
+    for holder in 0..6 {
+        detector.record_release(1_400, Some(900), holder, &successes(1), SOUND_RATE);
+        detector.record_release(1_400, None, holder, &successes(1), SOUND_RATE);
+    }
+    assert_eq!(detector.stage(), Stage::Out, "no trial succeeded");
+    detector.record_release(1_400, Some(950), 1, &failure(9), SOUND_RATE);
+    assert_eq!(detector.limit(1_400, SLOTS), 1, "no trial failed");
+    for at_ms in 1_500..1_503 {
+        detector.record_release(at_ms, Some(1_400), 1, &successes(4), SOUND_RATE);
+    }
+    assert_eq!(detector.stage(), Stage::Out, "one trial has one outcome");
+    detector.record_release(1_503, Some(1_400), 1, &successes(1), SOUND_RATE);
+    assert_eq!(detector.stage(), Stage::Quarter);
+}
+
+/// An owner of a build without outcomes takes over a replica whose former owner reported failures. Guards
+/// against failures that cost the replica requests for as long as that owner stays.
+#[test]
+fn health_of_a_former_owner_ends_with_the_report_of_one_without_outcomes() {
+    let mut balancer = Balancer::default();
+    balancer.set_replicas_may_degrade(true);
+    let report = LoadReport { replica: "a".into(), load: Load::default() };
+    let failing = HealthSummary { outcomes: 60, failures: 60, run_ms: 300 };
+    balancer.record_report(0, &report, Some(failing));
+    assert_eq!(balancer.health(&report.replica), failing);
+    balancer.record_report(100, &report, None);
+    assert_eq!(balancer.health(&report.replica), HealthSummary::default());
+}
+
 /// A holder's outcomes travel after a complete message. Guards against datagrams that a build without
 /// outcomes cannot read, and against outcomes that the next build cannot find.
 #[test]
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -140,11 +140,14 @@
         match soak::run::run(&config, &self.interrupted) {
             Ok(report) => {
                 println!(
-                    "seed={seed} daemons={daemons} faults={} requests={} served={} jobs={} broken={}",
+                    "seed={seed} daemons={daemons} faults={} requests={} served={} jobs={} \
+                     key_statuses={:?} peak_kib={} broken={}",
                     report.faults,
                     report.requests,
                     report.served,
                     report.jobs,
+                    report.key_statuses,
+                    report.peak_kib,
                     report.violations.len()
                 );
                 for violation in &report.violations {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,5 +1,6 @@
 //! One run: starts a fleet and its clients, injects the faults and checks the promises.
 
+use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::io;
 use std::path::Path;
@@ -8,6 +9,7 @@
 use std::time::Duration;
 
 use kernel::KernelError;
+use platform_stub::settings::SMALLEST_MEMORY_MB;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
@@ -19,18 +21,24 @@
 use crate::check::Violation;
 use crate::fleet::Fleet;
 use crate::job_client;
+use crate::key_client;
 use crate::observation::RequestOutcome;
 use crate::plan;
+use crate::scenario::Scenario;
 use crate::traffic;
 use crate::traffic::RunContext;
 
 /// The clients that send online requests to each daemon.
 const CLIENTS_PER_DAEMON: usize = 3;
+/// The clients that send with different keys to each daemon, if the run has organisations.
+const KEY_CLIENTS_PER_DAEMON: usize = 2;
 /// The clients of a run that submit jobs.
 const JOB_CLIENTS: usize = 4;
 /// The longest time in which the fleet must recover after the last fault, in milliseconds; the
 /// platform's `recover_s`.
 const MAX_RECOVERY_MS: u64 = 12_000;
+/// The time between two looks at the daemons' processes.
+const WATCH_INTERVAL: Duration = Duration::from_millis(100);
 /// How long clients keep sending after the recovery time, in milliseconds.
 const POST_RECOVERY_MS: u64 = 3_000;
 /// The longest time in which jobs must finish after the clients have stopped, in milliseconds; the
@@ -65,6 +73,10 @@
     pub jobs: usize,
     /// The number of faults.
     pub faults: usize,
+    /// The highest peak of a daemon's resident memory, in KiB.
+    pub peak_kib: u64,
+    /// The number of requests of clients that send with different keys, by status.
+    pub key_statuses: BTreeMap<u16, usize>,
 }
 
 /// The reason why a run has no report.
@@ -109,7 +121,9 @@
 }
 
 async fn run_fleet(config: &RunConfig) -> Result<RunReport, RunError> {
-    let fleet = Fleet::start(&config.binary, &config.folder, config.subnet, config.daemons);
+    let scenario = Scenario::draw(config.seed);
+    let fleet =
+        Fleet::start(&config.binary, &config.folder, config.subnet, config.daemons, &scenario);
     let fleet = fleet.await.map_err(RunError::Start)?;
     let mut violations = check_readiness(&fleet).await;
     let context = Rc::new(RunContext {
@@ -124,7 +138,13 @@
             clients.push(spawn_local(sender));
         }
         clients.push(spawn_local(traffic::query_routes(context.clone(), daemon)));
+        let key_clients = if fleet.has_organisations() { KEY_CLIENTS_PER_DAEMON } else { 0 };
+        for client in 0..key_clients {
+            let sender = key_client::send_with_keys(context.clone(), daemon, client, config.seed);
+            clients.push(spawn_local(sender));
+        }
     }
+    clients.push(spawn_local(watch_processes(context.clone())));
     for client in 0..JOB_CLIENTS {
         clients.push(spawn_local(job_client::submit_jobs(context.clone(), client, config.seed)));
     }
@@ -147,19 +167,36 @@
     let observation = context.observation.borrow();
     let run_log = fleet.deployment.log.borrow();
     let timeline = fleet.timeline.borrow();
+    let mended_replicas = fleet.mended_replicas();
+    let organisations = fleet.organisations.borrow();
+    violations.extend(
+        fleet.logs_with_keys().into_iter().map(|log| Violation {
+            promise: "logs show no key",
+            detail: log.display().to_string(),
+        }),
+    );
+    violations.extend(fleet.process_watch.borrow().violations(SMALLEST_MEMORY_MB));
     violations.extend(check::violations(&Evidence {
         observation: &observation,
         run_log: &run_log,
         timeline: &timeline,
         recovered_ms,
+        mended_replicas: &mended_replicas,
+        organisations: organisations.as_ref(),
     }));
     let is_served =
         |outcome: &RequestOutcome| matches!(outcome, RequestOutcome::Answered { status: 200, .. });
+    let mut key_statuses = BTreeMap::new();
+    for request in &observation.key_requests {
+        *key_statuses.entry(request.status).or_default() += 1;
+    }
     let report = RunReport {
         requests: observation.requests.len(),
         served: observation.requests.iter().filter(|request| is_served(&request.outcome)).count(),
         jobs: observation.jobs.values().filter(|job| job.accepted_ms.is_some()).count(),
         faults: faults.len() + calm_faults.len(),
+        peak_kib: fleet.process_watch.borrow().peak_kib(),
+        key_statuses,
         violations,
     };
     write_summary(&config.folder, config.seed, &fleet, &report).map_err(RunError::File)?;
@@ -175,6 +212,13 @@
     unready.into_iter().map(violation).collect()
 }
 
+async fn watch_processes(context: Rc<RunContext>) {
+    while !context.stopped.is_cancelled() {
+        context.fleet.watch_processes();
+        sleep(WATCH_INTERVAL).await;
+    }
+}
+
 /// Injects every fault at its time and waits until all have ended.
 async fn inject_faults(fleet: &Rc<Fleet>, faults: &[plan::PlannedFault]) {
     let begin_ms = fleet.now_ms();
