Close a replaced connection after its last answer

Cause: At the bound, a connection that is closed for a new one is removed from the table. If a request had arrived on it meanwhile, it was served, but the connection stayed open for further requests, up to the idle limit after each, without counting towards the bound.

Change: The answer to this request is the last one on its connection.

Result: The new test fails without the change, since the connection stays open, and passes with it. All tests of kernel pass.

--- a/crates/kernel/src/local_server.rs
+++ b/crates/kernel/src/local_server.rs
@@ -424,11 +424,13 @@
                     connection.as_mut().graceful_shutdown();
                 }
                 () = replaced.cancelled(), if !is_kept => {
-                    // A request that came meanwhile is served.
+                    // A request that came meanwhile is served, and is the last one: this connection no
+                    // longer counts towards the bound.
                     if !idle_timer.is_busy() {
                         break None;
                     }
                     is_kept = true;
+                    connection.as_mut().graceful_shutdown();
                 }
                 expiry = idle_timer.expired() => {
                     self.record_expiry(expiry);
--- a/crates/kernel/tests/local_server.rs
+++ b/crates/kernel/tests/local_server.rs
@@ -291,3 +291,39 @@
         assert!(counters.render_page().contains("unread_request_time"), "it is not counted");
     });
 }
+
+/// Answers every request after some time.
+struct SlowAnswer;
+
+impl LocalHandler for SlowAnswer {
+    fn handle(
+        self: Rc<Self>,
+        _request: Request<Incoming>,
+    ) -> LocalBoxFuture<'static, Response<LocalBody>> {
+        Box::pin(async {
+            sleep(Duration::from_millis(50)).await;
+            Response::new(LocalBody::full("answer"))
+        })
+    }
+}
+
+// Guards against connections that stay open beyond the bound: a connection that is closed for a new one
+// is no longer counted, but still answers a request that arrived meanwhile.
+#[test]
+fn replaced_connection_ends_with_the_answer_to_a_request_that_came_meanwhile() {
+    run_local(async {
+        let counters = Counters::new(None).expect("the counters are created");
+        let address = start_server_of(Rc::new(SlowAnswer), 1, LONG_IDLE, &counters);
+        let mut replaced = TcpStream::connect(address).await.expect("it connects");
+        sleep(Duration::from_millis(20)).await;
+        // The server runs on this thread, so it sees the new connection and the request together.
+        let _newer = std::net::TcpStream::connect(address).expect("it connects");
+        let request = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n";
+        assert_eq!(replaced.try_write(request).expect("it is written"), request.len());
+        let mut answer = Vec::new();
+        let reading = timeout(Duration::from_secs(5), replaced.read_to_end(&mut answer));
+        reading.await.expect("the connection is closed").expect("it ends without an error");
+        let answer = String::from_utf8(answer).expect("it is text");
+        assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("answer"), "{answer}");
+    });
+}
