Wait at exit for replaced connections that still answer

Cause: A stopping process waits until no client's connection is open. A connection that was closed for a new one while a request arrived on it was no longer counted, so that the process could exit before this request was answered, or before an evicted connection had sent its 408.

Change: ServerLifecycle::connections counts every connection until it ends; the bound counts those of the table, as before.

Result: The new test fails without the change (0 connections instead of 1) and passes with it. All tests of kernel pass.

--- a/crates/kernel/src/local_server.rs
+++ b/crates/kernel/src/local_server.rs
@@ -181,7 +181,7 @@
     pub stopped: CancellationToken,
     bound: Option<ConnectionBound>,
     table: Arc<Mutex<ConnectionTable>>,
-    /// Cancelled when the connection is closed for a new one.
+    /// For each open connection, a token that is cancelled when it is closed for a new one.
     replaced: RefCell<HashMap<ConnectionId, CancellationToken>>,
     over_bound: RefCell<OverBound>,
 }
@@ -220,20 +220,26 @@
         }
     }
 
-    /// Returns the number of open connections.
+    /// Returns the number of open connections, including those that were closed for a new one and still
+    /// answer their last request.
     pub fn connections(&self) -> usize {
+        self.replaced.borrow().len()
+    }
+
+    /// Returns the number of connections that count towards the bound.
+    fn counted_connections(&self) -> usize {
         body_watch::lock(&self.table).len()
     }
 
     fn is_at_bound(&self) -> bool {
-        self.bound.as_ref().is_some_and(|bound| self.connections() >= bound.max_connections)
+        self.bound.as_ref().is_some_and(|bound| self.counted_connections() >= bound.max_connections)
     }
 
     /// Returns whether so many connections are open that a new one gets a small receive buffer.
     fn limits_receive_buffers(&self) -> bool {
         let bound = self.bound.as_ref();
         bound.is_some_and(|bound| {
-            receive_buffer::is_limited(self.connections(), bound.max_connections)
+            receive_buffer::is_limited(self.counted_connections(), bound.max_connections)
         })
     }
 
--- a/crates/kernel/tests/local_server.rs
+++ b/crates/kernel/tests/local_server.rs
@@ -60,12 +60,19 @@
     idle: Duration,
     counters: &Counters,
 ) -> SocketAddr {
-    let listener = local_server::listen(([127, 0, 0, 1], 0).into()).expect("it listens");
-    let address = listener.local_addr().expect("it has an address");
     let limits = ConnectionLimits { header_bytes: 8192, idle, head: HEAD };
     let counters = counters.clone();
     let bound = ConnectionBound { server: "test", max_connections, counters };
-    let lifecycle = Rc::new(ServerLifecycle::bounded(limits, bound));
+    start_server_with(handler, Rc::new(ServerLifecycle::bounded(limits, bound)))
+}
+
+/// Starts a server of a handler with its lifecycle.
+fn start_server_with<H: LocalHandler>(
+    handler: Rc<H>,
+    lifecycle: Rc<ServerLifecycle>,
+) -> SocketAddr {
+    let listener = local_server::listen(([127, 0, 0, 1], 0).into()).expect("it listens");
+    let address = listener.local_addr().expect("it has an address");
     spawn_local(local_server::serve(listener, handler, lifecycle));
     address
 }
@@ -327,3 +334,31 @@
         assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("answer"), "{answer}");
     });
 }
+
+// Guards against a stopping process that exits before the answer to a request, since the connection was
+// closed for a new one and is not among those that it waits for.
+#[test]
+fn replaced_connection_is_open_until_its_last_answer() {
+    run_local(async {
+        let counters = Counters::new(None).expect("the counters are created");
+        let limits = ConnectionLimits { header_bytes: 8192, idle: LONG_IDLE, head: HEAD };
+        let bound = ConnectionBound { server: "test", max_connections: 1, counters };
+        let lifecycle = Rc::new(ServerLifecycle::bounded(limits, bound));
+        let address = start_server_with(Rc::new(SlowAnswer), lifecycle.clone());
+        let mut replaced = TcpStream::connect(address).await.expect("it connects");
+        sleep(Duration::from_millis(20)).await;
+        // The server runs on this thread, so it sees the new connection and the request together.
+        let newer = std::net::TcpStream::connect(address).expect("it connects");
+        let request = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n";
+        assert_eq!(replaced.try_write(request).expect("it is written"), request.len());
+        drop(newer);
+        sleep(Duration::from_millis(20)).await;
+        assert_eq!(lifecycle.connections(), 1, "the request is not answered yet");
+        let mut answer = Vec::new();
+        let reading = timeout(Duration::from_secs(5), replaced.read_to_end(&mut answer));
+        reading.await.expect("the connection is closed").expect("it ends without an error");
+        assert!(answer.ends_with(b"answer"), "the answer is not whole");
+        sleep(Duration::from_millis(20)).await;
+        assert_eq!(lifecycle.connections(), 0);
+    });
+}
