Give control calls most of the memory for the connections of other servers

Cause: an eighth of the memory was divided like the descriptors: 78 control connections on a host of 88 MB. Change: two thirds of the eighth are for control, a quarter for the directory, and a 24th each for readiness and metrics. Result: 156 control connections at 88 MB, 284 at 160 MB. The test of the smallest host asks for 150 instead of 75 and failed before.

--- a/crates/node/src/connection_bounds.rs
+++ b/crates/node/src/connection_bounds.rs
@@ -21,6 +21,15 @@
 const INGRESS_MEMORY_DIVISOR: u64 = 4;
 /// The share of the memory that the connections of all other servers may take, as a divisor.
 const OTHER_MEMORY_DIVISOR: u64 = 8;
+/// The parts into which that share is divided.
+const OTHER_MEMORY_PARTS: u64 = 24;
+/// The parts for control calls. After a restart of a fleet, daemons call a few others at the same moment
+/// for the configuration and the list of replicas, so that these get most.
+const CONTROL_MEMORY_PARTS: u64 = 16;
+/// The parts for directory lookups.
+const DIRECTORY_MEMORY_PARTS: u64 = 6;
+/// The parts for readiness checks, and those for the metrics page.
+const CHECK_MEMORY_PARTS: u64 = 1;
 /// The mean memory per client connection when all are open, beside the bytes that the budget counts, in
 /// bytes: 42 KB with a head of 14,000 bytes and an incomplete body, and unread bytes in the kernel's buffer,
 /// 43 KB or, for the first quarter of the connections, 128 KB. Neither the growth of the buffers in that
@@ -82,16 +91,15 @@
             let connections = (share_bytes / connection_bytes).max(MIN_CONNECTIONS);
             usize::try_from(connections).unwrap_or(usize::MAX)
         };
-        let other_parts = CONTROL_PARTS + DIRECTORY_PARTS + 2 * CHECK_PARTS;
-        let part_bytes = memory_bytes / OTHER_MEMORY_DIVISOR / other_parts;
+        let part_bytes = memory_bytes / OTHER_MEMORY_DIVISOR / OTHER_MEMORY_PARTS;
         let other = |parts: u64| connections(part_bytes * parts, OTHER_CONNECTION_BYTES);
         let ingress = connections(memory_bytes / INGRESS_MEMORY_DIVISOR, INGRESS_CONNECTION_BYTES);
         Self {
             ingress: self.ingress.min(ingress),
-            control: self.control.min(other(CONTROL_PARTS)),
-            directory: self.directory.min(other(DIRECTORY_PARTS)),
-            readiness: self.readiness.min(other(CHECK_PARTS)),
-            metrics: self.metrics.min(other(CHECK_PARTS)),
+            control: self.control.min(other(CONTROL_MEMORY_PARTS)),
+            directory: self.directory.min(other(DIRECTORY_MEMORY_PARTS)),
+            readiness: self.readiness.min(other(CHECK_MEMORY_PARTS)),
+            metrics: self.metrics.min(other(CHECK_MEMORY_PARTS)),
         }
     }
 }
--- a/crates/node/tests/connection_bounds.rs
+++ b/crates/node/tests/connection_bounds.rs
@@ -65,7 +65,8 @@
 fn smallest_host_serves_the_usual_clients_several_times() {
     let bounds = ConnectionBounds::for_host(4_100, 88);
     assert!(bounds.ingress >= 200, "{bounds:?}");
-    assert!(bounds.control >= 75, "{bounds:?}");
+    assert!(bounds.control >= 150, "{bounds:?}");
+    assert!(bounds.directory >= 50 && bounds.readiness >= 8, "{bounds:?}");
     // A host with less memory than the smallest known one counts as that one.
     assert_eq!(ConnectionBounds::for_host(4_100, 0), bounds);
 }
