Leave time for the last answers also when the stop wakes late

Cause: the 100 ms for the last answers counted from a time of the clock. On a host at a load of 21 the process woke 210 ms late and exited at once, so that a submission that waited for the store was cut (1 of 10 runs of its test, shown by the daemon's log). Change: the time counts from the moment at which the waiting calls are told; it ends as soon as no connection is open. A process that wakes over 150 ms late may still be at the end of its grace time before the 100 ms are over.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -491,7 +491,8 @@
         self.wait_for_connections(serves_until).await;
         info!("event=left daemon={} in_flight={}", self.settings.daemon, self.gateway.in_flight());
         self.gateway.answer_remaining();
-        self.wait_for_connections(serves_until + LAST_ANSWERS_TIME).await;
+        // From now on: a busy host may have ended the wait before late by more than this time.
+        self.wait_for_connections(Instant::now() + LAST_ANSWERS_TIME).await;
     }
 
     /// Waits until no client's connection is open, at most until `deadline`.
