Bound the waits and times that slot messages state

Cause: Early refusals multiply and add times from other daemons. A wait near the limit of u64 overflows, and a long one lets the owner remember millions of refused requests. Batch items state nine tenths of their wait where early refusals are enabled, though owners never refuse them early. Change: Waits over 60 s count as 60 s in the decision, the expected time of a refusal saturates, and only online requests that may have run state a shorter wait. Some comments are clearer.

--- a/crates/slots/src/client.rs
+++ b/crates/slots/src/client.rs
@@ -337,7 +337,7 @@
             return;
         };
         let mut inner = self.inner.borrow_mut();
-        // Owners of builds before them send no summaries.
+        // Owners of older builds send no summaries.
         let summaries = match rest.is_empty() || !inner.balancer.replicas_may_degrade() {
             true => None,
             false => decode_prefix::<Vec<HealthSummary>>(Topic::Slots, rest),
@@ -550,8 +550,9 @@
         now_ms: Millis,
     ) {
         let mut give_up_left_ms = request.give_up_at_ms.saturating_sub(now_ms);
-        if request.waits_for_replica && self.inner.borrow().refuses_early {
-            give_up_left_ms = overload::wait_of_a_retry_ms(give_up_left_ms);
+        if self.inner.borrow().refuses_early {
+            give_up_left_ms =
+                overload::stated_wait_ms(request.class, request.waits_for_replica, give_up_left_ms);
         }
         let message = ToOwner::Ask {
             replica: replica.clone(),
@@ -651,7 +652,7 @@
             ToHolder::Queued { ticket, load } => (ticket, GrantState::Queued, Some(load)),
             ToHolder::NotOwner { ticket } => (ticket, GrantState::NotOwner, None),
             ToHolder::Refused { ticket, load } => {
-                let slot_at_ms = expectation.map(|expectation| now_ms + expectation.slot_in_ms);
+                let slot_at_ms = expectation.map(|expectation| expectation.slot_at_ms(now_ms));
                 (ticket, GrantState::Refused { slot_at_ms }, Some(load))
             }
             ToHolder::Revoked { ticket } => {
--- a/crates/slots/src/extension.rs
+++ b/crates/slots/src/extension.rs
@@ -43,6 +43,11 @@
 }
 
 impl Expectation {
+    /// Returns when a slot is expected for a request whose refusal arrives now.
+    pub fn slot_at_ms(self, now_ms: Millis) -> Millis {
+        now_ms.saturating_add(self.slot_in_ms)
+    }
+
     /// Decodes the bytes that follow `message`.
     pub fn decode(message: &ToHolder, rest: &[u8]) -> Option<Self> {
         let ToHolder::Refused { .. } = message else { return None };
--- a/crates/slots/src/outlier.rs
+++ b/crates/slots/src/outlier.rs
@@ -206,7 +206,7 @@
     trial_wait_ms: Millis,
     restored_at_ms: Millis,
     staged_at_ms: Millis,
-    /// The first of the outcomes for which slots are withheld.
+    /// When the first of the outcomes for which slots are withheld was recorded.
     failing_since_ms: Millis,
     run_times: RunTimes,
     run_ms: u16,
@@ -316,7 +316,7 @@
     /// known; returns the change of the stage, if any.
     ///
     /// While single trials are granted, only the outcome of a run that began after the withdrawal
-    /// counts: others say nothing about the replica of now.
+    /// counts: earlier runs do not show the present state of the replica.
     pub fn record_release(
         &mut self,
         now_ms: Millis,
@@ -469,8 +469,8 @@
 /// Returns the slots that may be granted at each replica of a service, in the order of `replicas`.
 ///
 /// A withheld slot costs the share of its runs that would succeed, or nothing if most of them would fail.
-/// What is withheld leaves enough slots for the load, and comes from at most half of the replicas. The order of precedence depends
-/// only on what all owners report, so that they agree.
+/// What is withheld leaves enough slots for the load, and comes from at most half of the replicas. The
+/// order of precedence depends only on what all owners report, so that they agree.
 pub fn bounded_limits(replicas: &[ServiceReplica]) -> Vec<u32> {
     let sound = |replica: &ServiceReplica| match 1.0 - replica.summary.failure_share() {
         share if share < MIN_USEFUL_SHARE => 0.0,
--- a/crates/slots/src/overload.rs
+++ b/crates/slots/src/overload.rs
@@ -10,6 +10,7 @@
 
 use wire::Millis;
 
+use crate::message::Class;
 use crate::table::QUEUES_PER_REQUEST;
 
 /// The part of the longest wait after which refused requests return, in percent, from and to. Slots that
@@ -23,11 +24,14 @@
 /// A request that may wait for less than this part of the longest wait has returned, in percent; it is not
 /// refused again.
 const FIRST_ATTEMPT_PERCENT: Millis = 95;
-/// The part of its wait that a request that may have run states, in percent; less than that of a first
-/// attempt.
+/// The part of its wait that the holder of a request that may have run states, in percent. It is less than
+/// `FIRST_ATTEMPT_PERCENT`.
 const RETRY_PERCENT: Millis = 90;
 /// How long the longest wait is remembered without a request that may wait for as long.
 const LONGEST_WAIT_TTL_MS: Millis = 10_000;
+/// Longer waits count as this one. Waits come from other daemons: a larger one would overflow, and the number of
+/// remembered refusals grows with it.
+const MAX_WAIT_MS: Millis = 60_000;
 /// The least time between two reports of one replica.
 const REPORT_EVERY_MS: Millis = 1_000;
 
@@ -94,7 +98,7 @@
 }
 
 impl EarlyRefusals {
-    /// Decides about a request; returns after how long it may return if it is refused.
+    /// Decides whether a request is refused; if so, returns the time after which it is to return.
     ///
     /// A request is kept if it can be on time, if it is late already, if it was refused before, or if
     /// those that are to return fill the slots for the longest wait.
@@ -104,7 +108,8 @@
         outlook: &Outlook,
         candidate: Candidate,
     ) -> Option<Millis> {
-        let Candidate { on_time_left_ms, give_up_left_ms } = candidate;
+        let on_time_left_ms = candidate.on_time_left_ms;
+        let give_up_left_ms = candidate.give_up_left_ms.min(MAX_WAIT_MS);
         // A request with less time than others was refused before.
         let is_first_attempt =
             give_up_left_ms * 100 >= self.longest_wait_ms * FIRST_ATTEMPT_PERCENT;
@@ -137,6 +142,7 @@
 
     /// Records how long a new online request may stay queued, whether it is granted at once or not.
     pub fn record_wait(&mut self, now_ms: Millis, give_up_left_ms: Millis) {
+        let give_up_left_ms = give_up_left_ms.min(MAX_WAIT_MS);
         let is_forgotten = now_ms >= self.longest_wait_at_ms + LONGEST_WAIT_TTL_MS;
         if give_up_left_ms >= self.longest_wait_ms || is_forgotten {
             self.longest_wait_ms = give_up_left_ms;
@@ -152,10 +158,15 @@
     }
 }
 
-/// Returns the wait that the holder of a request that may have run states, so that owners take it for one
-/// that returned: it would be lost if it were refused.
-pub fn wait_of_a_retry_ms(give_up_left_ms: Millis) -> Millis {
-    give_up_left_ms * RETRY_PERCENT / 100
+/// Returns the wait that a holder states for a request; `waits_for_replica` is that of the slot request.
+///
+/// It is shorter for an online request that may have run. Owners take it for a request that returned and
+/// keep it: its client could not send it again after a refusal.
+pub fn stated_wait_ms(class: Class, waits_for_replica: bool, give_up_left_ms: Millis) -> Millis {
+    if class != Class::Online || !waits_for_replica {
+        return give_up_left_ms;
+    }
+    give_up_left_ms.saturating_mul(RETRY_PERCENT) / 100
 }
 
 /// Returns the most refused requests that may be on their way: what the slots can serve within the
--- a/crates/slots/tests/overload.rs
+++ b/crates/slots/tests/overload.rs
@@ -271,7 +271,7 @@
     assert!(!is_refused_early(&busy_table(Class::Batch, 0).request(300, request.clone())));
     let mut table = busy_table(Class::Online, 0);
     assert!(!is_refused_early(&table.request(300, ask(3, Class::Batch, 1_600))), "an item waits");
-    let retry = ask(4, Class::Online, overload::wait_of_a_retry_ms(1_600));
+    let retry = ask(4, Class::Online, overload::stated_wait_ms(Class::Online, true, 1_600));
     assert!(!is_refused_early(&table.request(300, retry)), "it would be lost");
     let mut off = busy_table(Class::Online, 0);
     off.set_refuses_early(false);
@@ -302,3 +302,35 @@
     let queued = ToHolder::Queued { ticket: Ticket(7), load: ReplicaLoad::default() };
     assert_eq!(Expectation::decode(&queued, rest), None);
 }
+
+/// Times in messages are unbounded. Guards against an overflow that ends the process or wraps to a time in
+/// the past.
+#[test]
+fn times_near_the_limit_do_not_overflow() {
+    let expectation = Expectation { slot_in_ms: u64::MAX };
+    assert_eq!(expectation.slot_at_ms(1_000), u64::MAX);
+    let mut refusals = EarlyRefusals::default();
+    refusals.record_wait(0, u64::MAX);
+    assert_eq!(refusals.decide(0, &full_outlook(40), first_attempt()), None);
+    let endless = Candidate { on_time_left_ms: 240, give_up_left_ms: u64::MAX };
+    let return_in_ms = refusals.decide(0, &full_outlook(40), endless);
+    assert!(return_in_ms.is_some_and(|in_ms| in_ms < 60_000), "{return_in_ms:?}");
+}
+
+/// A sender that states an endless wait for each request. Guards against refused requests that are
+/// remembered without a bound.
+#[test]
+fn endless_waits_do_not_grow_the_memory() {
+    let mut refusals = EarlyRefusals::default();
+    let endless = Candidate { on_time_left_ms: 240, give_up_left_ms: u64::MAX / 100 };
+    let refused = (0..10_000).filter(|_| refusals.decide(0, &full_outlook(40), endless).is_some());
+    assert!(refused.count() <= 3_200, "8 slots serve 1,600 runs of 300 ms in 60 s");
+}
+
+/// Owners refuse no items early. Guards against items whose places in queues end before their wait does.
+#[test]
+fn only_online_requests_that_may_have_run_state_a_shorter_wait() {
+    assert_eq!(overload::stated_wait_ms(Class::Online, true, 1_600), 1_440);
+    assert_eq!(overload::stated_wait_ms(Class::Online, false, 1_600), 1_600);
+    assert_eq!(overload::stated_wait_ms(Class::Batch, true, 1_600), 1_600);
+}
