Bound the senders whose clocks are remembered

Cause: Each name and incarnation in a heartbeat with a contact report adds a clock for two minutes, without a bound. Change: At most 4,096 clocks are remembered; the delay of further senders counts as unknown, as that of older builds. Some comments are clearer. Result: clocks_of_senders_are_bounded failed before (19,999 clocks) and passes; the tests of catalog and node pass.

--- a/crates/catalog/src/contact.rs
+++ b/crates/catalog/src/contact.rs
@@ -2,8 +2,8 @@
 //!
 //! Records expire only while the store is down for all, not while one daemon cannot reach it. Each
 //! daemon reports its own latest answer, never one that it heard of: otherwise the delays of the
-//! reports would add up from daemon to daemon and hide an outage. For the same reason a report counts
-//! from its sending on, not from its arrival.
+//! reports would add up from daemon to daemon and hide an outage. For the same reason the
+//! ages in a report are counted from when it was sent, not from when it arrived.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -37,8 +37,8 @@
     ticked_ms: Option<Millis>,
     /// Before this time, what arrives may have been waiting during a pause of this daemon.
     unreliable_until_ms: Millis,
-    /// When this daemon last noticed that nothing was heard of the store. A report of unknown delay
-    /// may have been on its way since before.
+    /// When this daemon last noticed that the contact was interrupted. A report of unknown delay may have
+    /// been sent before.
     noticed_gap_ms: Option<i64>,
     clocks: SenderClocks,
 }
--- a/crates/catalog/src/sender_clock.rs
+++ b/crates/catalog/src/sender_clock.rs
@@ -1,4 +1,4 @@
-//! How late a peer's report is, by the clock of its sender.
+//! The delay of peers' reports, from the times on their senders' clocks.
 //!
 //! The clocks of two daemons differ by an unknown time, which stays the same while both run. The
 //! smallest difference between the arrival and the sending of a report is that time plus the
@@ -9,12 +9,15 @@
 use wire::DaemonName;
 use wire::Millis;
 
-/// How long the smallest difference is kept at least. Clocks drift by some 6 ms in this time, and a
-/// clock that stood still while its host was suspended is known again after twice this time.
+/// How long the smallest difference is kept at least. Clocks drift by some 6 ms in this time. A clock that
+/// stood still while its host was suspended gives correct delays again after at most twice this time.
 const WINDOW_MS: Millis = 60_000;
 /// How long a sender must have been heard before the delay of its reports is known: reports that
 /// were held up together also arrive together.
 const MIN_HEARD_MS: Millis = 1_000;
+/// The most clocks that are remembered: ten times the largest fleet, since a restart adds one for each daemon.
+/// The delay of further senders counts as unknown.
+const MAX_CLOCKS: usize = 4_096;
 
 /// When a report was sent, by the clock of its sender.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,14 +52,21 @@
     /// Records the arrival of a report and returns its delay; `None` while the delay is unknown.
     pub fn record_arrival(&mut self, now_ms: Millis, sent: SendTime<'_>) -> Option<Millis> {
         let difference_ms = signed(now_ms) - signed(sent.sent_ms);
-        let clock = self
-            .clocks
-            .entry((sent.sender.clone(), sent.incarnation))
-            .or_insert_with(|| SenderClock::new(now_ms, difference_ms));
+        let sender = (sent.sender.clone(), sent.incarnation);
+        if self.clocks.len() >= MAX_CLOCKS && !self.clocks.contains_key(&sender) {
+            return None;
+        }
+        let clock =
+            self.clocks.entry(sender).or_insert_with(|| SenderClock::new(now_ms, difference_ms));
         clock.record(now_ms, difference_ms);
         (now_ms >= clock.first_heard_ms + MIN_HEARD_MS).then(|| clock.delay_ms(difference_ms))
     }
 
+    /// Returns the number of clocks that are remembered.
+    pub fn remembered(&self) -> usize {
+        self.clocks.len()
+    }
+
     /// Forgets the senders that have been silent for two windows.
     pub fn tick(&mut self, now_ms: Millis) {
         self.clocks.retain(|_, clock| now_ms < clock.last_heard_ms + 2 * WINDOW_MS);
--- a/crates/catalog/tests/contact.rs
+++ b/crates/catalog/tests/contact.rs
@@ -195,3 +195,22 @@
     let restarted = SendTime { sender: &peer, incarnation: 2, sent_ms: 5 };
     assert_eq!(clocks.record_arrival(200_000, restarted), None);
 }
+
+// Guards against senders, or incarnations that one states, whose clocks are remembered without a bound.
+#[test]
+fn clocks_of_senders_are_bounded() {
+    let peer = DaemonName::from("peer");
+    let mut clocks = SenderClocks::default();
+    assert_eq!(clocks.record_arrival(0, sent(&peer, 0)), None);
+    for incarnation in 2..20_000 {
+        let foreign = SendTime { sender: &peer, incarnation, sent_ms: 0 };
+        clocks.record_arrival(0, foreign);
+    }
+    assert_eq!(clocks.remembered(), 4_096);
+    assert_eq!(clocks.record_arrival(2_000, sent(&peer, 2_000)), Some(0), "known before");
+    let unknown = SendTime { sender: &peer, incarnation: 20_000, sent_ms: 0 };
+    assert_eq!(clocks.record_arrival(2_000, unknown), None);
+    assert_eq!(clocks.record_arrival(4_000, unknown), None, "its delay stays unknown");
+    clocks.tick(200_000);
+    assert_eq!(clocks.remembered(), 0);
+}
--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -217,8 +217,8 @@
         }
     }
 
-    /// Encodes the report on the store's answers, which daemons of builds before it ignore, and the
-    /// time at which it is sent, which those that know only the report ignore.
+    /// Encodes the report on the store's answers and the time at which it is sent. Older builds ignore the
+    /// time, or both.
     fn encode_contact(&self) -> Option<Attachment> {
         let now_ms = self.state.clock.now_ms();
         let report = self.state.replicas.borrow().contact().report(now_ms)?;
