Do not refuse a queued request early when it is repeated

Cause: A holder repeats a queued request every 150 ms, and the owner decided anew each time. A request that could be on time when it was queued was refused after 150 ms and more, if its wait is 3 s or longer. Change: The owner decides about an early refusal only when a request is queued. Requests with shorter waits were kept already, since they count as returned after 150 ms. Result: queued_request_is_not_refused_when_it_is_repeated failed before and passes, as do the tests of slots.

--- a/crates/slots/src/table.rs
+++ b/crates/slots/src/table.rs
@@ -302,7 +302,9 @@
         if self.grants.iter().any(|grant| grant.ticket == ticket) {
             return vec![TableAction::Grant { holder, ticket }];
         }
-        if let Some(queued) = self.queue.iter_mut().find(|queued| queued.ticket == ticket) {
+        let repeated = self.queue.iter_mut().find(|queued| queued.ticket == ticket);
+        let is_new = repeated.is_none();
+        if let Some(queued) = repeated {
             queued.last_requested_at_ms = now_ms;
         } else {
             if let Some(refusals) = &mut self.early_refusals
@@ -331,7 +333,9 @@
         let Some(index) = self.queue.iter().position(|queued| queued.ticket == ticket) else {
             return actions;
         };
-        if let Some(slot_in_ms) = self.refuse_early(now_ms, index) {
+        // A request that has waited in the queue would return later than one that is refused at once.
+        let slot_in_ms = if is_new { self.refuse_early(now_ms, index) } else { None };
+        if let Some(slot_in_ms) = slot_in_ms {
             self.queue.swap_remove(index);
             actions.push(TableAction::RefuseEarly { holder, ticket, slot_in_ms });
         } else if self.should_refuse(now_ms, index) {
--- a/crates/slots/tests/overload.rs
+++ b/crates/slots/tests/overload.rs
@@ -334,3 +334,15 @@
     assert_eq!(overload::stated_wait_ms(Class::Online, false, 1_600), 1_600);
     assert_eq!(overload::stated_wait_ms(Class::Batch, true, 1_600), 1_600);
 }
+
+/// A holder repeats its requests every 150 ms, which is little of a wait of 10 s. Guards against the refusal of a
+/// request that was queued as one that can be on time and has lost that time by now.
+#[test]
+fn queued_request_is_not_refused_when_it_is_repeated() {
+    let mut table = busy_table(Class::Online, 0);
+    let mut request = ask(3, Class::Online, 10_000);
+    request.urgency.on_time_left_ms = 310;
+    let queued = [TableAction::Queue { holder: "holder".into(), ticket: Ticket(3) }];
+    assert_eq!(table.request(300, request.clone()), queued);
+    assert_eq!(table.request(600, request), queued);
+}
