--- a/crates/slots/src/table.rs
+++ b/crates/slots/src/table.rs
@@ -1,5 +1,8 @@
 //! The slot table of one replica, kept by its owner: a state machine without I/O.
 
+mod order;
+mod refusals;
+
 use wire::DaemonName;
 use wire::Millis;
 
@@ -12,9 +15,7 @@
 use crate::message::Run;
 use crate::message::Ticket;
 use crate::message::Urgency;
-use crate::overload::Candidate;
 use crate::overload::EarlyRefusals;
-use crate::overload::Outlook;
 use crate::overload::RefusalReport;
 
 /// How long the release of a revoked slot is awaited before another slot is revoked in its place; a
@@ -40,8 +41,6 @@
 /// How long before its time limit a withdrawn request already counts as timed out, to allow for the
 /// delay of messages.
 const TIMEOUT_MARGIN_MS: Millis = 30;
-/// The part of the usual duration after which an overdue run is expected to end.
-const OVERDUE_RUN_DIVISOR: Millis = 8;
 /// How long a replica counts as overloaded after a request timed out in its queue or was refused.
 const OVERLOAD_MS: Millis = 1_000;
 /// The number of runs over which the duration of an online run is averaged.
@@ -117,10 +116,6 @@
     pub share: Option<Share>,
 }
 
-/// The class, the priority, whether the request is late, the virtual start of its organisation, its
-/// sort key and its ticket.
-type ServiceOrder = (Class, u32, bool, Millis, Millis, Ticket);
-
 /// A message that the owner must send to a holder.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TableAction {
@@ -348,87 +343,6 @@
         actions
     }
 
-    /// Returns whether an online request should be refused: the replica is overloaded and the
-    /// request would be late after those ahead of it. An early refusal lets the client retry
-    /// sooner. Tables that refuse early keep the others, which are served late rather than lost.
-    fn should_refuse(&self, now_ms: Millis, index: usize) -> bool {
-        let request = &self.queue[index];
-        let is_overloaded = self.overloaded_at_ms.is_some_and(|at_ms| now_ms < at_ms + OVERLOAD_MS);
-        if request.class != Class::Online || !is_overloaded || self.early_refusals.is_some() {
-            return false;
-        }
-        if self.is_first_behind_priority(index) {
-            return false;
-        }
-        let ahead = self.ahead(now_ms, request);
-        let wait_ms = ahead as Millis * self.mean_online_run_ms
-            / (Millis::from(self.slots.max(1)) * QUEUES_PER_REQUEST);
-        now_ms + wait_ms > request.on_time_at_ms
-    }
-
-    /// Returns how long until a slot is expected for an online request that is to be refused early.
-    fn refuse_early(&mut self, now_ms: Millis, index: usize) -> Option<Millis> {
-        let request = &self.queue[index];
-        let can_refuse = request.class == Class::Online && !self.is_suspect && self.limit > 0;
-        if !can_refuse || self.early_refusals.is_none() || self.is_first_behind_priority(index) {
-            return None;
-        }
-        let candidate = Candidate {
-            on_time_left_ms: request.on_time_at_ms.saturating_sub(now_ms),
-            give_up_left_ms: request.give_up_at_ms.saturating_sub(now_ms),
-        };
-        let outlook = self.outlook(now_ms, request);
-        self.early_refusals.as_mut()?.decide(now_ms, &outlook, candidate)
-    }
-
-    /// Returns when slots are expected to be free, and how many requests get one before `request`.
-    ///
-    /// A run that has lasted for longer than usual is expected to end soon. Runs without a grant have
-    /// an unknown age.
-    fn outlook(&self, now_ms: Millis, request: &QueuedRequest) -> Outlook {
-        let usual_ms = self.mean_online_run_ms;
-        let limit = self.limit as usize;
-        let free_in_ms = |grant: &Grant| match grant.class {
-            Class::Batch => REVOKE_TIMEOUT_MS,
-            Class::Online => (grant.granted_at_ms + usual_ms)
-                .saturating_sub(now_ms)
-                .max(usual_ms / OVERDUE_RUN_DIVISOR),
-        };
-        let mut free_in_ms: Vec<Millis> = self.grants.iter().map(free_in_ms).collect();
-        free_in_ms.sort_unstable();
-        // The first of the runs in excess of the limit free no slot that may be granted.
-        free_in_ms.drain(..free_in_ms.len().saturating_sub(limit));
-        free_in_ms.resize(limit, usual_ms);
-        Outlook { free_in_ms, ahead: self.ahead(now_ms, request), usual_ms }
-    }
-
-    /// Returns the number of requests that are served before `request`.
-    fn ahead(&self, now_ms: Millis, request: &QueuedRequest) -> usize {
-        // Items come after all online requests, whatever their shares.
-        let key = self.service_order(request, now_ms, Millis::MAX);
-        let order = |other| self.service_order(other, now_ms, Millis::MAX);
-        self.queue.iter().filter(|other| order(other) < key).count()
-    }
-
-    /// Returns whether a request is the only one of its organisation and others of higher priority are
-    /// ahead of it. It waits for the least share of its organisation, which would get none otherwise.
-    fn is_first_behind_priority(&self, index: usize) -> bool {
-        let Some(share) = self.queue[index].share else { return false };
-        let others = self
-            .queue
-            .iter()
-            .enumerate()
-            .filter(|(other, queued)| *other != index && queued.class == Class::Online);
-        let mut is_behind = false;
-        for (_, other) in others {
-            if other.organisation() == share.organisation {
-                return false;
-            }
-            is_behind |= other.share.map_or(0, |other| other.priority) < share.priority;
-        }
-        is_behind
-    }
-
     /// Releases a slot, or a place in the queue.
     pub fn release(&mut self, now_ms: Millis, ticket: Ticket) -> Vec<TableAction> {
         self.record_end(now_ms, ticket);
@@ -598,46 +512,6 @@
         actions
     }
 
-    /// Charges an organisation for a grant with the mean slot time, until the grant is released.
-    ///
-    /// Requests without a share are charged only once others have one.
-    fn charge(&mut self, now_ms: Millis, queued: &QueuedRequest) -> Option<Charge> {
-        if queued.class == Class::Batch {
-            let waiting = waiting_items(&self.queue);
-            self.item_shares.charge(now_ms, queued.ticket, queued.organisation(), waiting);
-            return None;
-        }
-        let has_shares = queued.share.is_some() || self.fair_shares.remembered() > 0;
-        if !has_shares {
-            return None;
-        }
-        let organisation = queued.organisation();
-        let expected_ms = self.mean_online_run_ms.max(MIN_CHARGE_MS);
-        self.fair_shares.charge(organisation, expected_ms);
-        let waiting = waiting_requests(&self.queue).collect();
-        self.least_shares.charge(organisation, expected_ms, &waiting);
-        Some(Charge { organisation, expected_ms })
-    }
-
-    /// Returns the index of the request that is granted next: online before batch, and in each
-    /// class those of organisations that are due their least share, then by priority, then those that can
-    /// still be on time before those that are late, then by the fair shares of the organisations, then by
-    /// the sort key. Items have no priority.
-    fn next_to_grant(&self, now_ms: Millis) -> Option<usize> {
-        let is_allowed = |queued: &QueuedRequest| {
-            queued.class == Class::Online || now_ms >= self.batch_blocked_until_ms
-        };
-        let ahead_from_ms = self.item_shares.ahead_from_ms(waiting_items(&self.queue));
-        (0..self.queue.len()).filter(|index| is_allowed(&self.queue[*index])).min_by_key(|index| {
-            let queued = &self.queue[*index];
-            let is_due =
-                queued.class == Class::Online && self.least_shares.is_due(queued.organisation());
-            let (class, priority, late, start_ms, at_ms, ticket) =
-                self.service_order(queued, now_ms, ahead_from_ms);
-            (class, !is_due, priority, late, start_ms, at_ms, ticket)
-        })
-    }
-
     /// Revokes the slot of one batch item for each queued online request: first those of items that
     /// will be late anyway, then those with the highest sort key less the time already run, so that
     /// among equal items the shortest run is interrupted. A slot is revoked again only if no other
@@ -682,38 +556,4 @@
         let over_limit = self.grants.len().saturating_sub(self.limit as usize);
         if self.limit == 0 { 0 } else { needed.min(self.limit as usize) + over_limit }
     }
-
-    /// Returns the sort key of a queued request; the lowest is served first.
-    ///
-    /// Requests without a share have the same priority and virtual start, so that these decide
-    /// nothing among them; beside requests with shares, they share one queue.
-    fn service_order(
-        &self,
-        queued: &QueuedRequest,
-        now_ms: Millis,
-        ahead_from_ms: Millis,
-    ) -> ServiceOrder {
-        let is_late = queued.on_time_at_ms < now_ms;
-        let at_ms = if is_late { queued.give_up_at_ms } else { queued.order_at_ms };
-        let organisation = queued.organisation();
-        if queued.class == Class::Batch {
-            let is_ahead = self.item_shares.is_ahead(organisation, ahead_from_ms);
-            return (queued.class, 0, is_late, Millis::from(is_ahead), at_ms, queued.ticket);
-        }
-        let priority = queued.share.map_or(0, |share| share.priority);
-        let start_ms = self.fair_shares.start_ms(organisation);
-        (queued.class, priority, is_late, start_ms, at_ms, queued.ticket)
-    }
-}
-
-/// Returns the organisations of the online requests that wait.
-fn waiting_requests(queue: &[QueuedRequest]) -> impl Iterator<Item = u64> + '_ {
-    let requests = queue.iter().filter(|queued| queued.class == Class::Online);
-    requests.map(QueuedRequest::organisation)
-}
-
-/// Returns the organisations of the items that wait.
-fn waiting_items(queue: &[QueuedRequest]) -> impl Iterator<Item = u64> + '_ {
-    let items = queue.iter().filter(|queued| queued.class == Class::Batch);
-    items.map(QueuedRequest::organisation)
 }
