Send the votes after the early ones before these expire

Cause: when a restarted daemon passed from early votes (every 300 ms, valid for 750 ms) to later ones, the next vote was due one full period after the last early one. From 126 daemons on the period is longer than 750 ms, 1,000 ms at 167 and more, so that up to 250 ms passed without a valid vote. Where all daemons had restarted at the same moment, an owner could lose its majority and with it its buckets.

Result: votes_follow_the_early_ones_before_these_expire failed before ("late at 3750") and passes.

--- a/crates/quota/src/election.rs
+++ b/crates/quota/src/election.rs
@@ -90,7 +90,8 @@
     groups: Vec<Group>,
     ticked_ms: Option<Millis>,
     ignored_until_ms: Millis,
-    sent_ms: Option<Millis>,
+    /// When the next votes are due; `None` if at once.
+    due_ms: Option<Millis>,
     withdrawal: Withdrawal,
     restarted: RestartedVoters,
 }
@@ -109,7 +110,7 @@
             groups: vec![Group::default(); usize::from(GROUPS)],
             ticked_ms: None,
             ignored_until_ms: 0,
-            sent_ms: None,
+            due_ms: None,
             withdrawal: Withdrawal::new(now_ms + VOTE_DELAY_MS),
             restarted: RestartedVoters::default(),
         }
@@ -258,7 +259,7 @@
             if voted.as_ref().is_some_and(|(owner, _)| owner == from) {
                 *voted = None;
                 // The next owner gets the vote at once.
-                self.sent_ms = None;
+                self.due_ms = None;
             }
         }
     }
@@ -343,11 +344,12 @@
         }
         let has_withdrawn = !self.is_first_start && self.withdrawal.is_complete(self.known.keys());
         let may_vote = self.is_fleet_known && (!is_early || has_withdrawn);
-        let is_due = self.sent_ms.is_none_or(|sent_ms| now_ms >= sent_ms + period_ms);
+        let is_due = self.due_ms.is_none_or(|due_ms| now_ms >= due_ms);
         if !is_due || !may_vote {
             return Vec::new();
         }
-        self.sent_ms = Some(now_ms);
+        // The first votes that are not early follow the early ones while these are valid.
+        self.due_ms = Some(now_ms + period_ms);
         let mut votes: BTreeMap<DaemonName, u8> = BTreeMap::new();
         for (group, number) in self.groups.iter_mut().zip(0_u8..) {
             let Some(preferred) = &group.preferred else { continue };
--- a/crates/quota/tests/withdrawal.rs
+++ b/crates/quota/tests/withdrawal.rs
@@ -153,3 +153,26 @@
     }
     assert!(early.count_ones() < later.count_ones(), "{early:b} before {later:b}");
 }
+
+/// Guards against an owner that loses its majority while the voters pass from early votes, which are
+/// valid for 750 ms, to the later ones, which are 1,000 ms apart in a large fleet.
+#[test]
+fn votes_follow_the_early_ones_before_these_expire() {
+    let fleet: Vec<DaemonName> = (0..300).map(|n| DaemonName::from(format!("d{n}"))).collect();
+    let mut election = Election::new(fleet[0].clone(), 0, false);
+    election.set_members(0, &fleet, fleet.clone(), &fleet[1..2], true);
+    election.tick(ARRIVED_MS);
+    for voter in &fleet[1..] {
+        election.record_withdrawn(voter);
+    }
+    let (mut votes, mut valid_until_ms) = (0, None);
+    for now_ms in (ARRIVED_MS + 50..8_000).step_by(50) {
+        for (_, message) in election.tick(now_ms) {
+            let Message::Vote { valid_ms, .. } = message else { panic!("unexpected {message:?}") };
+            assert!(valid_until_ms.is_none_or(|until_ms| now_ms < until_ms), "late at {now_ms}");
+            valid_until_ms = Some(now_ms + u64::from(valid_ms));
+            votes += 1;
+        }
+    }
+    assert!(votes > 10, "{votes} votes");
+}
