Keep the least share of organisations that were forgotten

Cause: with more than 128 organisations at a replica, LeastShares forgets those that are due and have nothing waiting. Such an organisation returned as a new one, which is due only after a unit of slot time by equal shares. Beside many waiting organisations this takes longer than a request waits, so that it was forgotten again and again before it got a grant.

Change: once organisations were forgotten, one that is not listed is due at once, as the forgotten ones were.

--- a/crates/slots/src/least_share.rs
+++ b/crates/slots/src/least_share.rs
@@ -27,13 +27,17 @@
     /// When the organisations are due next, by the clock of equal shares.
     due_us: HashMap<u64, u64>,
     grants_since_due: u32,
+    /// Whether organisations were forgotten. They were due, so that one that is not listed is due too
+    /// from then on; as a new one it might never get a grant.
+    has_forgotten: bool,
 }
 
 impl LeastShares {
     /// Records that an organisation has a request that waits, and the expected slot time of a run. One
-    /// that was idle is due once, a new one after the first unit.
+    /// that was idle or forgotten is due once, a new one after the first unit.
     pub fn record_waiting(&mut self, organisation: u64, expected_ms: Millis) {
-        let first_us = self.fair_us.saturating_add(unit_us(expected_ms));
+        let first_unit_us = if self.has_forgotten { 0 } else { unit_us(expected_ms) };
+        let first_us = self.fair_us.saturating_add(first_unit_us);
         let due_us = self.due_us.entry(organisation).or_insert(first_us);
         *due_us = (*due_us).max(self.fair_us.saturating_sub(unit_us(expected_ms)));
     }
@@ -54,7 +58,9 @@
         let since_us = due_us.max(self.fair_us.saturating_sub(unit_us));
         if self.due_us.len() >= MAX_IDLE_ORGANISATIONS {
             let fair_us = self.fair_us;
+            let before = self.due_us.len();
             self.due_us.retain(|other, due_us| *due_us > fair_us || waiting.contains(other));
+            self.has_forgotten |= self.due_us.len() < before;
         }
         self.due_us.insert(organisation, since_us.saturating_add(unit_us));
         let expected_us = expected_ms.saturating_mul(MICROS_PER_MS);
--- a/crates/slots/tests/least_share.rs
+++ b/crates/slots/tests/least_share.rs
@@ -177,3 +177,23 @@
     shares.charge(1, 50, &waiting);
     assert!(shares.is_due(7));
 }
+
+/// Guards against organisations of low priority that get nothing beside many others: when one has no
+/// request for a moment it is forgotten, and it must not wait as a new one each time that it returns.
+#[test]
+fn low_priority_gets_its_part_among_more_organisations_than_are_remembered() {
+    let mut senders = senders(32.0, 0.0);
+    senders.truncate(5);
+    for organisation in 6..=255 {
+        senders.push(Sender { organisation, priority: 1, per_s: 0.2, run_ms: RUN_MS });
+    }
+    let got = simulate(&senders, 120_000);
+    let served = |organisation| got.get(&organisation).map_or(0, |got: &Got| got.served);
+    let mut low: Vec<u32> = (6..=255).map(served).collect();
+    low.sort_unstable();
+    println!("low: {low:?}");
+    // A quarter of the fair share of each of 255 in 120 s is 9.4 runs; each sends about 24 requests.
+    let quarter = CAPACITY_PER_S * 120.0 / 255.0 / 4.0;
+    let mean = f64::from(low.iter().sum::<u32>()) / 250.0;
+    assert!(mean >= quarter, "mean {mean} of {quarter}");
+}
