--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -108,7 +108,6 @@
                 let urgency = job.next_urgency(now_ms, &limits, &run_time)?;
                 Some((urgency, job.organisation.clone(), handle))
             });
-            let candidates = candidates.collect();
             let places = self.waiting_for_slot.borrow();
             let next = selection::next_item(now_ms, MAX_WAITING_FOR_SLOT, &places, candidates);
             drop(places);
--- a/crates/jobs/src/selection.rs
+++ b/crates/jobs/src/selection.rs
@@ -31,11 +31,13 @@
     now_ms: Millis,
     max_places: usize,
     places: &SlotPlaces,
-    candidates: Vec<(ItemUrgency, Option<OrgName>, T)>,
+    candidates: impl IntoIterator<Item = (ItemUrgency, Option<OrgName>, T)>,
 ) -> Option<(ItemUrgency, T)> {
+    // Candidates are costly to compute: each is chosen from all items of its job.
     if places.taken() >= max_places {
         return None;
     }
+    let candidates: Vec<_> = candidates.into_iter().collect();
     let ready = candidates.iter().map(|(_, organisation, _)| organisation);
     let organisations: HashSet<&Option<OrgName>> = ready.chain(places.organisations()).collect();
     let part = (max_places / organisations.len().max(1)).max(1);
--- a/crates/jobs/tests/overload.rs
+++ b/crates/jobs/tests/overload.rs
@@ -335,7 +335,6 @@
                     let urgency = job.next_urgency(self.now_ms, &self.limits, &run_time)?;
                     Some((urgency, self.organisation_of(number), number))
                 });
-                let candidates: Vec<_> = candidates.collect();
                 let next = selection::next_item(self.now_ms, MAX_WAITING, &places, candidates);
                 let Some((urgency, job)) = next else { break };
                 let Some(run) = self.jobs[job].1.start_next(self.now_ms) else { break };
