Void votes and releases that cross a release of a group

Cause: a vote that was under way when its receiver released the group was recorded after the release, while the release freed its sender to vote for another owner. If the former owner became the preferred one again within the validity of such votes, two owners could exist. A duplicated release also freed a later vote for the same owner, which that owner still held. Both need a majority of such votes at once, which takes synchronous votes or long delays.

Change: a daemon ignores votes for 300 ms, the longest delay, after it released the group, and a release frees no votes within 300 ms after another one of the same owner.

Result: votes_under_way_at_the_release_begin_no_term and duplicated_release_frees_no_later_vote failed before and pass.

--- a/crates/quota/src/election.rs
+++ b/crates/quota/src/election.rs
@@ -59,6 +59,10 @@
     term_started_ms: Option<Millis>,
     /// Whether the term began with early votes and is not confirmed by later ones yet.
     is_early_term: bool,
+    /// When this daemon released the group last.
+    released_ms: Option<Millis>,
+    /// The daemon whose release freed votes last, and when.
+    freed_by: Option<(DaemonName, Millis)>,
     hand_over: HandOver,
 }
 
@@ -220,7 +224,12 @@
         let until_ms = now_ms + Millis::from(valid_ms);
         let vote = Vote { until_ms, is_early: self.restarted.is_early(now_ms, from) };
         for number in in_set(groups) {
-            self.groups[usize::from(number)].votes.insert(from.clone(), vote);
+            let group = &mut self.groups[usize::from(number)];
+            // The voter may have sent this vote before it got the release, and is then free.
+            let is_void = |released_ms| now_ms < released_ms + VOTE_DELAY_MS;
+            if !group.released_ms.is_some_and(is_void) {
+                group.votes.insert(from.clone(), vote);
+            }
         }
     }
 
@@ -250,11 +259,19 @@
         self.withdrawal.record(from);
     }
 
-    /// Frees this daemon's votes for an owner that has stopped.
+    /// Frees this daemon's votes for an owner that has stopped. A release that follows another one of the
+    /// same owner within the longest delay of a message may be a duplicate and frees none.
     pub fn record_release(&mut self, now_ms: Millis, from: &DaemonName, groups: u8) {
         for number in in_set(groups) {
             let group = &mut self.groups[usize::from(number)];
             group.hand_over.record_owner(now_ms, from);
+            let is_duplicate = group.freed_by.as_ref().is_some_and(|(owner, freed_ms)| {
+                owner == from && now_ms < freed_ms + VOTE_DELAY_MS
+            });
+            if is_duplicate {
+                continue;
+            }
+            group.freed_by = Some((from.clone(), now_ms));
             let voted = &mut group.voted;
             if voted.as_ref().is_some_and(|(owner, _)| owner == from) {
                 *voted = None;
@@ -307,6 +324,7 @@
                     group.term_started_ms = None;
                     group.hand_over.record_owner(now_ms, own);
                     group.votes.clear();
+                    group.released_ms = Some(now_ms);
                     if group.voted.as_ref().is_some_and(|(owner, _)| owner == own) {
                         group.voted = None;
                     }
--- a/crates/quota/tests/election.rs
+++ b/crates/quota/tests/election.rs
@@ -95,3 +95,52 @@
     let lost = |change: &Change| matches!(change, Change::Lost(_));
     assert!(owner.update(850).iter().any(lost));
 }
+
+/// Returns a daemon that owned all groups and has released them at 1,100 ms.
+fn former_owner() -> Election {
+    let mut owner = Election::new(DaemonName::from("a"), 0, true);
+    owner.set_members(0, &names(), names(), &names()[..1], true);
+    for voter in ["b", "c"] {
+        owner.record_vote(1_000, (&DaemonName::from(voter), 1), u8::MAX, 750);
+    }
+    assert_eq!(owner.update(1_000).len(), 8);
+    owner.set_members(1_100, &names(), names(), &names()[1..2], true);
+    let changes = owner.update(1_100);
+    assert!(changes.iter().all(|change| matches!(change, Change::Released(..))), "{changes:?}");
+    owner
+}
+
+/// Guards against two owners: votes that were under way when the owner released the group are void,
+/// since the voters vote for the next owner once they get the release.
+#[test]
+fn votes_under_way_at_the_release_begin_no_term() {
+    let mut owner = former_owner();
+    for voter in ["b", "c"] {
+        owner.record_vote(1_399, (&DaemonName::from(voter), 1), u8::MAX, 750);
+    }
+    owner.set_members(1_399, &names(), names(), &names()[..1], true);
+    assert!(owner.update(1_399).is_empty(), "votes from before the release made an owner");
+    for voter in ["b", "c"] {
+        owner.record_vote(1_400, (&DaemonName::from(voter), 1), u8::MAX, 750);
+    }
+    assert_eq!(owner.update(1_400).len(), 8, "votes after the release do not count");
+}
+
+/// Guards against two owners: a duplicated release must not free a later vote for the same owner.
+#[test]
+fn duplicated_release_frees_no_later_vote() {
+    let mut voter = Election::new(DaemonName::from("c"), 0, true);
+    let (a, b) = (DaemonName::from("a"), DaemonName::from("b"));
+    let vote = |voter: &mut Election, candidate: &DaemonName, now_ms: u64| {
+        voter.set_members(now_ms, &names(), names(), std::slice::from_ref(candidate), true);
+        let votes = voter.tick(now_ms);
+        votes.into_iter().map(|(to, _)| to).collect::<Vec<_>>()
+    };
+    assert_eq!(vote(&mut voter, &a, 1_000), std::slice::from_ref(&a));
+    voter.record_release(1_050, &a, u8::MAX);
+    assert_eq!(vote(&mut voter, &a, 1_050), std::slice::from_ref(&a));
+    voter.record_release(1_349, &a, u8::MAX);
+    assert!(vote(&mut voter, &b, 1_350).is_empty(), "the vote for a is valid until 1,800 ms");
+    voter.record_release(1_360, &a, u8::MAX);
+    assert_eq!(vote(&mut voter, &b, 1_400), [b], "a later release frees the vote");
+}
