Clarify the docs of shares and of the list of daemons

Cause: Share and SlotRequest::share were described as those of online requests only, though items have them too. The unit of least shares, a constant of item shares and the reading of all pages were hard to follow.

Change: comments only.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -419,8 +419,8 @@
     read_daemons(&heartbeats, &store).await;
 }
 
-/// Adds the daemons that the store lists to the membership. The list counts as that of all daemons,
-/// which the votes about quotas rely on, so that all pages are read before.
+/// Adds the daemons that the store lists to the membership. Votes about quotas rely on a list of all
+/// daemons, so that nothing is added until all pages have been read.
 async fn read_daemons(heartbeats: &HeartbeatService, store: &ObjectClient) {
     let mut members: Vec<Identity> = Vec::new();
     let mut after = String::new();
--- a/crates/slots/src/fair_share.rs
+++ b/crates/slots/src/fair_share.rs
@@ -16,12 +16,12 @@
 /// The number of organisations above which those that are not ahead of the last grant are forgotten.
 const MAX_IDLE_ORGANISATIONS: usize = 128;
 
-/// The organisation of an online request, as slot owners know it.
+/// The organisation of a request or an item, as slot owners know it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Share {
     /// The hash of the organisation's name.
     pub organisation: u64,
-    /// The priority of the request; 0 is the most urgent.
+    /// The priority of an online request; 0 is the most urgent. Owners ignore that of an item.
     pub priority: u32,
 }
 
--- a/crates/slots/src/least_share.rs
+++ b/crates/slots/src/least_share.rs
@@ -10,8 +10,9 @@
 
 use wire::Millis;
 
-/// The slot time by equal shares for which an organisation is due one unit, in halves: 3.5, since it
-/// must get a quarter at least, and a due request waits for the end of a run.
+/// The advance of the clock of equal shares, in halves of a run, after which an organisation is due one
+/// run: 3.5 runs. It must get at least a quarter of its share, and a due request still waits until
+/// another run ends.
 const SHARE_HALVES: u64 = 7;
 /// The grants by priority between two of organisations that are due; after idleness many may be due
 /// at the same time.
@@ -34,7 +35,7 @@
 
 impl LeastShares {
     /// Records that an organisation has a request that waits, and the expected slot time of a run. One
-    /// that was idle or forgotten is due once, a new one after the first unit.
+    /// that was idle or forgotten is due once, a new one only after the clock has advanced by a unit.
     pub fn record_waiting(&mut self, organisation: u64, expected_ms: Millis) {
         let first_unit_us = if self.has_forgotten { 0 } else { unit_us(expected_ms) };
         let first_us = self.fair_us.saturating_add(first_unit_us);
@@ -81,6 +82,8 @@
     }
 }
 
+/// Returns the advance of the clock of equal shares between two runs of this slot time to which an
+/// organisation is entitled.
 fn unit_us(slot_ms: Millis) -> u64 {
     slot_ms.saturating_mul(MICROS_PER_MS).saturating_mul(SHARE_HALVES) / 2
 }
--- a/crates/slots/src/request.rs
+++ b/crates/slots/src/request.rs
@@ -25,7 +25,7 @@
     pub waits_for_replica: bool,
     /// Replicas that were tried before; one is chosen again only if no other replica is left.
     pub excluded: &'a [ReplicaName],
-    /// The organisation of an online request; absent if the configuration has no organisations.
+    /// The organisation of the request or item; absent if the configuration has no organisations.
     pub share: Option<Share>,
 }
 
