Keep current votes when a request to discard earlier ones comes late

Cause: a daemon forgot a restarted voter when its early votes ended. A duplicate of Withdraw that arrived later counted as a new restart and discarded the valid votes of the same incarnation, so that an owner could lose its term.

Result: late_withdrawal_keeps_the_votes_of_the_new_incarnation failed before and passes. All tests of quota pass.

--- a/crates/quota/src/withdrawal.rs
+++ b/crates/quota/src/withdrawal.rs
@@ -9,6 +9,7 @@
 use wire::DaemonName;
 use wire::Millis;
 
+use crate::election::VOTE_DELAY_MS;
 use crate::message::Message;
 
 /// The time between two requests to the daemons that have not answered.
@@ -79,7 +80,8 @@
         incarnation: u64,
         early_until_ms: Millis,
     ) -> bool {
-        self.voters.retain(|_, (_, until_ms)| now_ms < *until_ms);
+        // A late duplicate of a request must not discard the votes that followed it.
+        self.voters.retain(|_, (_, until_ms)| now_ms < *until_ms + VOTE_DELAY_MS);
         let previous = self.voters.insert(name.clone(), (incarnation, early_until_ms));
         previous.is_none_or(|(known, _)| known != incarnation)
     }
--- a/crates/quota/tests/withdrawal.rs
+++ b/crates/quota/tests/withdrawal.rs
@@ -176,3 +176,22 @@
     }
     assert!(votes > 10, "{votes} votes");
 }
+
+/// Guards against valid votes that a late duplicate of a request discards: it arrives when the votes of
+/// the new incarnation are no longer early.
+#[test]
+fn late_withdrawal_keeps_the_votes_of_the_new_incarnation() {
+    let mut owner = owner();
+    let senders = ["a", "c"].map(DaemonName::from);
+    for sender in &senders {
+        owner.record_withdrawal(2_100, (sender, 2), 700);
+        owner.record_vote(2_810, (sender, 2), u8::MAX, 750);
+    }
+    owner.update(2_810);
+    for sender in &senders {
+        // Sent 10 ms before the early votes ended, and delayed by 290 ms.
+        owner.record_withdrawal(3_080, (sender, 2), 10);
+    }
+    owner.update(3_080);
+    assert!(owner.term_started_ms(0).is_some());
+}
