--- a/crates/daemon/tests/platform_memory.rs
+++ b/crates/daemon/tests/platform_memory.rs
@@ -5,8 +5,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use http::Method;
 use http::StatusCode;
 use platform_stub::Client;
+use platform_stub::client::NewItem;
 use platform_stub::deployment::JOBS;
 use platform_stub::deployment::LOOKUP;
 use platform_stub::deployment::STREAM;
@@ -24,6 +26,8 @@
 const METRICS_PORT: u16 = 9464;
 /// The connections of one kind.
 const CONNECTIONS: usize = 200;
+/// The memory of a host that admits all connections of a measurement at the same time, in MB.
+const MEASURED_MEMORY_MB: u64 = 256;
 /// The time after which the daemon has read what was sent.
 const READ_TIME: Duration = Duration::from_millis(500);
 /// The bytes that each incomplete body has brought.
@@ -35,11 +39,21 @@
 /// The most that a stream may cost whose client reads nothing, in bytes.
 const MAX_STREAM_BYTES: usize = 160 << 10;
 
+/// The items of a job with inputs.
+const ITEMS: usize = 10;
+/// The size of the inputs of a job, in bytes: a multiple of three for each item.
+const INPUT_BYTES: usize = 798_000;
+/// More finished jobs than the part for jobs of a host of 88 MB holds with their inputs.
+const FINISHED_JOBS: usize = 30;
+
 /// Guards against connections, incomplete bodies and unread streams that cost much more than they hold.
 #[test]
 fn connections_bodies_and_streams_cost_a_bounded_amount() {
     run_local("costs", |folder| async move {
-        let fleet = Fleet::start(folder, 1).await;
+        let fleet = Fleet::start_with_settings(folder, 1, |settings| {
+            settings.memory_mb = MEASURED_MEMORY_MB;
+        })
+        .await;
         let pid = fleet.daemons[0].id();
         let to = fleet.ingress(0);
         Client.lookup(to, LOOKUP, "first").await.expect("an answer");
@@ -114,6 +128,32 @@
     });
 }
 
+/// Guards against a refusal that is lost in a reset, since its client sends the whole body before it reads.
+#[test]
+fn refusal_of_an_unread_body_reaches_its_client() {
+    run_local("refusal-read", |folder| async move {
+        let fleet = Fleet::start(folder, 1).await;
+        let to = fleet.ingress(0);
+        let heads = [
+            (LOOKUP, "content-length: 4200000\r\n", "413"),
+            ("/nothing/", "content-length: 1000000\r\n", "404"),
+        ];
+        for (number, (path, headers, status)) in heads.into_iter().enumerate() {
+            let head = request_head(path, "r", number, headers);
+            let mut stream = send(to, head.as_bytes()).await;
+            for _ in 0..19 {
+                stream.write_all(&[b'x'; 50_000]).await.expect("the client is not reset");
+                sleep(Duration::from_millis(5)).await;
+            }
+            let mut answer = Vec::new();
+            stream.read_to_end(&mut answer).await.expect("the answer is whole");
+            let answer = String::from_utf8_lossy(&answer).into_owned();
+            assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{answer}");
+            assert_eq!(fleet.runs(&format!("r-{number}")), 0, "a refusal must stay true");
+        }
+    });
+}
+
 fn request_head(path: &str, id: &str, number: usize, headers: &str) -> String {
     format!(
         "POST {path}{id}-{number} HTTP/1.1\r\nhost: stub.example\r\nx-request-id: {id}-{number}\r\n\
@@ -165,3 +205,49 @@
         assert!(held_bytes <= 2 * texts + 8_000, "{held_bytes} for texts of {texts} bytes");
     });
 }
+
+/// Guards against finished jobs whose inputs fill the memory for jobs until their retention ends, such
+/// that new jobs are refused, and against inputs that cannot be read any more once they are released.
+#[test]
+fn finished_jobs_leave_room_for_new_ones() {
+    run_local("finished-jobs", |folder| async move {
+        let fleet = Fleet::start(folder, 1).await;
+        let to = fleet.ingress(0);
+        for number in 0..FINISHED_JOBS {
+            let job = format!("finished-{number}");
+            let body = job_with_inputs(&job);
+            let headers = [("x-request-id", job.as_str()), ("x-deadline-ms", "4000")];
+            let target = format!("{JOBS}{job}");
+            let accepted = Client.send(to, Method::POST, &target, &headers, body.as_bytes()).await;
+            let status = accepted.expect("an answer").status;
+            assert_eq!(status, StatusCode::ACCEPTED, "job {number} of {FINISHED_JOBS}");
+            let results = read_all_results(to, &job, Duration::from_secs(20)).await;
+            assert_eq!(results.len(), ITEMS);
+        }
+        // The sizes of jobs are measured once a second.
+        sleep(3 * READ_TIME).await;
+        let held_bytes = gauge(to, "crocus_bytes_held_jobs").await;
+        println!("held_bytes={held_bytes}");
+        assert!(held_bytes < FINISHED_JOBS * INPUT_BYTES / 4, "{held_bytes}");
+        let body = Client.read_item_body(to, "finished-0", "finished-0-3").await;
+        let body = body.expect("an answer");
+        assert_eq!(body.status, StatusCode::OK);
+        assert!(body.body.len() == INPUT_BYTES / ITEMS && body.body.iter().all(|b| *b == b'x'));
+        let unknown = Client.read_item_body(to, "finished-0", "finished-0-99").await;
+        assert_eq!(unknown.expect("an answer").status, StatusCode::NOT_FOUND);
+    });
+}
+
+/// Returns the submission of a job whose items have bodies of `INPUT_BYTES` together.
+fn job_with_inputs(job: &str) -> String {
+    let text = "eHh4".repeat(INPUT_BYTES / ITEMS / 3);
+    let items: Vec<String> = items(job, ITEMS, 1)
+        .iter()
+        .map(|NewItem { id, path, .. }| {
+            format!(
+                r#"{{"id":"{id}","path":"{path}","headers":{{"x-token-counts":"100,5"}},"body":"{text}","tokens":105}}"#
+            )
+        })
+        .collect();
+    format!(r#"{{"items":[{}]}}"#, items.join(","))
+}
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -1,5 +1,6 @@
 //! What all processes share: settings, plug-ins, life cycle, clocks, counters, logs and HTTP.
 
+pub mod body_watch;
 pub mod clock;
 pub mod connection_table;
 pub mod counters;
@@ -8,11 +9,13 @@
 pub mod http_server;
 mod idle_timer;
 pub mod lifecycle;
+pub mod linger;
 pub mod local_server;
 pub mod log_writer;
 pub mod logs;
 pub mod pause_tolerant;
 pub mod plugin;
+mod receive_buffer;
 pub mod request_body;
 pub mod services;
 pub mod settings;
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -12,6 +12,8 @@
 use crate::observation::Observation;
 use crate::observation::RequestKind;
 use crate::observation::RequestOutcome;
+use crate::organisation_check::check_organisations;
+use crate::organisations::Organisations;
 use crate::plan::Fault;
 use crate::timeline::MAX_STOP_MS;
 use crate::timeline::Timeline;
@@ -21,7 +23,7 @@
 const CLOSE_RACE_MS: u64 = 200;
 /// The longest time until a daemon applies a new configuration, in milliseconds; the settings'
 /// `config_ms`.
-const MAX_CONFIG_DELAY_MS: u64 = 2_000;
+pub const MAX_CONFIG_DELAY_MS: u64 = 2_000;
 /// How long after the end of a job its items may still start, in milliseconds; the settings'
 /// `cancel_ms`.
 const MAX_CANCEL_DELAY_MS: u64 = 3_000;
@@ -42,6 +44,9 @@
 /// The minimum share of the requests sent after the recovery time that must be served.
 const MIN_RECOVERED_SHARE: f64 = 0.25;
 
+/// The number of runs of a service after the recovery time from which a sound replica must have some.
+const MIN_SERVICE_RUNS: usize = 100;
+
 /// A broken promise.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Violation {
@@ -67,6 +72,10 @@
     pub timeline: &'a Timeline,
     /// When the fleet must have recovered, in milliseconds of the run.
     pub recovered_ms: u64,
+    /// The running replicas that showed a fault before.
+    pub mended_replicas: &'a [String],
+    /// The operator's changes to the organisations, if the run has organisations.
+    pub organisations: Option<&'a Organisations>,
 }
 
 /// Returns the violations of all promises.
@@ -79,6 +88,8 @@
     check_unrequested_runs(evidence, &mut found);
     check_drained_replicas(evidence, &mut found);
     check_leaving_replicas(evidence, &mut found);
+    check_mended_replicas(evidence, &mut found);
+    check_organisations(evidence, &mut found);
     check_routes(evidence, &mut found);
     for (id, job) in &evidence.observation.jobs {
         check_job(evidence, id, job, &mut found);
@@ -86,7 +97,8 @@
     found
 }
 
-fn add_violation(found: &mut Vec<Violation>, promise: &'static str, detail: String) {
+/// Adds a violation of a promise.
+pub fn add_violation(found: &mut Vec<Violation>, promise: &'static str, detail: String) {
     found.push(Violation { promise, detail });
 }
 
@@ -229,6 +241,7 @@
     let mut requested: BTreeSet<&str> =
         observation.route_request_ids.iter().map(String::as_str).collect();
     requested.extend(observation.requests.iter().map(|request| request.id.as_str()));
+    requested.extend(observation.key_requests.iter().map(|request| request.id.as_str()));
     requested
         .extend(observation.jobs.values().flat_map(|job| job.items.keys().map(String::as_str)));
     for id in evidence.run_log.ids().filter(|id| !requested.contains(id)) {
@@ -281,6 +294,26 @@
     }
 }
 
+/// Checks that replicas that showed a fault get requests again after the recovery time.
+fn check_mended_replicas(evidence: &Evidence<'_>, found: &mut Vec<Violation>) {
+    let late_runs: Vec<&str> = evidence
+        .run_log
+        .ids()
+        .flat_map(|id| evidence.run_log.runs_of(id))
+        .filter(|run| run.started_ms > evidence.recovered_ms)
+        .map(|run| run.replica.as_str())
+        .collect();
+    let service = |replica: &str| replica.rsplit_once('-').map(|(service, _)| service.to_owned());
+    for replica in evidence.mended_replicas {
+        let is_same_service = |other: &&&str| service(other) == service(replica);
+        let service_runs = late_runs.iter().filter(is_same_service).count();
+        if service_runs >= MIN_SERVICE_RUNS && !late_runs.contains(&replica.as_str()) {
+            let detail = format!("{replica} ran none of {service_runs} requests of its service");
+            add_violation(found, "sound replicas are used again", detail);
+        }
+    }
+}
+
 fn check_routes(evidence: &Evidence<'_>, found: &mut Vec<Violation>) {
     let mut known_routes: BTreeMap<(usize, u32), u64> = BTreeMap::new();
     for query in &evidence.observation.route_queries {
