--- a/crates/quota/src/election.rs
+++ b/crates/quota/src/election.rs
@@ -59,6 +59,10 @@
     term_started_ms: Option<Millis>,
     /// Whether the term began with early votes and is not confirmed by later ones yet.
     is_early_term: bool,
+    /// When this daemon released the group last.
+    released_ms: Option<Millis>,
+    /// The daemon whose release freed votes last, and when.
+    freed_by: Option<(DaemonName, Millis)>,
     hand_over: HandOver,
 }
 
@@ -90,7 +94,8 @@
     groups: Vec<Group>,
     ticked_ms: Option<Millis>,
     ignored_until_ms: Millis,
-    sent_ms: Option<Millis>,
+    /// When the next votes are due; `None` if at once.
+    due_ms: Option<Millis>,
     withdrawal: Withdrawal,
     restarted: RestartedVoters,
 }
@@ -109,7 +114,7 @@
             groups: vec![Group::default(); usize::from(GROUPS)],
             ticked_ms: None,
             ignored_until_ms: 0,
-            sent_ms: None,
+            due_ms: None,
             withdrawal: Withdrawal::new(now_ms + VOTE_DELAY_MS),
             restarted: RestartedVoters::default(),
         }
@@ -219,7 +224,12 @@
         let until_ms = now_ms + Millis::from(valid_ms);
         let vote = Vote { until_ms, is_early: self.restarted.is_early(now_ms, from) };
         for number in in_set(groups) {
-            self.groups[usize::from(number)].votes.insert(from.clone(), vote);
+            let group = &mut self.groups[usize::from(number)];
+            // The voter may have sent this vote before it got the release, and is then free.
+            let is_void = |released_ms| now_ms < released_ms + VOTE_DELAY_MS;
+            if !group.released_ms.is_some_and(is_void) {
+                group.votes.insert(from.clone(), vote);
+            }
         }
     }
 
@@ -249,16 +259,24 @@
         self.withdrawal.record(from);
     }
 
-    /// Frees this daemon's votes for an owner that has stopped.
+    /// Frees this daemon's votes for an owner that has stopped. A release that follows another one of the
+    /// same owner within the longest delay of a message may be a duplicate and frees none.
     pub fn record_release(&mut self, now_ms: Millis, from: &DaemonName, groups: u8) {
         for number in in_set(groups) {
             let group = &mut self.groups[usize::from(number)];
             group.hand_over.record_owner(now_ms, from);
+            let is_duplicate = group.freed_by.as_ref().is_some_and(|(owner, freed_ms)| {
+                owner == from && now_ms < freed_ms + VOTE_DELAY_MS
+            });
+            if is_duplicate {
+                continue;
+            }
+            group.freed_by = Some((from.clone(), now_ms));
             let voted = &mut group.voted;
             if voted.as_ref().is_some_and(|(owner, _)| owner == from) {
                 *voted = None;
                 // The next owner gets the vote at once.
-                self.sent_ms = None;
+                self.due_ms = None;
             }
         }
     }
@@ -306,6 +324,7 @@
                     group.term_started_ms = None;
                     group.hand_over.record_owner(now_ms, own);
                     group.votes.clear();
+                    group.released_ms = Some(now_ms);
                     if group.voted.as_ref().is_some_and(|(owner, _)| owner == own) {
                         group.voted = None;
                     }
@@ -356,11 +375,12 @@
         }
         let has_withdrawn = !self.is_first_start && self.withdrawal.is_complete(self.known.keys());
         let may_vote = self.is_fleet_known && (!is_early || has_withdrawn);
-        let is_due = self.sent_ms.is_none_or(|sent_ms| now_ms >= sent_ms + period_ms);
+        let is_due = self.due_ms.is_none_or(|due_ms| now_ms >= due_ms);
         if !is_due || !may_vote {
             return Vec::new();
         }
-        self.sent_ms = Some(now_ms);
+        // The first votes that are not early follow the early ones while these are valid.
+        self.due_ms = Some(now_ms + period_ms);
         let mut votes: BTreeMap<DaemonName, u8> = BTreeMap::new();
         for (group, number) in self.groups.iter_mut().zip(0_u8..) {
             let Some(preferred) = &group.preferred else { continue };
