--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -419,8 +419,8 @@
     read_daemons(&heartbeats, &store).await;
 }
 
-/// Adds the daemons that the store lists to the membership. The list counts as that of all daemons,
-/// which the votes about quotas rely on, so that all pages are read before.
+/// Adds the daemons that the store lists to the membership. Votes about quotas rely on a list of all
+/// daemons, so that nothing is added until all pages have been read.
 async fn read_daemons(heartbeats: &HeartbeatService, store: &ObjectClient) {
     let mut members: Vec<Identity> = Vec::new();
     let mut after = String::new();
@@ -491,7 +491,8 @@
         self.wait_for_connections(serves_until).await;
         info!("event=left daemon={} in_flight={}", self.settings.daemon, self.gateway.in_flight());
         self.gateway.answer_remaining();
-        self.wait_for_connections(serves_until + LAST_ANSWERS_TIME).await;
+        // From now on: a busy host may have ended the wait before late by more than this time.
+        self.wait_for_connections(Instant::now() + LAST_ANSWERS_TIME).await;
     }
 
     /// Waits until no client's connection is open, at most until `deadline`.
