--- a/crates/slots/src/item_shares.rs
+++ b/crates/slots/src/item_shares.rs
@@ -11,9 +11,8 @@
 
 use crate::message::Ticket;
 
-/// The runs by which an organisation may be ahead of another one while items are served by due time. In
-/// the simulation of jobs the values from 0 to 4 differed little; with 1, an item within capacity was
-/// late.
+/// The runs by which an organisation may be ahead of another one while items are served by due time. Fewer
+/// make items late that are within the capacity.
 const ALLOWED_RUNS: Millis = 2;
 /// The number of runs over which the duration of an item's run is averaged.
 const AVERAGED_RUNS: Millis = 8;
--- a/crates/slots/src/overload.rs
+++ b/crates/slots/src/overload.rs
@@ -14,8 +14,8 @@
 use crate::table::QUEUES_PER_REQUEST;
 
 /// The part of the longest wait after which refused requests return, in percent, from and to. Slots that
-/// are free earlier are needed by requests that arrive meanwhile; of the ranges played, late ones served
-/// most. The end leaves room for the delay of the refusal, since clients honour no longer wait.
+/// are free earlier are needed by requests that arrive meanwhile. The end leaves room for the delay of the
+/// refusal, since clients honour no longer wait.
 const RETURN_PERCENT: (Millis, Millis) = (75, 95);
 /// The steps in which refused requests spread over that range, and the stride between two refusals. The
 /// stride has no common divisor with the steps, so that all are used before one repeats.
