Count what a job holds as soon as its results are listed

Cause: the sizes of jobs were counted once a second, so that inputs that were released in between still kept new jobs out. Change: a job is measured when a write of its results has succeeded.

--- a/crates/jobs/src/status_writer.rs
+++ b/crates/jobs/src/status_writer.rs
@@ -110,6 +110,8 @@
             handle.job.borrow_mut().apply_write_reply(now_ms, &self.own_home, &status, reply);
         match outcome {
             StatusWriteOutcome::Written => {
+                // Listed items have released their inputs, which new jobs may need at once.
+                handle.measure();
                 self.log_written(&handle.job.borrow(), now_ms, now_ms.saturating_sub(started_ms));
                 StatusWrite::Written
             }
