--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -5,6 +5,7 @@
 //! disruption is left out.
 
 mod fleet;
+mod impossible_item;
 mod job_memory;
 mod job_quota;
 mod part_position;
@@ -69,6 +70,7 @@
             "job-quota" => job_quota::run(binary, work, has_trouble, record).await,
             "part-quarantine" => part_quarantine::run(binary, work, has_trouble, record).await,
             "part-position" => part_position::run(binary, work, has_trouble, record).await,
+            "impossible-item" => impossible_item::run(binary, work, has_trouble, record).await,
             "job-memory" => job_memory::run(binary, work, has_trouble, record).await,
             _ => Err(format!("unknown case {case}")),
         }
--- a/review/standins-2/src/part_position.rs
+++ b/review/standins-2/src/part_position.rs
@@ -50,8 +50,7 @@
         deployment.add_replica(settings).map_err(|error| error.to_string())?;
     }
     deployment.restart_crashed_replicas(DOWNTIME);
-    let fleet =
-        Fleet::start(binary, folder, deployment.store_address, DAEMONS, MEMORY_MB).await?;
+    let fleet = Fleet::start(binary, folder, deployment.store_address, DAEMONS, MEMORY_MB).await?;
     let lines = Rc::new(RefCell::new(Vec::new()));
     let part = if has_trouble { CRASHING_PART } else { "50450001" };
     let senders = [("bad", part, INTERVAL), ("sound", "50450002", SOUND_INTERVAL)].map(
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -126,6 +126,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns an object as it is sent.
+    pub fn get(&self, kind: &str, name: &str) -> Option<Bytes> {
+        self.lock().get(kind, name).map(|object| encode(name, object))
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
