Do not take an answer for complete if its upload was reset

What callers saw: a replica answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the request was still being written.

Cause: a socket reports a reset once. The failed write of the request used the error up and was passed over, because the answer may still be read; the next read then showed the same end as an orderly close, which completes a body without a length.

Fix: the connection remembers that a write failed by a reset, and its end is then the loss of the connection. A broken pipe is no such error: the system reports it if the peer had ended its direction before the reset, so all of a body without a length has arrived. The connection is also excluded from reuse for good; before, the head of the answer undid that. The answer is now read on also if a part of it had been read before the write failed.

Tests that passed before and are kept: answers with a length or chunks that are cut by such a reset, early refusals whose end is known, and bodies without a length that end in order during the upload.

--- a/crates/daemon/tests/raw_replicas/mod.rs
+++ b/crates/daemon/tests/raw_replicas/mod.rs
@@ -1,11 +1,13 @@
 //! A fleet whose replicas of one service are raw, and the scripts of their answers.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures::FutureExt;
+use kernel::KernelError;
 use platform_stub::deployment::ENGINE_SERVICE;
 use platform_stub::raw_replica;
 use platform_stub::raw_replica::RawAnswer;
@@ -34,6 +36,16 @@
     service: &str,
     count: usize,
     answer: RawAnswer,
+) -> Fleet {
+    start_with_replicas(folder, service, count, || raw_replica::start(answer.clone())).await
+}
+
+/// Starts a fleet of one daemon whose only replicas of `service` are `count` that `start` started.
+pub async fn start_with_replicas(
+    folder: PathBuf,
+    service: &str,
+    count: usize,
+    start: impl Fn() -> Result<SocketAddr, KernelError>,
 ) -> Fleet {
     let fleet = Fleet::start(folder, 1).await;
     let replicas = fleet.deployment.replicas();
@@ -46,7 +58,7 @@
     }
     for number in 0..count {
         let settings = ReplicaSettings::with_defaults(&format!("raw-{number}"), service, "a");
-        let address = raw_replica::start(answer.clone()).expect("the replica starts");
+        let address = start().expect("the replica starts");
         let added = fleet.deployment.add_replica_behind_proxy(settings, |_| Ok(address));
         added.expect("the record is written");
     }
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -95,6 +95,7 @@
     has_sent: bool,
     can_keep_open: bool,
     is_closing: bool,
+    is_reset: bool,
     has_ended_by_close: bool,
     has_carried_requests: bool,
     request_ids: Vec<u64>,
@@ -140,6 +141,7 @@
             has_sent: false,
             can_keep_open: true,
             is_closing: false,
+            is_reset: false,
             has_ended_by_close: false,
             has_carried_requests: false,
             request_ids: Vec::new(),
@@ -343,18 +345,21 @@
                         self.advance_unsent(written);
                     }
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                    Err(_) if self.decoder.received.is_empty() => {
+                    Err(error) => {
                         // The peer may have answered before it stopped reading, so the answer is
                         // still read.
                         self.drop_unsent();
-                        self.can_keep_open = false;
+                        self.close_after_answer();
+                        // A socket reports a reset once, and then an end like that of an orderly
+                        // close. A broken pipe means that the orderly end came first.
+                        self.is_reset = error.kind() != io::ErrorKind::BrokenPipe;
                     }
-                    Err(_) => return Err(self.connection_lost("the request could not be written")),
                 }
             }
             let received = &mut self.decoder.received;
             received.reserve(READ_BUFFER_BYTES);
             match self.stream.try_read_buf(received) {
+                Ok(0) if self.is_reset => return Err(self.connection_lost("it was reset")),
                 Ok(read) => {
                     // A peer that sends without a pause must not keep the caller's timers and the
                     // other tasks from running.
