Reject answers whose head is spoilt where it tells the length

What callers saw: a replica in trouble sent a head with a signed length, with two lengths, with a length beside chunks, or with a transfer coding that is not just "chunked".

Cause: Framing::from_head looked for what it knew and passed the rest over. It read the first of several lengths with the parser of the standard library, which takes a sign; it looked for the token "chunked" anywhere in the codings, ignored a length beside it, and read every other coding as a body that ends with its connection.

Fix: the framing is a match over all lengths and all codings of the head, and only three cases leave no doubt: one length of digits, one "chunked" in HTTP/1.1, or neither. Everything else is malformed, so the answer counts as "may have run": idempotent requests go to another replica, others get 502, and the connection is closed. Heads of answers without a body are checked the same way.

Kept: what was rejected before (list, hexadecimal, empty, too large) and the sound forms, among them neither length nor chunks.

--- /dev/null
+++ b/crates/daemon/tests/platform_spoilt_answers.rs
@@ -0,0 +1,61 @@
+//! Tests a daemon process with replicas whose answers are spoilt in the head or in the framing.
+
+mod faulty_answers;
+#[expect(dead_code, reason = "not all helpers are used here")]
+mod platform_fleet;
+#[expect(dead_code, reason = "not all scripts of answers are used here")]
+mod raw_replicas;
+
+use crate::faulty_answers::CHUNKED;
+use crate::faulty_answers::FaultyAnswer;
+use crate::faulty_answers::check_broken_answers;
+use crate::faulty_answers::check_plain_answers;
+use crate::faulty_answers::check_resumptions;
+use crate::platform_fleet::run_local;
+use crate::raw_replicas::events;
+use crate::raw_replicas::success_head;
+
+/// Heads that are spoilt where they tell the length of the body.
+const SPOILT_LENGTHS: [FaultyAnswer; 12] = [
+    ("signed length", |id| with_events(id, &format!("content-length: +{}\r\n", length(id)))),
+    ("other second length", |id| with_events(id, &two_lengths(length(id), 1))),
+    ("other first length", |id| with_events(id, &two_lengths(1, length(id)))),
+    ("equal lengths", |id| with_events(id, &two_lengths(length(id), length(id)))),
+    ("list of lengths", |id| with_events(id, &format!("content-length: {0}, {0}\r\n", length(id)))),
+    ("length beside chunks", |id| with_chunks(id, &format!("content-length: 9\r\n{CHUNKED}"))),
+    ("unknown coding", |id| with_chunks(id, "transfer-encoding: xchunked\r\n")),
+    ("coding with other bytes", |id| with_chunks(id, "transfer-encoding: chunk\u{e9}d\r\n")),
+    ("coding before chunks", |id| with_chunks(id, "transfer-encoding: gzip, chunked\r\n")),
+    ("coding after chunks", |id| with_chunks(id, "transfer-encoding: chunked, gzip\r\n")),
+    ("no coding", |id| with_chunks(id, "transfer-encoding: \r\n")),
+    ("chunks in HTTP/1.0", |id| with_chunks(id, CHUNKED).replace("HTTP/1.1", "HTTP/1.0")),
+];
+
+fn length(id: &str) -> usize {
+    events(id).len()
+}
+
+fn two_lengths(first: usize, second: usize) -> String {
+    format!("content-length: {first}\r\ncontent-length: {second}\r\n")
+}
+
+fn with_events(id: &str, lines: &str) -> String {
+    success_head(id, lines) + &events(id)
+}
+
+fn with_chunks(id: &str, lines: &str) -> String {
+    format!("{}{:x}\r\n{}\r\n0\r\n\r\n", success_head(id, lines), length(id), events(id))
+}
+
+/// Requires that no entry of `answers` reaches a client as the answer to a plain request, in a stream,
+/// as the rest of a stream or in the output of an item.
+fn check_everywhere(name: &str, answers: &'static [FaultyAnswer]) {
+    run_local(&format!("{name}-plain"), |folder| check_plain_answers(folder, answers));
+    run_local(&format!("{name}-stream"), |folder| check_broken_answers(folder, answers));
+    run_local(&format!("{name}-resumption"), |folder| check_resumptions(folder, answers));
+}
+
+#[test]
+fn answer_with_spoilt_length_is_not_passed_on() {
+    check_everywhere("spoilt-length", &SPOILT_LENGTHS);
+}
--- a/crates/upstream/src/framing.rs
+++ b/crates/upstream/src/framing.rs
@@ -8,7 +8,6 @@
 
 use crate::connection::ExchangeError;
 use crate::head::AnswerHead;
-use crate::head::has_token;
 
 /// The longest accepted line of the chunked encoding, without the data.
 const MAX_CHUNK_LINE_BYTES: usize = 1024;
@@ -42,22 +41,37 @@
 }
 
 impl Framing {
-    /// Returns the framing of the body of an answer to a request with `method`.
+    /// Returns the framing of the body of an answer to a request with `method`; fails if the head
+    /// leaves any doubt about the length of the body.
     pub fn from_head(method: &Method, head: &AnswerHead) -> Result<Self, ExchangeError> {
-        if !head.has_body(method) {
-            return Ok(Self::Done);
-        }
-        if has_token(&head.headers, &header::TRANSFER_ENCODING, "chunked") {
-            return Ok(Self::Chunked(ChunkState::Size));
-        }
-        let Some(value) = head.headers.get(header::CONTENT_LENGTH) else {
-            return Ok(Self::UntilClose);
-        };
-        let length: Option<u64> = value.to_str().ok().and_then(|text| text.trim().parse().ok());
-        match length {
-            Some(0) => Ok(Self::Done),
-            Some(length) => Ok(Self::Length(length)),
-            None => Err(ExchangeError::Malformed("the length is no number")),
+        let announced = Self::announced_by(head)?;
+        Ok(if head.has_body(method) { announced } else { Self::Done })
+    }
+
+    fn announced_by(head: &AnswerHead) -> Result<Self, ExchangeError> {
+        let mut lengths = head.headers.get_all(header::CONTENT_LENGTH).iter();
+        let mut codings = head.headers.get_all(header::TRANSFER_ENCODING).iter();
+        match (lengths.next(), codings.next()) {
+            (None, None) => Ok(Self::UntilClose),
+            (Some(length), None) if lengths.next().is_none() => {
+                match parse_digits(length.as_bytes(), 10) {
+                    Some(0) => Ok(Self::Done),
+                    Some(length) => Ok(Self::Length(length)),
+                    None => Err(ExchangeError::Malformed("the length is no number")),
+                }
+            }
+            (Some(_), None) => Err(ExchangeError::Malformed("it has two lengths")),
+            (Some(_), Some(_)) => Err(ExchangeError::Malformed("it has a length beside a coding")),
+            (None, Some(_)) if !head.is_persistent_version => {
+                Err(ExchangeError::Malformed("its version has no transfer codings"))
+            }
+            (None, Some(coding))
+                if coding.as_bytes().eq_ignore_ascii_case(b"chunked")
+                    && codings.next().is_none() =>
+            {
+                Ok(Self::Chunked(ChunkState::Size))
+            }
+            (None, Some(_)) => Err(ExchangeError::Malformed("its transfer coding is unknown")),
         }
     }
 
@@ -136,6 +150,13 @@
         .ok_or(ExchangeError::Malformed("a chunk's size is no number"))
 }
 
+/// Parses a number that consists of digits only, unlike the numbers of the standard library.
+fn parse_digits(text: &[u8], radix: u32) -> Option<u64> {
+    let is_digits = text.iter().all(|byte| char::from(*byte).is_digit(radix));
+    let text = std::str::from_utf8(text).ok().filter(|_| is_digits)?;
+    u64::from_str_radix(text, radix).ok()
+}
+
 /// Takes one line without its line end, or returns `None` if it is incomplete.
 fn take_line(buffer: &mut BytesMut) -> Result<Option<Bytes>, ExchangeError> {
     let end = memchr::memchr(b'\n', buffer);
