Reject answers whose head holds a line feed that ends no line

What callers saw: a replica in trouble sent a head that held a line that is no field.

Cause: the parser of heads, httparse, takes a single line feed for the end of a line, as HTTP allows a recipient to. A line feed in a spoilt line so ends the field before it, and one at the start of a line ends the head: what follows, the length included, becomes a body that ends with its connection.

Fix: a head of which any line ends without a carriage return is malformed. Servers must send both, so no sound answer is lost; the check runs over the bytes that the parser took for the head, interim heads included.

Already handled, tests kept: lines without colon or name, folded lines, names that hold a blank or any other control byte (every byte at ten positions of a long name), and values with a control byte.

--- a/crates/daemon/tests/platform_spoilt_answers.rs
+++ b/crates/daemon/tests/platform_spoilt_answers.rs
@@ -31,6 +31,22 @@
     ("chunks in HTTP/1.0", |id| with_chunks(id, CHUNKED).replace("HTTP/1.1", "HTTP/1.0")),
 ];
 
+/// Heads with a line that is no field, or with a name that holds a blank or a control byte.
+const SPOILT_LINES: [FaultyAnswer; 12] = [
+    ("text", |id| with_length_after(id, "out of memory\r\n")),
+    ("no colon", |id| with_events(id, &format!("content-length {}\r\n", length(id)))),
+    ("no name", |id| with_length_after(id, ": x\r\n")),
+    ("folded line", |id| with_length_after(id, "x-a: b\r\n c\r\n")),
+    ("line feed", |id| with_length_after(id, "\n")),
+    ("line feed after a value", |id| with_length_after(id, "x-a: b\n")),
+    ("line feed in a name", |id| with_length_after(id, "x-a: b\r\n\nx-c: d\r\n")),
+    ("line feed at the end", |id| with_length_after(id, "").replace("\r\n\r\n", "\r\n\n")),
+    ("blank in a name", |id| with_length_after(id, "x a: b\r\n")),
+    ("blank after a name", |id| with_events(id, &format!("content-length : {}\r\n", length(id)))),
+    ("control byte in a name", |id| with_length_after(id, "x\x01a: b\r\n")),
+    ("zero byte in a name", |id| with_length_after(id, "x\0a: b\r\n")),
+];
+
 fn length(id: &str) -> usize {
     events(id).len()
 }
@@ -43,6 +59,10 @@
     success_head(id, lines) + &events(id)
 }
 
+fn with_length_after(id: &str, lines: &str) -> String {
+    with_events(id, &format!("{lines}content-length: {}\r\n", length(id)))
+}
+
 fn with_chunks(id: &str, lines: &str) -> String {
     format!("{}{:x}\r\n{}\r\n0\r\n\r\n", success_head(id, lines), length(id), events(id))
 }
@@ -59,3 +79,8 @@
 fn answer_with_spoilt_length_is_not_passed_on() {
     check_everywhere("spoilt-length", &SPOILT_LENGTHS);
 }
+
+#[test]
+fn answer_with_a_line_that_is_no_field_is_not_passed_on() {
+    check_everywhere("spoilt-line", &SPOILT_LINES);
+}
--- a/crates/upstream/src/head.rs
+++ b/crates/upstream/src/head.rs
@@ -43,6 +43,10 @@
             Ok(_) => return Err(ExchangeError::OverLimit("the head is too large")),
             Err(_) => return Err(ExchangeError::Malformed("the bytes are no answer")),
         };
+        // The parser also ends a line, and so the head, at a line feed inside a spoilt line.
+        if has_bare_line_feed(&buffer[..length]) {
+            return Err(ExchangeError::Malformed("a line of the head ends without CR"));
+        }
         let status = parsed
             .code
             .and_then(|code| StatusCode::from_u16(code).ok())
@@ -91,6 +95,10 @@
     }
 }
 
+fn has_bare_line_feed(head: &[u8]) -> bool {
+    memchr::memchr_iter(b'\n', head).any(|end| !head[..end].ends_with(b"\r"))
+}
+
 /// Returns whether a comma-separated header contains `token`, ignoring case.
 pub fn has_token(headers: &HeaderMap, name: &HeaderName, token: &str) -> bool {
     headers
--- a/crates/upstream/tests/spoilt_answers.rs
+++ b/crates/upstream/tests/spoilt_answers.rs
@@ -125,3 +125,68 @@
         assert_eq!(decode(&answer), Ok((200, b"hello".to_vec())), "{text}");
     }
 }
+
+#[test]
+fn head_with_a_line_that_is_no_field_is_malformed() {
+    let lines = [
+        "garbage",
+        "content-length 5",
+        "content-length;5",
+        "content-length",
+        ": 5",
+        "\r",
+        " 5",
+        "\tx: y",
+        "x-a: b\r\n folded",
+        "x-a:\r\n folded",
+        "x-a: b\rx-c: d",
+        "x-a: b\r\r",
+        "\ncontent-length: 5",
+        "x-a: b\n\ncontent-length: 5",
+        "x-a: b\n\r\ncontent-length: 5",
+        "x-a: b\r\n\ncontent-length: 5",
+        "\n",
+        "x-a: b\ncontent-length: 5",
+        "x-a: b\n",
+    ];
+    check_malformed(lines.map(|line| success(line, "hello")));
+}
+
+#[test]
+fn line_end_without_carriage_return_is_malformed() {
+    check_malformed([
+        b"HTTP/1.1 200 OK\ncontent-length: 5\r\n\r\nhello".to_vec(),
+        b"HTTP/1.1 200 OK\r\ncontent-length: 5\n\r\nhello".to_vec(),
+        b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\nhello".to_vec(),
+        b"HTTP/1.1 200 OK\ncontent-length: 5\n\nhello".to_vec(),
+        b"\nHTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello".to_vec(),
+        b"HTTP/1.1 100 Continue\n\nHTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello".to_vec(),
+    ]);
+}
+
+/// Long names cover the wide steps in which a name is scanned.
+#[test]
+fn name_with_a_blank_or_a_control_byte_is_malformed() {
+    let is_name_byte =
+        |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
+    let bytes = (0..=u8::MAX).filter(|byte| !is_name_byte(*byte) && *byte != b':');
+    check_malformed(bytes.flat_map(|byte| {
+        let placed = [0, 1, 7, 8, 15, 16, 31, 32, 33, 64].map(|position| {
+            let mut name = vec![b'a'; 64];
+            name.insert(position, byte);
+            [b"HTTP/1.1 200 OK\r\n", &name[..], b": b\r\ncontent-length: 5\r\n\r\nhello"].concat()
+        });
+        let at_the_end =
+            [b"HTTP/1.1 200 OK\r\ncontent-length".as_slice(), &[byte], b": 5\r\n\r\nhello"];
+        placed.into_iter().chain([at_the_end.concat()])
+    }));
+}
+
+#[test]
+fn value_with_a_control_byte_is_malformed() {
+    let bytes = (0..=u8::MAX).filter(|byte| byte.is_ascii_control() && *byte != b'\t');
+    check_malformed(bytes.map(|byte| {
+        [b"HTTP/1.1 200 OK\r\nx-a: b".as_slice(), &[byte], b"c\r\ncontent-length: 5\r\n\r\nhello"]
+            .concat()
+    }));
+}
