Reject chunks whose sizes, line ends or trailers are spoilt

Cause: the size was trimmed of any white space and parsed with the parser of the standard library, which takes a sign; an extension was not looked at; a line could end without a carriage return; trailers were only counted.

Fix: a size is hexadecimal digits, then blanks, which some servers write, then an extension without control bytes; each line ends with CR LF; a trailer is a field. The rest is malformed.

Already handled, tests kept: sizes that are no number or too large, chunks that are longer than announced, and chunks without their end.

--- a/crates/daemon/tests/platform_spoilt_answers.rs
+++ b/crates/daemon/tests/platform_spoilt_answers.rs
@@ -11,8 +11,11 @@
 use crate::faulty_answers::check_broken_answers;
 use crate::faulty_answers::check_plain_answers;
 use crate::faulty_answers::check_resumptions;
+use crate::faulty_answers::chunk;
 use crate::platform_fleet::run_local;
+use crate::raw_replicas::EVENTS;
 use crate::raw_replicas::events;
+use crate::raw_replicas::events_from;
 use crate::raw_replicas::success_head;
 
 /// Heads that are spoilt where they tell the length of the body.
@@ -47,6 +50,18 @@
     ("zero byte in a name", |id| with_length_after(id, "x\0a: b\r\n")),
 ];
 
+/// Chunks with a spoilt line before, between or after them.
+const SPOILT_CHUNKS: [FaultyAnswer; 8] = [
+    ("signed size", |id| chunks(id, "+", "0\r\n\r\n")),
+    ("blank before the size", |id| chunks(id, " ", "0\r\n\r\n")),
+    ("signed last size", |id| chunks(id, "", "+0\r\n\r\n")),
+    ("text in the last size", |id| chunks(id, "", "0;\x01\r\n\r\n")),
+    ("line feed after the last size", |id| chunks(id, "", "0\n\r\n")),
+    ("text in the trailers", |id| chunks(id, "", "0\r\nout of memory\r\n\r\n")),
+    ("blank in the name of a trailer", |id| chunks(id, "", "0\r\nx a: b\r\n\r\n")),
+    ("line feed at the end", |id| chunks(id, "", "0\r\n\n")),
+];
+
 fn length(id: &str) -> usize {
     events(id).len()
 }
@@ -64,7 +79,13 @@
 }
 
 fn with_chunks(id: &str, lines: &str) -> String {
-    format!("{}{:x}\r\n{}\r\n0\r\n\r\n", success_head(id, lines), length(id), events(id))
+    success_head(id, lines) + &chunk(&events(id)) + "0\r\n\r\n"
+}
+
+/// Returns a success with a chunk that holds all events but the last one.
+fn chunks(id: &str, before_size: &str, end: &str) -> String {
+    let data = events(id).replace(&events_from(id, EVENTS), "");
+    success_head(id, CHUNKED) + before_size + &chunk(&data) + end
 }
 
 /// Requires that no entry of `answers` reaches a client as the answer to a plain request, in a stream,
@@ -84,3 +105,8 @@
 fn answer_with_a_line_that_is_no_field_is_not_passed_on() {
     check_everywhere("spoilt-line", &SPOILT_LINES);
 }
+
+#[test]
+fn answer_with_spoilt_chunks_is_not_passed_on() {
+    check_everywhere("spoilt-chunks", &SPOILT_CHUNKS);
+}
--- a/crates/upstream/src/framing.rs
+++ b/crates/upstream/src/framing.rs
@@ -1,8 +1,9 @@
 //! The framing of an answer's body: by content length, by chunks, or by the end of the connection.
 
-use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
+use http::HeaderName;
+use http::HeaderValue;
 use http::Method;
 use http::header;
 
@@ -123,6 +124,8 @@
                     }
                     if line.is_empty() {
                         *self = Self::Done;
+                    } else if !is_field(&line) {
+                        return Err(ExchangeError::Malformed("a trailer line is no field"));
                     }
                 }
             }
@@ -142,12 +145,25 @@
 
 fn take_size_line(buffer: &mut BytesMut) -> Result<Option<u64>, ExchangeError> {
     let Some(line) = take_line(buffer)? else { return Ok(None) };
-    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
-    std::str::from_utf8(digits)
-        .ok()
-        .and_then(|digits| u64::from_str_radix(digits.trim(), 16).ok())
-        .map(Some)
-        .ok_or(ExchangeError::Malformed("a chunk's size is no number"))
+    parse_size(&line).map(Some).ok_or(ExchangeError::Malformed("a chunk's size is no number"))
+}
+
+/// Parses the size of a chunk, which blanks and an extension may follow.
+fn parse_size(line: &[u8]) -> Option<u64> {
+    let is_digit = |byte: &u8| byte.is_ascii_hexdigit();
+    let (digits, rest) = line.split_at(line.iter().take_while(|byte| is_digit(byte)).count());
+    let is_blank = |byte: &u8| matches!(byte, b' ' | b'\t');
+    let extension = rest.get(rest.iter().take_while(|byte| is_blank(byte)).count()..)?;
+    let is_sound = extension.is_empty()
+        || (extension.starts_with(b";") && HeaderValue::from_bytes(extension).is_ok());
+    is_sound.then(|| parse_digits(digits, 16))?
+}
+
+/// Returns whether a line of the trailers has the name and the value of a field.
+fn is_field(line: &[u8]) -> bool {
+    let Some(name_bytes) = memchr::memchr(b':', line) else { return false };
+    let (name, value) = line.split_at(name_bytes);
+    HeaderName::from_bytes(name).is_ok() && HeaderValue::from_bytes(&value[1..]).is_ok()
 }
 
 /// Parses a number that consists of digits only, unlike the numbers of the standard library.
@@ -164,8 +180,9 @@
         return Err(ExchangeError::OverLimit("a line between chunks is too long"));
     }
     let Some(end) = end else { return Ok(None) };
-    let line = buffer.split_to(end).freeze();
-    buffer.advance(1);
-    let length = line.strip_suffix(b"\r").map_or(line.len(), <[u8]>::len);
-    Ok(Some(line.slice(..length)))
+    let line = buffer.split_to(end + 1).freeze();
+    match line.strip_suffix(b"\r\n") {
+        Some(text) => Ok(Some(line.slice(..text.len()))),
+        None => Err(ExchangeError::Malformed("a line between chunks ends without CR")),
+    }
 }
--- a/crates/upstream/tests/spoilt_answers.rs
+++ b/crates/upstream/tests/spoilt_answers.rs
@@ -190,3 +190,97 @@
             .concat()
     }));
 }
+
+/// Returns a success whose body has these bytes after its head, in chunks.
+fn chunked(bytes: &str) -> Vec<u8> {
+    success("transfer-encoding: chunked", bytes)
+}
+
+#[test]
+fn spoilt_size_of_a_chunk_is_malformed() {
+    let sizes = [
+        "+5",
+        "-5",
+        " 5",
+        "\t5",
+        "5\r",
+        "5\u{b}",
+        "",
+        " ",
+        "five",
+        "0x5",
+        "5 5",
+        "5 garbage",
+        "5,",
+        "5;\u{1}",
+        "5;x\ry",
+        "5;x\u{7f}",
+        "10000000000000005",
+        "\u{665}",
+    ];
+    check_malformed(sizes.map(|size| chunked(&format!("{size}\r\nhello\r\n0\r\n\r\n"))));
+    let last_sizes = ["+0", "-0", "", " 0", "0\r", "0 x", "0;\u{1}"];
+    check_malformed(last_sizes.map(|size| chunked(&format!("5\r\nhello\r\n{size}\r\n\r\n"))));
+}
+
+#[test]
+fn chunk_of_another_length_than_announced_is_malformed() {
+    check_malformed(["4\r\nhello\r\n0\r\n\r\n", "6\r\nhello\r\n0\r\n\r\n"].map(chunked));
+}
+
+#[test]
+fn line_between_chunks_without_carriage_return_is_malformed() {
+    check_malformed(
+        [
+            "5\nhello\r\n0\r\n\r\n",
+            "5\r\nhello\n0\r\n\r\n",
+            "5\r\nhello\r\n0\n\r\n",
+            "5\r\nhello\r\n0\r\n\n",
+            "5\r\nhello\r\n0\r\nx-a: b\n\r\n",
+        ]
+        .map(chunked),
+    );
+}
+
+#[test]
+fn trailer_that_is_no_field_is_malformed() {
+    let trailers = [
+        "garbage",
+        "x y: z",
+        "x-a : b",
+        ": z",
+        " x-a: b",
+        "x-a: b\r\n folded",
+        "x\u{1}: y",
+        "x: \u{1}",
+        "x-a: b\rc",
+        "HTTP/1.1 200 OK",
+    ];
+    check_malformed(trailers.map(|line| chunked(&format!("5\r\nhello\r\n0\r\n{line}\r\n\r\n"))));
+}
+
+#[test]
+fn chunks_without_their_end_are_lost() {
+    let bodies = ["", "5", "5\r\n", "5\r\nhel", "5\r\nhello", "5\r\nhello\r\n", "5\r\nhello\r\n0"];
+    let ends =
+        ["5\r\nhello\r\n0\r\n", "5\r\nhello\r\n0\r\nx-a: b", "5\r\nhello\r\n0\r\nx-a: b\r\n"];
+    for body in bodies.into_iter().chain(ends) {
+        assert!(matches!(decode(&chunked(body)), Err(ExchangeError::Lost(_))), "{body:?}");
+    }
+}
+
+#[test]
+fn sound_chunks_are_accepted() {
+    let bodies = [
+        "5\r\nhello\r\n0\r\n\r\n",
+        "0005\r\nhello\r\n000\r\n\r\n",
+        "5 \t\r\nhello\r\n0 \r\n\r\n",
+        "5;name=value;other=\"text\"\r\nhello\r\n0;last\r\n\r\n",
+        "5 ; name\r\nhello\r\n0\r\nx-a: b\r\nX-C:\r\n\r\n",
+    ];
+    for body in bodies {
+        assert_eq!(decode(&chunked(body)), Ok((200, b"hello".to_vec())), "{body:?}");
+    }
+    let long = "A\r\n0123456789\r\nb\r\n01234567890\r\n0\r\n\r\n";
+    assert_eq!(decode(&chunked(long)).map(|(_, body)| body.len()), Ok(21));
+}
