Reject answers with a status that no answer may have

What callers would see: an answer 600 to 999, or 101, with a body, as the answer of a replica in trouble.

Cause: any three digits from 100 on were a status, and 101 was a final answer like any other, although the daemon never asks for another protocol.

Evidence, on the code before: 101, 600, 700 and 999 of the test's list were accepted, and a client got 101, 600 and 999 through a daemon process after one send, also on a resumable stream.

Fix: a status is 100 to 599 but 101, or the head is malformed.

Already handled, tests kept: 000, 001, 099 and statuses that are not three digits.

--- a/crates/daemon/tests/platform_spoilt_answers.rs
+++ b/crates/daemon/tests/platform_spoilt_answers.rs
@@ -62,6 +62,16 @@
     ("line feed at the end", |id| chunks(id, "", "0\r\n\n")),
 ];
 
+/// Statuses that no answer may have.
+const SPOILT_STATUSES: [FaultyAnswer; 6] = [
+    ("000", |id| with_status(id, "000 OK")),
+    ("099", |id| with_status(id, "099 OK")),
+    ("101", |id| with_status(id, "101 Switching Protocols")),
+    ("600", |id| with_status(id, "600 OK")),
+    ("999", |id| with_status(id, "999 OK")),
+    ("2000", |id| with_status(id, "2000 OK")),
+];
+
 fn length(id: &str) -> usize {
     events(id).len()
 }
@@ -78,6 +88,10 @@
     with_events(id, &format!("{lines}content-length: {}\r\n", length(id)))
 }
 
+fn with_status(id: &str, status: &str) -> String {
+    with_length_after(id, "").replace("200 OK", status)
+}
+
 fn with_chunks(id: &str, lines: &str) -> String {
     success_head(id, lines) + &chunk(&events(id)) + "0\r\n\r\n"
 }
@@ -110,3 +124,8 @@
 fn answer_with_spoilt_chunks_is_not_passed_on() {
     check_everywhere("spoilt-chunks", &SPOILT_CHUNKS);
 }
+
+#[test]
+fn answer_with_spoilt_status_is_not_passed_on() {
+    check_everywhere("spoilt-status", &SPOILT_STATUSES);
+}
--- a/crates/upstream/src/decoder.rs
+++ b/crates/upstream/src/decoder.rs
@@ -3,7 +3,6 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use http::Method;
-use http::StatusCode;
 
 use crate::connection::ExchangeError;
 use crate::framing::Framing;
@@ -31,9 +30,7 @@
     /// Takes the next head that is not interim, or returns `None` if more bytes are needed.
     pub fn next_head(&mut self, method: &Method) -> Result<Option<AnswerHead>, ExchangeError> {
         while let Some(head) = AnswerHead::parse(&mut self.received)? {
-            let is_interim =
-                head.status.is_informational() && head.status != StatusCode::SWITCHING_PROTOCOLS;
-            if !is_interim {
+            if !head.status.is_informational() {
                 self.interim_heads = 0;
                 self.framing = Framing::from_head(method, &head)?;
                 return Ok(Some(head));
--- a/crates/upstream/src/head.rs
+++ b/crates/upstream/src/head.rs
@@ -50,7 +50,8 @@
         let status = parsed
             .code
             .and_then(|code| StatusCode::from_u16(code).ok())
-            .ok_or(ExchangeError::Malformed("the status is no number"))?;
+            .filter(|status| is_answer_status(*status))
+            .ok_or(ExchangeError::Malformed("no answer has this status"))?;
         let is_persistent_version = parsed.version == Some(1);
         let mut headers = HeaderMap::with_capacity(parsed.headers.len());
         for header in parsed.headers.iter() {
@@ -95,6 +96,11 @@
     }
 }
 
+/// Returns whether an answer may have this status. A switch to another protocol is never asked for.
+fn is_answer_status(status: StatusCode) -> bool {
+    status.as_u16() < 600 && status != StatusCode::SWITCHING_PROTOCOLS
+}
+
 fn has_bare_line_feed(head: &[u8]) -> bool {
     memchr::memchr_iter(b'\n', head).any(|end| !head[..end].ends_with(b"\r"))
 }
--- a/crates/upstream/tests/spoilt_answers.rs
+++ b/crates/upstream/tests/spoilt_answers.rs
@@ -284,3 +284,23 @@
     let long = "A\r\n0123456789\r\nb\r\n01234567890\r\n0\r\n\r\n";
     assert_eq!(decode(&chunked(long)).map(|(_, body)| body.len()), Ok(21));
 }
+
+/// The daemon never asks for another protocol, so an answer that switches to one belongs to no request.
+#[test]
+fn status_that_no_answer_may_have_is_malformed() {
+    let statuses = [
+        "000", "001", "099", "101", "600", "700", "999", "0", "20", "2000", "+20", "-20", "2 0",
+        "2x0", "",
+    ];
+    check_malformed(statuses.map(|status| {
+        format!("HTTP/1.1 {status} OK\r\ncontent-length: 5\r\n\r\nhello").into_bytes()
+    }));
+}
+
+#[test]
+fn status_of_every_class_is_accepted() {
+    for status in [200, 299, 302, 404, 499, 500, 503, 599] {
+        let answer = format!("HTTP/1.1 {status} X\r\ncontent-length: 5\r\n\r\nhello").into_bytes();
+        assert_eq!(decode(&answer), Ok((status, b"hello".to_vec())));
+    }
+}
