Do not pass on a body with a content coding

What callers would see: an answer with Content-Encoding as a complete one.

Cause: the header was forwarded like any other.

Fix: an answer of the replica with this header is rejected like an unsigned success, whatever its status; a refusal that promises that the request has not run is still taken by its head.

--- a/crates/daemon/tests/platform_spoilt_answers.rs
+++ b/crates/daemon/tests/platform_spoilt_answers.rs
@@ -72,6 +72,13 @@
     ("2000", |id| with_status(id, "2000 OK")),
 ];
 
+/// Bodies with a coding. Clients ask for none, so such a body is not the one that the replica made.
+const ENCODED_BODIES: [FaultyAnswer; 3] = [
+    ("gzip", |id| with_length_after(id, "content-encoding: gzip\r\n")),
+    ("unknown", |id| with_length_after(id, "Content-Encoding: x\r\n")),
+    ("chunked", |id| with_chunks(id, &format!("content-encoding: br\r\n{CHUNKED}"))),
+];
+
 fn length(id: &str) -> usize {
     events(id).len()
 }
@@ -129,3 +136,8 @@
 fn answer_with_spoilt_status_is_not_passed_on() {
     check_everywhere("spoilt-status", &SPOILT_STATUSES);
 }
+
+#[test]
+fn answer_with_an_encoded_body_is_not_passed_on() {
+    check_everywhere("encoded", &ENCODED_BODIES);
+}
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -169,6 +169,10 @@
         }
         return Err(SendFailure::TurnedAway);
     }
+    if head.headers.contains_key(header::CONTENT_ENCODING) {
+        log_rejected(request, "the body has a coding, and clients ask for none");
+        return Err(SendFailure::Garbled);
+    }
     if head.status.is_success() && !meta.is_signed {
         log_rejected(request, "the success is not signed");
         return Err(SendFailure::Garbled);
