Log why an answer was rejected, with the request and the peer

What on-call saw: a request that failed with cause=garbled, and no line that said what was wrong with the answer; the reason was logged at level debug only, and for a body not at all.

Cause: only successes without a signature, streams that do not continue and answers over a limit were logged.

Change: answer_rejected, with the id, is written for every malformed head and body of an answer to a request or an item, and answer_malformed, with the address of the peer, for every malformed answer, those of the store and of other daemons included.

Already handled, tests kept: after a spoilt answer its connection carries no other request, even if the replica keeps it open, and a request that may not be repeated is sent once (connection_of_a_spoilt_answer_is_not_used_again).

Evidence: log_tells_why_an_answer_was_rejected fails without the change.

--- a/crates/daemon/tests/platform_spoilt_answers.rs
+++ b/crates/daemon/tests/platform_spoilt_answers.rs
@@ -6,18 +6,37 @@
 #[expect(dead_code, reason = "not all scripts of answers are used here")]
 mod raw_replicas;
 
+use std::time::Duration;
+
+use platform_stub::Client;
+use platform_stub::deployment::RESUMABLE;
+use platform_stub::deployment::STREAM;
+use platform_stub::raw_replica;
+use platform_stub::raw_replica::RawAnswer;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
 use crate::faulty_answers::CHUNKED;
 use crate::faulty_answers::FaultyAnswer;
 use crate::faulty_answers::check_broken_answers;
 use crate::faulty_answers::check_plain_answers;
 use crate::faulty_answers::check_resumptions;
 use crate::faulty_answers::chunk;
+use crate::faulty_answers::read_stream;
 use crate::platform_fleet::run_local;
 use crate::raw_replicas::EVENTS;
+use crate::raw_replicas::Requests;
 use crate::raw_replicas::events;
 use crate::raw_replicas::events_from;
+use crate::raw_replicas::faulty_at_first;
+use crate::raw_replicas::start_with_raw_engines;
 use crate::raw_replicas::success_head;
 
+/// The longest time until a line is in the log, which is written in the background.
+const LOG_DELAY: Duration = Duration::from_secs(5);
+/// The pause between two reads of the log.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Heads that are spoilt where they tell the length of the body.
 const SPOILT_LENGTHS: [FaultyAnswer; 12] = [
     ("signed length", |id| with_events(id, &format!("content-length: +{}\r\n", length(id)))),
@@ -109,6 +128,11 @@
     success_head(id, CHUNKED) + before_size + &chunk(&data) + end
 }
 
+/// Writes an answer and keeps the connection open.
+fn spoilt_and_open(requests: &Requests, answer: fn(&str) -> String) -> RawAnswer {
+    faulty_at_first(requests, move |id, stream| raw_replica::write(stream, answer(&id)))
+}
+
 /// Requires that no entry of `answers` reaches a client as the answer to a plain request, in a stream,
 /// as the rest of a stream or in the output of an item.
 fn check_everywhere(name: &str, answers: &'static [FaultyAnswer]) {
@@ -141,3 +165,50 @@
 fn answer_with_an_encoded_body_is_not_passed_on() {
     check_everywhere("encoded", &ENCODED_BODIES);
 }
+
+/// A connection on which an answer was spoilt is in an unknown state, even if the replica keeps it open.
+#[test]
+fn connection_of_a_spoilt_answer_is_not_used_again() {
+    let answers =
+        [SPOILT_LENGTHS[1].1, SPOILT_LINES[4].1, SPOILT_CHUNKS[5].1, SPOILT_STATUSES[0].1];
+    for (number, answer) in answers.into_iter().enumerate() {
+        run_local(&format!("spoilt-connection-{number}"), |folder| async move {
+            let requests = Requests::default();
+            let script = spoilt_and_open(&requests, answer);
+            let fleet = start_with_raw_engines(folder, 1, script).await;
+            let (_, is_complete) = read_stream(&fleet, STREAM, "spoilt").await;
+            assert!(!is_complete, "{number}");
+            let _ = Client.stream(fleet.ingress(0), RESUMABLE, "next", EVENTS).await;
+            let requests = requests.borrow();
+            let sends = requests.iter().filter(|request| request.id == "spoilt").count();
+            assert_eq!(sends, 1, "{number}: a request that may not be repeated was sent again");
+            let next = requests.iter().find(|request| request.id == "next");
+            let earlier_ids = &next.expect("the next request was sent").earlier_ids;
+            assert!(!earlier_ids.contains(&"spoilt".to_owned()), "{number}");
+        });
+    }
+}
+
+#[test]
+fn log_tells_why_an_answer_was_rejected() {
+    run_local("spoilt-log", |folder| async move {
+        let requests = Requests::default();
+        let script = spoilt_and_open(&requests, SPOILT_CHUNKS[5].1);
+        let fleet = start_with_raw_engines(folder, 2, script).await;
+        read_stream(&fleet, RESUMABLE, "r").await;
+        let reason = "the answer is malformed: a trailer line is no field";
+        let expected = [
+            format!("event=answer_rejected id=r reason=\"{reason}\""),
+            "event=answer_malformed peer=127.0.0.1:".to_owned(),
+        ];
+        let deadline = Instant::now() + LOG_DELAY;
+        loop {
+            let log = std::fs::read_to_string(&fleet.daemons[0].log).expect("the log is read");
+            if expected.iter().all(|line| log.contains(line)) {
+                break;
+            }
+            assert!(Instant::now() < deadline, "{expected:?} is not in the log");
+            sleep(POLL_INTERVAL).await;
+        }
+    });
+}
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -149,7 +149,7 @@
                 "event=send_failed id={} replica={} error=\"{error}\"",
                 request.id, replica.name
             );
-            return Err(classify_error(&error));
+            return Err(classify_and_log(request, &error));
         }
         Err(_) if !connection.has_sent() => return Err(SendFailure::Unreachable),
         Err(_) => return Err(SendFailure::NoAnswer),
@@ -221,8 +221,17 @@
     info!("event=answer_rejected id={} reason=\"{reason}\"", request.id);
 }
 
-/// Returns the failure of the request that an error of the connection causes.
-pub fn classify_error(error: &ExchangeError) -> SendFailure {
+/// Returns the failure of the request that an error of the connection causes, and logs why an answer
+/// is rejected.
+fn classify_and_log(request: &ClientRequest, error: &ExchangeError) -> SendFailure {
+    let failure = classify_error(error);
+    if failure == SendFailure::Garbled {
+        log_rejected(request, &error.to_string());
+    }
+    failure
+}
+
+fn classify_error(error: &ExchangeError) -> SendFailure {
     match error {
         ExchangeError::Connect(_) | ExchangeError::NothingSent => SendFailure::Unreachable,
         ExchangeError::Lost(_) => SendFailure::NoAnswer,
@@ -231,9 +240,10 @@
     }
 }
 
-/// Returns the failure of the request that an error inside the body of its answer causes.
-pub fn classify_body_error(error: &ExchangeError) -> SendFailure {
-    match classify_error(error) {
+/// Returns the failure of the request that an error inside the body of its answer causes, and logs why
+/// the answer is rejected.
+pub fn classify_body_error(request: &ClientRequest, error: &ExchangeError) -> SendFailure {
+    match classify_and_log(request, error) {
         failure @ (SendFailure::Garbled | SendFailure::NoMemory) => failure,
         _ => SendFailure::BrokenOff,
     }
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -449,7 +449,7 @@
                 return Ok(response);
             }
             Ok(Err(error)) => {
-                let failure = classify_body_error(&error);
+                let failure = classify_body_error(request, &error);
                 if failure == SendFailure::BrokenOff {
                     self.crash_guard.record_loss(&lease.replica, request);
                 }
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -221,11 +221,11 @@
                     let kept_bytes = self.splitter.buffered_bytes();
                     connection
                         .set_kept_bytes(kept_bytes)
-                        .map_err(|error| classify_body_error(&error))?;
+                        .map_err(|error| classify_body_error(&self.request, &error))?;
                 }
                 Ok(None) if self.is_complete(connection) => return Ok(None),
                 Ok(None) => return Err(SendFailure::BrokenOff),
-                Err(error) => return Err(classify_body_error(&error)),
+                Err(error) => return Err(classify_body_error(&self.request, &error)),
             }
         }
     }
@@ -297,7 +297,7 @@
         let waiting = self.gateway.wait_reporting_silence(lease, EVENT_SILENCE_TIMEOUT, reading);
         let failure = match waiting.await {
             Ok(Ok(part)) => return Ok(part),
-            Ok(Err(error)) => classify_body_error(&error),
+            Ok(Err(error)) => classify_body_error(&self.request, &error),
             Err(_) => SendFailure::TimedOut,
         };
         if failure == SendFailure::BrokenOff {
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -342,8 +342,14 @@
         let mut is_sound = false;
         loop {
             let connection = &mut answer.connection;
-            let reading =
-                read_progress(connection, &mut splitter, &mut sequence, progress, &mut run_events);
+            let reading = read_progress(
+                &request,
+                connection,
+                &mut splitter,
+                &mut sequence,
+                progress,
+                &mut run_events,
+            );
             let reading = pause_tolerant::timeout(STALL_TIMEOUT, reading);
             match self.report_if_silent(lease, STREAM_SUSPECT_AFTER, reading).await {
                 Ok(Ok(true)) => {}
@@ -482,6 +488,7 @@
 /// Reads events until `progress` has grown and adds them to `run_events`, those that are repeated
 /// after a resumption too; returns false at the end of the stream.
 async fn read_progress(
+    request: &ClientRequest,
     connection: &mut Connection,
     splitter: &mut EventSplitter,
     sequence: &mut RunSequence,
@@ -507,11 +514,11 @@
                 let kept_bytes = splitter.buffered_bytes() + progress.text.capacity();
                 connection
                     .set_kept_bytes(kept_bytes)
-                    .map_err(|error| exchange::classify_body_error(&error))?;
+                    .map_err(|error| exchange::classify_body_error(request, &error))?;
             }
             Ok(None) if splitter.has_partial() => return Err(SendFailure::BrokenOff),
             Ok(None) => return Ok(false),
-            Err(error) => return Err(exchange::classify_body_error(&error)),
+            Err(error) => return Err(exchange::classify_body_error(request, &error)),
         }
     }
 }
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -211,7 +211,7 @@
     /// Reads while it writes, because a server may answer before it has read the complete body.
     pub async fn read_head(&mut self, method: &Method) -> Result<AnswerHead, ExchangeError> {
         let result = self.read_head_unlogged(method).await;
-        self.log_over_limit(result)
+        self.log_rejected(result)
     }
 
     async fn read_head_unlogged(&mut self, method: &Method) -> Result<AnswerHead, ExchangeError> {
@@ -231,7 +231,7 @@
     /// Returns the next part of the answer's body, or `None` once the body is complete.
     pub async fn read_body(&mut self) -> Result<Option<Bytes>, ExchangeError> {
         let result = self.read_body_unlogged().await;
-        self.log_over_limit(result)
+        self.log_rejected(result)
     }
 
     async fn read_body_unlogged(&mut self) -> Result<Option<Bytes>, ExchangeError> {
@@ -252,7 +252,7 @@
     /// Sets how many bytes of the answer the caller keeps in memory; fails if they are too many.
     pub fn set_kept_bytes(&mut self, kept_bytes: usize) -> Result<(), ExchangeError> {
         let result = self.reservation.resize(kept_bytes).map_err(ExchangeError::from);
-        self.log_over_limit(result)
+        self.log_rejected(result)
     }
 
     /// Reads the rest of the body, which may have at most `limit_bytes`.
@@ -264,7 +264,7 @@
         while let Some(part) = self.read_body().await? {
             if body.len() + parts.len() + part.len() > limit_bytes {
                 let error = ExchangeError::OverLimit("the body is too large");
-                return self.log_over_limit(Err(error));
+                return self.log_rejected(Err(error));
             }
             if body.is_empty() && parts.is_empty() {
                 body = part;
@@ -383,11 +383,14 @@
         }
     }
 
-    fn log_over_limit<T>(&self, result: Result<T, ExchangeError>) -> Result<T, ExchangeError> {
+    fn log_rejected<T>(&self, result: Result<T, ExchangeError>) -> Result<T, ExchangeError> {
         match &result {
             Err(ExchangeError::OverLimit(reason)) => {
                 warn!("event=answer_over_limit peer={} reason=\"{reason}\"", self.peer);
             }
+            Err(ExchangeError::Malformed(reason)) => {
+                warn!("event=answer_malformed peer={} reason=\"{reason}\"", self.peer);
+            }
             Err(ExchangeError::NoMemory) => {
                 warn!(
                     "event=answer_without_memory peer={} kind={} used_bytes={}",
