Check the answers that the HTTP client reads with the strict decoder

What callers would see: on the product's own interface a backend server in trouble sends a spoilt head or spoilt chunks, and a caller gets the raw chunks, the rest of the head or a still encoded body as the complete answer of a plain service. The command line and the store client read with the same library.

Cause: hyper, beneath kernel::http_client, takes for sound: a body with any transfer coding, as one that ends with its connection; repeated and listed equal lengths; a head that ends at a bare line feed; control bytes in chunk extensions; and the statuses 101 and 600 to 999. None of this can be set.

Fix: the client's connections pass what they receive through upstream::AnswerDecoder, as the platform path reads it, and fail at the first malformed byte, so the call counts as lost and its connection is closed. Bytes after an answer are kept from the library, and the connection fails at its next read. An answer may have 100 header fields now, as hyper allows, instead of 64; its head is bounded by 32 KiB on this path too.

--- a/crates/engine/tests/http_backend.rs
+++ b/crates/engine/tests/http_backend.rs
@@ -136,3 +136,52 @@
         assert!(matches!(item, Err(BackendError::Lost(_))), "{}", String::from_utf8_lossy(answer));
     }
 }
+
+#[tokio::test]
+async fn spoilt_service_answer_is_lost() {
+    let answers: [&[u8]; 12] = [
+        b"HTTP/1.1 200 OK\r\ncontent-length: +5\r\n\r\nhello",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 5, 5\r\n\r\nhello",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\ncontent-length: 3\r\n\r\nhello",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: xchunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked, gzip\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n\ncontent-length: 5\r\n\r\nhello",
+        b"HTTP/1.1 200 OK\r\nout of memory\r\ncontent-length: 5\r\n\r\nhello",
+        b"HTTP/1.1 200 OK\r\nx a: b\r\ncontent-length: 5\r\n\r\nhello",
+        b"HTTP/1.1 000 OK\r\ncontent-length: 5\r\n\r\nhello",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5;\x01\r\nhello\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx y: z\r\n\r\n",
+        b"HTTP/1.1 503 Busy\r\ncontent-length: 4\r\ncontent-length: 5\r\n\r\nbusy",
+    ];
+    for answer in answers {
+        let address = start_closing_server(answer).await;
+        let result = backend().call(address, &service_request(), REQUEST_TIMEOUT_MS).await;
+        let answer = String::from_utf8_lossy(answer);
+        assert!(matches!(result, Err(BackendError::Lost(_))), "{answer}: {result:?}");
+    }
+}
+
+#[tokio::test]
+async fn spoilt_stream_is_lost() {
+    let token = r#"data: {"id":"r","token_index":0,"choices":[{"text":"a"}]}"#;
+    let events = format!("{token}\n\ndata: [DONE]\n\n");
+    let length = events.len();
+    let answers = [
+        format!("content-length: +{length}\r\n\r\n{events}"),
+        format!("content-length: {length}\r\ncontent-length: {length}\r\n\r\n{events}"),
+        format!("transfer-encoding: identity\r\n\r\n{events}"),
+        format!("\ncontent-length: {length}\r\n\r\n{events}"),
+        format!("transfer-encoding: chunked\r\n\r\n{length:x};\x01\r\n{events}\r\n0\r\n\r\n"),
+    ];
+    for answer in answers {
+        let answer = format!("HTTP/1.1 200 OK\r\n{answer}").into_bytes();
+        let address = start_closing_server(Vec::leak(answer.clone())).await;
+        let stream = backend().generate(address, &request(), REQUEST_TIMEOUT_MS).await;
+        let result = match stream {
+            Ok(mut stream) => stream.next(REQUEST_TIMEOUT_MS).await.map(|_| ()),
+            Err(error) => Err(error),
+        };
+        let answer = String::from_utf8_lossy(&answer);
+        assert!(matches!(result, Err(BackendError::Lost(_))), "{answer}: {result:?}");
+    }
+}
--- a/crates/kernel/src/http_client.rs
+++ b/crates/kernel/src/http_client.rs
@@ -26,9 +26,11 @@
 use tokio::time::timeout;
 
 use crate::KernelError;
+use crate::checked_stream::CheckedConnector;
 use crate::tls;
 
-type Pool = Client<HttpsConnector<HttpConnector>, Full<Bytes>>;
+type Connector = CheckedConnector<HttpsConnector<HttpConnector>>;
+type Pool = Client<Connector, Full<Bytes>>;
 
 /// The maximum size of an answer that is read into memory, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
@@ -115,7 +117,8 @@
         let exchange = async {
             let (head, body) = self.send(request, time_limit).await?.into_parts();
             let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-            let collected = collected.map_err(|error| CallError::Lost(error.to_string()))?;
+            let collected =
+                collected.map_err(|error| CallError::Lost(format_error_chain(&*error)))?;
             Ok(Response::from_parts(head, collected.to_bytes()))
         };
         match timeout(time_limit, exchange).await {
@@ -167,7 +170,7 @@
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
         .retry_canceled_requests(false)
-        .build(connector)
+        .build(CheckedConnector::new(connector))
 }
 
 fn format_error_chain(error: &dyn std::error::Error) -> String {
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -1,6 +1,7 @@
 //! What all processes share: settings, plug-ins, life cycle, clocks, counters, logs and HTTP.
 
 pub mod body_watch;
+mod checked_stream;
 pub mod clock;
 pub mod connection_table;
 pub mod counters;
--- a/crates/upstream/src/head.rs
+++ b/crates/upstream/src/head.rs
@@ -13,7 +13,7 @@
 use crate::connection::ExchangeError;
 
 /// The most headers that are accepted in an answer.
-const MAX_HEADERS: usize = 64;
+const MAX_HEADERS: usize = 100;
 /// The media type of a stream of events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// The largest accepted head of an answer.
