Take an encoded answer for lost in the HTTP client

What callers would see: the body of a plain service with a content coding that nobody asked for, passed on without the header that names it; the store client would keep such a body as the value of an object.

Cause: the client of the product's own interface did not look at Content-Encoding.

Evidence: answer_with_an_encoded_body_is_lost failed before.

Fix: HttpClient::send takes such an answer for lost, for all callers.

--- a/crates/kernel/src/http_client.rs
+++ b/crates/kernel/src/http_client.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
+use http::header::CONTENT_ENCODING;
 use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -96,6 +97,9 @@
     ) -> Result<Response<Incoming>, CallError> {
         let pool = self.pool.load_full();
         match timeout(time_limit, pool.request(request.map(Full::new))).await {
+            Ok(Ok(response)) if response.headers().contains_key(CONTENT_ENCODING) => {
+                Err(CallError::Lost("the answer has a content coding".to_owned()))
+            }
             Ok(Ok(response)) => Ok(response),
             Ok(Err(error)) if error.is_connect() => {
                 Err(CallError::Connect(format_error_chain(&error)))
--- a/crates/kernel/tests/http_client.rs
+++ b/crates/kernel/tests/http_client.rs
@@ -173,6 +173,12 @@
     check_lost(bodies.map(|body| success("transfer-encoding: chunked", body))).await;
 }
 
+/// The client asks for no coding, so an encoded body is not the one that was asked for.
+#[tokio::test]
+async fn answer_with_an_encoded_body_is_lost() {
+    check_lost([success("content-encoding: gzip\r\ncontent-length: 5", "hello")]).await;
+}
+
 #[tokio::test]
 async fn answer_that_is_reset_during_the_upload_is_lost() {
     let answers = [
