Reject answers with a body whose status can have none

What callers would see: a replica in trouble sends 100 in place of 200. A body after a 204 could be read as the answer to the next call on the connection.

Cause: the framing of interim heads was not looked at, and that of a 204 was taken for none.

Evidence, on the code before: an answer inside the body of a 100, 103 or 199 reached clients of a daemon process as a plain answer, a stream and the rest of a resumed stream, and spoilt_answers failed.

Fix: the framing of each head is read, interim ones too, and a length above 0 or chunks under a status that can have no body are malformed. The answer to HEAD and a 304 may announce a length still, as HTTP allows.

--- a/crates/daemon/tests/platform_spoilt_answers.rs
+++ b/crates/daemon/tests/platform_spoilt_answers.rs
@@ -98,6 +98,13 @@
     ("chunked", |id| with_chunks(id, &format!("content-encoding: br\r\n{CHUNKED}"))),
 ];
 
+/// Answers that can have no body and hold another answer in it, which the replica did not give.
+const INNER_ANSWERS: [FaultyAnswer; 3] = [
+    ("100", |id| with_inner(id, "100 OK")),
+    ("103", |id| with_inner(id, "103 OK")),
+    ("199", |id| with_inner(id, "199 OK")),
+];
+
 fn length(id: &str) -> usize {
     events(id).len()
 }
@@ -118,6 +125,12 @@
     with_length_after(id, "").replace("200 OK", status)
 }
 
+fn with_inner(id: &str, status: &str) -> String {
+    let inner = with_length_after(id, "");
+    let head = success_head(id, &format!("content-length: {}\r\n", inner.len()));
+    head.replace("200 OK", status) + &inner
+}
+
 fn with_chunks(id: &str, lines: &str) -> String {
     success_head(id, lines) + &chunk(&events(id)) + "0\r\n\r\n"
 }
@@ -161,6 +174,11 @@
     check_everywhere("spoilt-status", &SPOILT_STATUSES);
 }
 
+#[test]
+fn body_of_an_interim_answer_is_not_passed_on() {
+    check_everywhere("inner-answer", &INNER_ANSWERS);
+}
+
 #[test]
 fn answer_with_an_encoded_body_is_not_passed_on() {
     check_everywhere("encoded", &ENCODED_BODIES);
--- a/crates/upstream/src/decoder.rs
+++ b/crates/upstream/src/decoder.rs
@@ -30,9 +30,9 @@
     /// Takes the next head that is not interim, or returns `None` if more bytes are needed.
     pub fn next_head(&mut self, method: &Method) -> Result<Option<AnswerHead>, ExchangeError> {
         while let Some(head) = AnswerHead::parse(&mut self.received)? {
+            self.framing = Framing::from_head(method, &head)?;
             if !head.status.is_informational() {
                 self.interim_heads = 0;
-                self.framing = Framing::from_head(method, &head)?;
                 return Ok(Some(head));
             }
             self.interim_heads += 1;
--- a/crates/upstream/src/framing.rs
+++ b/crates/upstream/src/framing.rs
@@ -5,6 +5,7 @@
 use http::HeaderName;
 use http::HeaderValue;
 use http::Method;
+use http::StatusCode;
 use http::header;
 
 use crate::connection::ExchangeError;
@@ -46,7 +47,18 @@
     /// leaves any doubt about the length of the body.
     pub fn from_head(method: &Method, head: &AnswerHead) -> Result<Self, ExchangeError> {
         let announced = Self::announced_by(head)?;
-        Ok(if head.has_body(method) { announced } else { Self::Done })
+        if head.has_body(method) {
+            return Ok(announced);
+        }
+        // The answer to a HEAD request and a 304 announce the body of another answer.
+        let never_has_body =
+            head.status.is_informational() || head.status == StatusCode::NO_CONTENT;
+        match announced {
+            Self::Length(_) | Self::Chunked(_) if never_has_body => {
+                Err(ExchangeError::Malformed("its status can have no body"))
+            }
+            _ => Ok(Self::Done),
+        }
     }
 
     fn announced_by(head: &AnswerHead) -> Result<Self, ExchangeError> {
--- a/crates/upstream/src/head.rs
+++ b/crates/upstream/src/head.rs
@@ -69,6 +69,7 @@
     /// Returns whether the answer to a request with `method` has a body, which may be empty.
     pub fn has_body(&self, method: &Method) -> bool {
         *method != Method::HEAD
+            && !self.status.is_informational()
             && self.status != StatusCode::NO_CONTENT
             && self.status != StatusCode::NOT_MODIFIED
     }
--- a/crates/upstream/tests/spoilt_answers.rs
+++ b/crates/upstream/tests/spoilt_answers.rs
@@ -304,3 +304,37 @@
         assert_eq!(decode(&answer), Ok((status, b"hello".to_vec())));
     }
 }
+
+/// Guards against a body that is read as the next answer: whoever chose its bytes would choose an answer.
+#[test]
+fn body_of_an_answer_that_can_have_none_is_malformed() {
+    let inner = String::from_utf8(success("content-length: 5", "inner")).expect("text");
+    let length = inner.len();
+    let bodies = [
+        format!("content-length: {length}\r\n\r\n{inner}"),
+        format!("transfer-encoding: chunked\r\n\r\n{length:x}\r\n{inner}\r\n0\r\n\r\n"),
+        format!("content-length: 0\r\ncontent-length: {length}\r\n\r\n{inner}"),
+    ];
+    for status in ["100 OK", "103 OK", "199 OK", "204 OK"] {
+        check_malformed(
+            bodies.iter().map(|body| format!("HTTP/1.1 {status}\r\n{body}").into_bytes()),
+        );
+    }
+}
+
+#[test]
+fn sound_answers_without_a_body_are_accepted() {
+    let last = String::from_utf8(success("content-length: 5", "hello")).expect("text");
+    for interim in
+        ["100 Continue\r\n", "103 Early Hints\r\nlink: x\r\n", "102 X\r\ncontent-length: 0\r\n"]
+    {
+        let answer = format!("HTTP/1.1 {interim}\r\n{last}").into_bytes();
+        assert_eq!(decode(&answer), Ok((200, b"hello".to_vec())), "{interim}");
+    }
+    for (status, lines) in
+        [(204, ""), (204, "content-length: 0\r\n"), (304, "content-length: 5\r\n")]
+    {
+        let answer = format!("HTTP/1.1 {status} X\r\n{lines}\r\n").into_bytes();
+        assert_eq!(decode(&answer), Ok((status, Vec::new())), "{status}");
+    }
+}
