Log why the answer to an item does not continue its output

What on-call saw: cause=garbled for an item, and no reason, if an event did not continue the output or was too long. Streams log both.

Change: answer_rejected is written for items too.

Measured: the items of platform_answers and platform_spoilt_answers pass in the whole run of the tests on the final commit.

--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -502,7 +502,10 @@
             match sequence.place(&event) {
                 EventPosition::Next => progress.append(&event),
                 EventPosition::Repeated => {}
-                EventPosition::Misplaced => return Err(SendFailure::Garbled),
+                EventPosition::Misplaced => {
+                    exchange::log_rejected(request, "an event does not continue the stream");
+                    return Err(SendFailure::Garbled);
+                }
             }
         }
         if (progress.events, progress.last_event) != before {
@@ -510,7 +513,10 @@
         }
         match connection.read_body().await {
             Ok(Some(bytes)) => {
-                splitter.push(&bytes).map_err(|_| SendFailure::Garbled)?;
+                splitter.push(&bytes).map_err(|error| {
+                    exchange::log_rejected(request, &error.to_string());
+                    SendFailure::Garbled
+                })?;
                 let kept_bytes = splitter.buffered_bytes() + progress.text.capacity();
                 connection
                     .set_kept_bytes(kept_bytes)
