--- a/crates/kernel/tests/http_client.rs
+++ b/crates/kernel/tests/http_client.rs
@@ -32,20 +32,21 @@
     OrderlyDuringUpload,
 }
 
-/// Starts a server that answers one request with `answer` and ends the connection.
+/// Starts a server that answers one request on each connection with `answer` and ends it.
 async fn start_server(answer: Vec<u8>, end: End) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("the listener binds");
     let address = listener.local_addr().expect("the listener has an address");
     tokio::spawn(async move {
-        let (mut stream, _) = listener.accept().await.expect("the client connects");
-        let read = stream.read(&mut [0; 256]).await.expect("the request is read");
-        assert!(read > 0);
-        stream.write_all(&answer).await.expect("the answer is written");
-        sleep(ARRIVAL_TIME).await;
-        if end == End::OrderlyDuringUpload {
-            stream.shutdown().await.expect("its direction is ended");
-            let mut discarded = vec![0; 1 << 20];
-            while stream.read(&mut discarded).await.is_ok_and(|read| read > 0) {}
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let read = stream.read(&mut [0; 256]).await.expect("the request is read");
+            assert!(read > 0);
+            stream.write_all(&answer).await.expect("the answer is written");
+            sleep(ARRIVAL_TIME).await;
+            if end == End::OrderlyDuringUpload {
+                stream.shutdown().await.expect("its direction is ended");
+                let mut discarded = vec![0; 1 << 20];
+                while stream.read(&mut discarded).await.is_ok_and(|read| read > 0) {}
+            }
         }
     });
     address
@@ -219,3 +220,26 @@
         assert_eq!(&response.body()[..], b"long");
     }
 }
+
+/// A server may write more than its answer; the bytes belong to no call.
+#[tokio::test]
+async fn bytes_after_an_answer_are_not_read() {
+    let surplus = success("content-length: 5", "other");
+    let answers = [
+        success("content-length: 5", "hello"),
+        success("transfer-encoding: chunked", "5\r\nhello\r\n0\r\n\r\n"),
+    ];
+    for answer in answers {
+        for surplus in [surplus.as_str(), "surplus", "\r\n"] {
+            let bytes = format!("{answer}{surplus}");
+            let address = start_server(bytes.clone().into(), End::Orderly).await;
+            let client = HttpClient::new(None).expect("a client");
+            for _ in 0..2 {
+                let request = Request::get(format!("http://{address}/x")).body(Bytes::new());
+                let result = client.call(request.expect("a request"), CALL_TIMEOUT).await;
+                let response = result.unwrap_or_else(|error| panic!("{bytes}: {error}"));
+                assert_eq!(&response.body()[..], b"hello", "{bytes}");
+            }
+        }
+    }
+}
