Do not probe for free addresses with a socket in the tests of daemons

What was seen: items_are_whole_beside_a_series_of_configurations failed once, in a trial run of all tests: "the daemon was not ready in time". Its log says "cannot listen on 127.67.6.1:21404: Address already in use".

Cause: claim_subnet binds a UDP socket to that address to see whether it is free, and closes it. A process that another test of the same binary starts in between holds a copy of the socket until it runs its program, so the daemon may find the address in use.

Fix: the check reads the list of UDP sockets of the system instead. It is as strict: the address and the address of all interfaces at that port.

--- a/crates/daemon/tests/platform_fleet/mod.rs
+++ b/crates/daemon/tests/platform_fleet/mod.rs
@@ -5,7 +5,6 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
-use std::net::UdpSocket;
 use std::path::Path;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -142,14 +141,27 @@
         let subnet = NEXT_SUBNET.fetch_add(1, Ordering::Relaxed);
         let address = |number| Ipv4Addr::new(127, net, subnet, number);
         let claim = TcpListener::bind((address(u8::MAX), FIRST_PORT));
-        let is_free = UdpSocket::bind((address(1), FIRST_PORT + 4)).is_ok();
-        if let (Ok(claim), true) = (claim, is_free) {
+        let is_used = has_udp_socket(address(1), FIRST_PORT + 4);
+        if let (Ok(claim), false) = (claim, is_used) {
             return (claim, [net, subnet]);
         }
     }
     panic!("no addresses in 127.{net} are free");
 }
 
+/// Returns whether a process has a UDP socket at this address or at this port of all addresses.
+///
+/// A socket that is bound to find this out, and closed again, may still be open in a process that another
+/// test starts at this moment, and the daemon would find its address in use.
+fn has_udp_socket(address: Ipv4Addr, port: u16) -> bool {
+    let sockets = std::fs::read_to_string("/proc/net/udp").expect("the list of sockets is read");
+    let local_address =
+        |address: Ipv4Addr| format!("{:08X}:{port:04X}", u32::from_ne_bytes(address.octets()));
+    [address, Ipv4Addr::UNSPECIFIED].into_iter().map(local_address).any(|used| {
+        sockets.lines().any(|line| line.split_whitespace().nth(1) == Some(used.as_str()))
+    })
+}
+
 /// Runs a test on one thread with a temporary folder of its own.
 pub fn run_local<F, T>(name: &str, test: F)
 where
