Test that spoilt answers use up the attempts of a request and no more

Already handled: if all replicas answer spoilt heads, or reset uploads, an idempotent request is sent to as many replicas as its route allows and then answered 502.

--- a/crates/daemon/tests/platform_early_answers.rs
+++ b/crates/daemon/tests/platform_early_answers.rs
@@ -39,6 +39,8 @@
 /// The length of an upload: more than the buffers of a connection hold, and within the limit of the
 /// configuration.
 const UPLOAD_BYTES: usize = 4_000_000;
+/// The most replicas to which the routes allow a request to be sent.
+const MAX_ATTEMPTS: usize = 2;
 /// The number of replicas.
 const REPLICAS: usize = 3;
 /// The time after which the daemon has read what a replica wrote.
@@ -79,8 +81,7 @@
         let answer = upload(&fleet, OutgoingRequest::lookup(LOOKUP, "l")).await;
         let status = answer.expect("an answer").status;
         assert_eq!(status, StatusCode::BAD_GATEWAY, "a part of the answer looks complete");
-        let tries = reads_of(&requests, "l");
-        assert!(tries > 1, "an idempotent request was not sent again");
+        assert_eq!(reads_of(&requests, "l"), MAX_ATTEMPTS);
     });
 }
 
--- a/crates/daemon/tests/platform_spoilt_answers.rs
+++ b/crates/daemon/tests/platform_spoilt_answers.rs
@@ -8,7 +8,10 @@
 
 use std::time::Duration;
 
+use http::StatusCode;
 use platform_stub::Client;
+use platform_stub::deployment::LOOKUP;
+use platform_stub::deployment::PLAIN_SERVICE;
 use platform_stub::deployment::RESUMABLE;
 use platform_stub::deployment::STREAM;
 use platform_stub::raw_replica;
@@ -29,9 +32,14 @@
 use crate::raw_replicas::events;
 use crate::raw_replicas::events_from;
 use crate::raw_replicas::faulty_at_first;
+use crate::raw_replicas::reads_of;
+use crate::raw_replicas::recorded;
 use crate::raw_replicas::start_with_raw_engines;
+use crate::raw_replicas::start_with_raw_replicas;
 use crate::raw_replicas::success_head;
 
+/// The most replicas to which the routes allow a request to be sent.
+const MAX_ATTEMPTS: usize = 2;
 /// The longest time until a line is in the log, which is written in the background.
 const LOG_DELAY: Duration = Duration::from_secs(5);
 /// The pause between two reads of the log.
@@ -207,6 +215,20 @@
     }
 }
 
+#[test]
+fn spoilt_answers_of_all_replicas_use_up_the_attempts() {
+    run_local("spoilt-budget", |folder| async move {
+        let requests = Requests::default();
+        let script = recorded(&requests, |request, stream| {
+            raw_replica::write(stream, SPOILT_LENGTHS[0].1(&request.id))
+        });
+        let fleet = start_with_raw_replicas(folder, PLAIN_SERVICE, MAX_ATTEMPTS + 1, script).await;
+        let answer = Client.lookup(fleet.ingress(0), LOOKUP, "l").await.expect("an answer");
+        assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+        assert_eq!(reads_of(&requests, "l"), MAX_ATTEMPTS);
+    });
+}
+
 #[test]
 fn log_tells_why_an_answer_was_rejected() {
     run_local("spoilt-log", |folder| async move {
