--- a/crates/daemon/tests/platform_spoilt_answers.rs
+++ b/crates/daemon/tests/platform_malformed_answers.rs
@@ -1,4 +1,4 @@
-//! Tests a daemon process with replicas whose answers are spoilt in the head or in the framing.
+//! Tests a daemon process with replicas whose answers are malformed in the head or in the framing.
 
 mod faulty_answers;
 #[expect(dead_code, reason = "not all helpers are used here")]
@@ -45,8 +45,8 @@
 /// The pause between two reads of the log.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Heads that are spoilt where they tell the length of the body.
-const SPOILT_LENGTHS: [FaultyAnswer; 12] = [
+/// Heads that are malformed where they announce the length of the body.
+const MALFORMED_LENGTHS: [FaultyAnswer; 12] = [
     ("signed length", |id| with_events(id, &format!("content-length: +{}\r\n", length(id)))),
     ("other second length", |id| with_events(id, &two_lengths(length(id), 1))),
     ("other first length", |id| with_events(id, &two_lengths(1, length(id)))),
@@ -62,7 +62,7 @@
 ];
 
 /// Heads with a line that is no field, or with a name that holds a blank or a control byte.
-const SPOILT_LINES: [FaultyAnswer; 12] = [
+const MALFORMED_LINES: [FaultyAnswer; 12] = [
     ("text", |id| with_length_after(id, "out of memory\r\n")),
     ("no colon", |id| with_events(id, &format!("content-length {}\r\n", length(id)))),
     ("no name", |id| with_length_after(id, ": x\r\n")),
@@ -77,8 +77,8 @@
     ("zero byte in a name", |id| with_length_after(id, "x\0a: b\r\n")),
 ];
 
-/// Chunks with a spoilt line before, between or after them.
-const SPOILT_CHUNKS: [FaultyAnswer; 8] = [
+/// Chunks with a malformed line before, between or after them.
+const MALFORMED_CHUNKS: [FaultyAnswer; 8] = [
     ("signed size", |id| chunks(id, "+", "0\r\n\r\n")),
     ("blank before the size", |id| chunks(id, " ", "0\r\n\r\n")),
     ("signed last size", |id| chunks(id, "", "+0\r\n\r\n")),
@@ -90,7 +90,7 @@
 ];
 
 /// Statuses that no answer may have.
-const SPOILT_STATUSES: [FaultyAnswer; 6] = [
+const MALFORMED_STATUSES: [FaultyAnswer; 6] = [
     ("000", |id| with_status(id, "000 OK")),
     ("099", |id| with_status(id, "099 OK")),
     ("101", |id| with_status(id, "101 Switching Protocols")),
@@ -150,7 +150,7 @@
 }
 
 /// Writes an answer and keeps the connection open.
-fn spoilt_and_open(requests: &Requests, answer: fn(&str) -> String) -> RawAnswer {
+fn malformed_and_open(requests: &Requests, answer: fn(&str) -> String) -> RawAnswer {
     faulty_at_first(requests, move |id, stream| raw_replica::write(stream, answer(&id)))
 }
 
@@ -163,23 +163,23 @@
 }
 
 #[test]
-fn answer_with_spoilt_length_is_not_passed_on() {
-    check_everywhere("spoilt-length", &SPOILT_LENGTHS);
+fn answer_with_malformed_length_is_not_passed_on() {
+    check_everywhere("malformed-length", &MALFORMED_LENGTHS);
 }
 
 #[test]
 fn answer_with_a_line_that_is_no_field_is_not_passed_on() {
-    check_everywhere("spoilt-line", &SPOILT_LINES);
+    check_everywhere("malformed-line", &MALFORMED_LINES);
 }
 
 #[test]
-fn answer_with_spoilt_chunks_is_not_passed_on() {
-    check_everywhere("spoilt-chunks", &SPOILT_CHUNKS);
+fn answer_with_malformed_chunks_is_not_passed_on() {
+    check_everywhere("malformed-chunks", &MALFORMED_CHUNKS);
 }
 
 #[test]
-fn answer_with_spoilt_status_is_not_passed_on() {
-    check_everywhere("spoilt-status", &SPOILT_STATUSES);
+fn answer_with_malformed_status_is_not_passed_on() {
+    check_everywhere("malformed-status", &MALFORMED_STATUSES);
 }
 
 #[test]
@@ -192,35 +192,39 @@
     check_everywhere("encoded", &ENCODED_BODIES);
 }
 
-/// A connection on which an answer was spoilt is in an unknown state, even if the replica keeps it open.
+/// A connection that carried a malformed answer is in an unknown state, even if the replica keeps it open.
 #[test]
-fn connection_of_a_spoilt_answer_is_not_used_again() {
-    let answers =
-        [SPOILT_LENGTHS[1].1, SPOILT_LINES[4].1, SPOILT_CHUNKS[5].1, SPOILT_STATUSES[0].1];
+fn connection_of_a_malformed_answer_is_not_used_again() {
+    let answers = [
+        MALFORMED_LENGTHS[1].1,
+        MALFORMED_LINES[4].1,
+        MALFORMED_CHUNKS[5].1,
+        MALFORMED_STATUSES[0].1,
+    ];
     for (number, answer) in answers.into_iter().enumerate() {
-        run_local(&format!("spoilt-connection-{number}"), |folder| async move {
+        run_local(&format!("malformed-connection-{number}"), |folder| async move {
             let requests = Requests::default();
-            let script = spoilt_and_open(&requests, answer);
+            let script = malformed_and_open(&requests, answer);
             let fleet = start_with_raw_engines(folder, 1, script).await;
-            let (_, is_complete) = read_stream(&fleet, STREAM, "spoilt").await;
+            let (_, is_complete) = read_stream(&fleet, STREAM, "malformed").await;
             assert!(!is_complete, "{number}");
             let _ = Client.stream(fleet.ingress(0), RESUMABLE, "next", EVENTS).await;
             let requests = requests.borrow();
-            let sends = requests.iter().filter(|request| request.id == "spoilt").count();
+            let sends = requests.iter().filter(|request| request.id == "malformed").count();
             assert_eq!(sends, 1, "{number}: a request that may not be repeated was sent again");
             let next = requests.iter().find(|request| request.id == "next");
             let earlier_ids = &next.expect("the next request was sent").earlier_ids;
-            assert!(!earlier_ids.contains(&"spoilt".to_owned()), "{number}");
+            assert!(!earlier_ids.contains(&"malformed".to_owned()), "{number}");
         });
     }
 }
 
 #[test]
-fn spoilt_answers_of_all_replicas_use_up_the_attempts() {
-    run_local("spoilt-budget", |folder| async move {
+fn malformed_answers_of_all_replicas_use_up_the_attempts() {
+    run_local("malformed-budget", |folder| async move {
         let requests = Requests::default();
         let script = recorded(&requests, |request, stream| {
-            raw_replica::write(stream, SPOILT_LENGTHS[0].1(&request.id))
+            raw_replica::write(stream, MALFORMED_LENGTHS[0].1(&request.id))
         });
         let fleet = start_with_raw_replicas(folder, PLAIN_SERVICE, MAX_ATTEMPTS + 1, script).await;
         let answer = Client.lookup(fleet.ingress(0), LOOKUP, "l").await.expect("an answer");
@@ -231,9 +235,9 @@
 
 #[test]
 fn log_tells_why_an_answer_was_rejected() {
-    run_local("spoilt-log", |folder| async move {
+    run_local("malformed-log", |folder| async move {
         let requests = Requests::default();
-        let script = spoilt_and_open(&requests, SPOILT_CHUNKS[5].1);
+        let script = malformed_and_open(&requests, MALFORMED_CHUNKS[5].1);
         let fleet = start_with_raw_engines(folder, 2, script).await;
         read_stream(&fleet, RESUMABLE, "r").await;
         let reason = "the answer is malformed: a trailer line is no field";
--- a/crates/engine/tests/http_backend.rs
+++ b/crates/engine/tests/http_backend.rs
@@ -138,7 +138,7 @@
 }
 
 #[tokio::test]
-async fn spoilt_service_answer_is_lost() {
+async fn malformed_service_answer_is_lost() {
     let answers: [&[u8]; 12] = [
         b"HTTP/1.1 200 OK\r\ncontent-length: +5\r\n\r\nhello",
         b"HTTP/1.1 200 OK\r\ncontent-length: 5, 5\r\n\r\nhello",
@@ -162,7 +162,7 @@
 }
 
 #[tokio::test]
-async fn spoilt_stream_is_lost() {
+async fn malformed_stream_is_lost() {
     let token = r#"data: {"id":"r","token_index":0,"choices":[{"text":"a"}]}"#;
     let events = format!("{token}\n\ndata: [DONE]\n\n");
     let length = events.len();
--- a/crates/fleet/tests/upgrade.rs
+++ b/crates/fleet/tests/upgrade.rs
@@ -1,4 +1,4 @@
-//! Spoilt answers to the upgrade of a connection to a link, as the library of links reads them.
+//! Malformed answers to the upgrade of a connection to a link, as the library of links reads them.
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -40,7 +40,7 @@
 }
 
 #[tokio::test]
-async fn spoilt_upgrade_opens_no_link() {
+async fn malformed_upgrade_opens_no_link() {
     for status in ["000 X", "099 X", "200 OK", "600 X", "1010 X", "10 X"] {
         assert!(!opens_link(&upgrade(status, "")).await, "{status}");
     }
--- a/crates/kernel/src/checked_stream.rs
+++ b/crates/kernel/src/checked_stream.rs
@@ -1,6 +1,6 @@
 //! A connection of the HTTP client that fails at the first malformed byte of an answer.
 //!
-//! hyper reads some spoilt answers as sound ones, and cannot be set to reject them.
+//! hyper accepts some malformed answers, and has no setting to reject them.
 
 use std::io;
 use std::io::ErrorKind;
--- a/crates/kernel/tests/http_client.rs
+++ b/crates/kernel/tests/http_client.rs
@@ -1,4 +1,4 @@
-//! Answers that are spoilt, cut or reset, as the HTTP client reads them.
+//! Answers that are malformed, cut or reset, as the HTTP client reads them.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -85,7 +85,7 @@
 }
 
 #[tokio::test]
-async fn answer_with_spoilt_length_is_lost() {
+async fn answer_with_malformed_length_is_lost() {
     let lengths = ["+5", "-5", "5, 5", "5 5", "0x5", "", "five", "18446744073709551616"];
     check_lost(lengths.map(|length| success(&format!("content-length: {length}"), "hello"))).await;
     let pairs = [("5", "3"), ("3", "5"), ("5", "5"), ("5", "x")];
@@ -141,14 +141,14 @@
 }
 
 #[tokio::test]
-async fn answer_with_spoilt_status_is_lost() {
+async fn answer_with_malformed_status_is_lost() {
     let statuses = ["000", "099", "101", "600", "999", "20", "2000"];
     check_lost(statuses.map(|status| success("content-length: 5", "hello").replace("200", status)))
         .await;
 }
 
 #[tokio::test]
-async fn answer_with_spoilt_chunks_is_lost() {
+async fn answer_with_malformed_chunks_is_lost() {
     let bodies = [
         "+5\r\nhello\r\n0\r\n\r\n",
         " 5\r\nhello\r\n0\r\n\r\n",
--- a/crates/node/tests/spoilt_answers.rs
+++ b/crates/node/tests/malformed_answers.rs
@@ -1,4 +1,4 @@
-//! Spoilt answers to calls of the store, of other daemons and for the state of a replica.
+//! Malformed answers to calls of the store, of other daemons and for the state of a replica.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -43,8 +43,8 @@
     address
 }
 
-/// Returns answers with this status that are spoilt, each in another way.
-fn spoilt_answers(status: u16) -> Vec<String> {
+/// Returns answers with this status that are malformed, each in another way.
+fn malformed_answers(status: u16) -> Vec<String> {
     let length = BODY.len();
     let chunk = format!("{length:x}\r\n{BODY}\r\n");
     let answers = [
@@ -66,13 +66,13 @@
     LocalSet::new().run_until(test).await;
 }
 
-/// A spoilt refusal does not promise that the store has done nothing, nor a spoilt 404 that an object
+/// A malformed refusal does not promise that the store has done nothing, nor a malformed 404 that an object
 /// is absent.
 #[tokio::test]
-async fn spoilt_answer_of_the_store_tells_nothing() {
+async fn malformed_answer_of_the_store_tells_nothing() {
     run_local(async {
         let statuses = [0, 101, 200, 404, 409, 410, 413, 429, 503, 600];
-        for answer in statuses.into_iter().flat_map(spoilt_answers) {
+        for answer in statuses.into_iter().flat_map(malformed_answers) {
             let address = start_server(answer.replace("HTTP/1.1 0 ", "HTTP/1.1 000 ")).await;
             let counters = Counters::new(None).expect("counters without an address");
             let codec = Rc::new(PlatformObjectCodec);
@@ -86,9 +86,9 @@
 }
 
 #[tokio::test]
-async fn spoilt_answer_of_a_daemon_tells_nothing() {
+async fn malformed_answer_of_a_daemon_tells_nothing() {
     run_local(async {
-        for answer in [200, 404, 503].into_iter().flat_map(spoilt_answers) {
+        for answer in [200, 404, 503].into_iter().flat_map(malformed_answers) {
             let address = start_server(answer.clone()).await;
             let client = ControlClient::default();
             let result = client.call(address, Method::POST, "/x", b"body", CALL_TIMEOUT).await;
@@ -99,9 +99,9 @@
 }
 
 #[tokio::test]
-async fn spoilt_answer_is_no_state_of_a_replica() {
+async fn malformed_answer_is_no_state_of_a_replica() {
     run_local(async {
-        for answer in spoilt_answers(StatusCode::OK.as_u16()) {
+        for answer in malformed_answers(StatusCode::OK.as_u16()) {
             let record = ReplicaRecord {
                 name: "engine".into(),
                 service: "engines".into(),
--- a/crates/upstream/src/framing.rs
+++ b/crates/upstream/src/framing.rs
@@ -162,13 +162,12 @@
 
 /// Parses the size of a chunk, which blanks and an extension may follow.
 fn parse_size(line: &[u8]) -> Option<u64> {
-    let is_digit = |byte: &u8| byte.is_ascii_hexdigit();
-    let (digits, rest) = line.split_at(line.iter().take_while(|byte| is_digit(byte)).count());
-    let is_blank = |byte: &u8| matches!(byte, b' ' | b'\t');
-    let extension = rest.get(rest.iter().take_while(|byte| is_blank(byte)).count()..)?;
-    let is_sound = extension.is_empty()
-        || (extension.starts_with(b";") && HeaderValue::from_bytes(extension).is_ok());
-    is_sound.then(|| parse_digits(digits, 16))?
+    let digits = line.iter().take_while(|byte| byte.is_ascii_hexdigit()).count();
+    let (digits, rest) = line.split_at(digits);
+    let blanks = rest.iter().take_while(|byte| matches!(byte, b' ' | b'\t')).count();
+    let (_, extension) = rest.split_at(blanks);
+    let is_extension = extension.starts_with(b";") && HeaderValue::from_bytes(extension).is_ok();
+    parse_digits(digits, 16).filter(|_| extension.is_empty() || is_extension)
 }
 
 /// Returns whether a line of the trailers has the name and the value of a field.
--- a/crates/upstream/src/head.rs
+++ b/crates/upstream/src/head.rs
@@ -43,7 +43,7 @@
             Ok(_) => return Err(ExchangeError::OverLimit("the head is too large")),
             Err(_) => return Err(ExchangeError::Malformed("the bytes are no answer")),
         };
-        // The parser also ends a line, and so the head, at a line feed inside a spoilt line.
+        // The parser also ends a line, and so the head, at a single line feed.
         if has_bare_line_feed(&buffer[..length]) {
             return Err(ExchangeError::Malformed("a line of the head ends without CR"));
         }
--- a/crates/upstream/tests/spoilt_answers.rs
+++ b/crates/upstream/tests/malformed_answers.rs
@@ -1,4 +1,4 @@
-//! Answers whose head or framing is spoilt: none of them is a complete answer.
+//! Answers whose head or framing is malformed; none of them is a complete answer.
 
 use http::Method;
 use upstream::AnswerDecoder;
@@ -34,7 +34,7 @@
 }
 
 #[test]
-fn length_that_is_spoilt_is_malformed() {
+fn length_that_is_no_number_is_malformed() {
     let lengths = [
         "+5",
         "-5",
@@ -197,7 +197,7 @@
 }
 
 #[test]
-fn spoilt_size_of_a_chunk_is_malformed() {
+fn size_of_a_chunk_that_is_no_number_is_malformed() {
     let sizes = [
         "+5",
         "-5",
