--- a/crates/kernel/src/http_client.rs
+++ b/crates/kernel/src/http_client.rs
@@ -89,7 +89,7 @@
         Ok(Self { pool: ArcSwap::from_pointee(new_pool(&tls)), tls })
     }
 
-    /// Sends a request and waits for the head of the answer.
+    /// Sends a request and waits for the head of the answer; the method must not be HEAD.
     pub async fn send(
         &self,
         request: Request<Bytes>,
